--- /dev/null
+++ b/internal/coordination/scheduler/doc.go
@@ -0,0 +1,2 @@
+// Package scheduler decides which waiting request runs next and which are shed.
+package scheduler
