Add the thin path: one entry instance between callers and engines

Nothing served requests yet. The daemon reads its settings and a configuration file, authenticates a team, chooses the class, queues the request, takes a slot at an engine and relays the answer, whole or event by event.

A request that exceeds the body limit was sometimes answered with a connection reset instead of the JSON error (seen in TestBadInput under the race detector): the listener closed the socket with unread bytes.

--- /dev/null
+++ b/internal/entry/instance.go
@@ -0,0 +1,242 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
+	"github.com/yuccabridge/yuccabridge/internal/settings"
+)
+
+const (
+	// tickInterval bounds how late a queued request is shed after it can no longer
+	// meet its deadline.
+	tickInterval = 20 * time.Millisecond
+	// drainDelay is how long a stopping instance still accepts requests after its
+	// readiness has failed, so that the platform's load balancer notices.
+	drainDelay = 2 * time.Second
+	// stopPoll is how often a stopping instance looks whether its requests have ended.
+	stopPoll = 20 * time.Millisecond
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	settings   *settings.Settings
+	log        *logrus.Logger
+	metrics    *metrics
+	started    time.Time
+	seed       uint64
+	sequence   atomic.Uint64
+	routes     atomic.Pointer[routes]
+	draining   atomic.Bool
+	watcher    *callerWatcher
+	quarantine *quarantine.Quarantine
+
+	configuring sync.Mutex
+	pools       map[string]*pool
+	leaving     map[string]bool
+
+	callers    *fasthttp.Server
+	operations *fasthttp.Server
+	listeners  listeners
+}
+
+// listeners are the open sockets.
+type listeners struct {
+	callers    net.Listener
+	operations net.Listener
+}
+
+// New opens the instance's sockets and reads its first configuration where it comes
+// from a file.
+func New(s *settings.Settings, log *logrus.Logger) (*Instance, error) {
+	in := &Instance{
+		settings: s,
+		log:      log,
+		metrics:  newMetrics(),
+		started:  time.Now(),
+		seed:     rand.Uint64(),
+		watcher:  newCallerWatcher(),
+		pools:    map[string]*pool{},
+		leaving:  map[string]bool{},
+	}
+	in.quarantine = quarantine.New()
+	in.callers = in.newCallersServer()
+	in.operations = in.newOperationsServer()
+	if s.ConfigurationFile != "" {
+		if err := in.loadFile(s.ConfigurationFile); err != nil {
+			return nil, err
+		}
+	}
+	if err := in.listen(); err != nil {
+		return nil, err
+	}
+	return in, nil
+}
+
+func (in *Instance) loadFile(file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read configuration")
+	}
+	d, err := config.Parse(text)
+	if err != nil {
+		return errors.Wrap(err, file)
+	}
+	in.apply(1, d)
+	return nil
+}
+
+func (in *Instance) listen() error {
+	callers, err := net.Listen("tcp", in.settings.Callers.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	in.listeners.callers = lingerListener{callers}
+	if in.listeners.operations, err = net.Listen("tcp", in.settings.Operations.Address); err != nil {
+		in.listeners.callers.Close()
+		return errors.Wrap(err, "listen for operations")
+	}
+	return nil
+}
+
+// CallersAddress is the address that callers reach.
+func (in *Instance) CallersAddress() string { return in.listeners.callers.Addr().String() }
+
+// OperationsAddress is the address that operators reach.
+func (in *Instance) OperationsAddress() string { return in.listeners.operations.Addr().String() }
+
+// now is the monotonic time since the start.
+func (in *Instance) now() time.Duration { return time.Since(in.started) }
+
+// fingerprint identifies a request across resends.
+func (in *Instance) fingerprint(team string, body []byte) quarantine.Fingerprint {
+	var h xxhash.Digest
+	h.Reset()
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(team)))
+	h.Write(length[:])
+	h.WriteString(team)
+	h.Write(body)
+	return quarantine.Fingerprint(h.Sum64())
+}
+
+// apply puts a configuration in force. The caller guarantees that revisions rise.
+func (in *Instance) apply(revision uint64, d *config.Deployment) {
+	in.configuring.Lock()
+	defer in.configuring.Unlock()
+	next := map[string]*pool{}
+	for _, m := range d.Models {
+		next[m.Name] = in.keepPool(m.Name, modelPool, d)
+		next[m.Name].configure(d, m.Upstreams, in.leaving)
+	}
+	for _, s := range d.Services {
+		next[s.Name] = in.keepPool(s.Name, servicePool, d)
+		next[s.Name].configure(d, s.Upstreams, in.leaving)
+	}
+	in.pools = next
+	in.routes.Store(newRoutes(revision, d, next))
+	in.metrics.revision.Set(float64(revision))
+	in.log.WithFields(logrus.Fields{"event": "configuration_applied", "revision": revision, "deployment": d.Name}).Info("configuration applied")
+}
+
+// keepPool returns the pool with its learned state, or a new one.
+func (in *Instance) keepPool(name string, kind poolKind, d *config.Deployment) *pool {
+	if p, ok := in.pools[name]; ok && p.kind == kind {
+		return p
+	}
+	return newPool(in, name, kind, d, in.seed^xxhash.Sum64String(name))
+}
+
+// poolList returns the pools in force.
+func (in *Instance) poolList() []*pool {
+	in.configuring.Lock()
+	defer in.configuring.Unlock()
+	list := make([]*pool, 0, len(in.pools))
+	for _, p := range in.pools {
+		list = append(list, p)
+	}
+	return list
+}
+
+// spread sends suspicions to the other instances.
+func (in *Instance) spread(s []quarantine.Suspicion) {}
+
+// Run serves until ctx ends, then drains: it fails its readiness, accepts requests
+// for a short while longer, finishes every request in progress and returns.
+func (in *Instance) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return errors.Wrap(in.callers.Serve(in.listeners.callers), "serve callers") })
+	group.Go(func() error { return errors.Wrap(in.operations.Serve(in.listeners.operations), "serve operations") })
+	group.Go(func() error { return every(work, tickInterval, in.tickPools) })
+	group.Go(func() error { return every(work, watchInterval, in.watcher.check) })
+	group.Go(func() error { return every(work, loadInterval, func() { in.pollLoads(work) }) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+		}
+		err := in.drain()
+		stop()
+		return err
+	})
+	in.log.WithFields(logrus.Fields{"event": "started", "instance": in.settings.Instance, "failure_domain": in.settings.FailureDomain,
+		"callers": in.CallersAddress(), "operations": in.OperationsAddress()}).Info("instance started")
+	return group.Wait()
+}
+
+// drain is the planned stop.
+func (in *Instance) drain() error {
+	in.draining.Store(true)
+	in.log.WithFields(logrus.Fields{"event": "draining", "in_progress": in.watcher.inProgress()}).Info("draining")
+	time.Sleep(drainDelay)
+	if err := in.callers.Shutdown(); err != nil {
+		return errors.Wrap(err, "stop callers' listener")
+	}
+	for in.watcher.inProgress() > 0 {
+		time.Sleep(stopPoll)
+	}
+	in.log.WithField("event", "stopped").Info("every request has ended")
+	return errors.Wrap(in.operations.Shutdown(), "stop operations listener")
+}
+
+func (in *Instance) tickPools() {
+	for _, p := range in.poolList() {
+		p.tick()
+	}
+}
+
+func (in *Instance) pollLoads(ctx context.Context) {
+	for _, p := range in.poolList() {
+		p.pollLoads(ctx)
+	}
+}
+
+// every runs fn at the interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, fn func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			fn()
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/load.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/yuccabridge/yuccabridge/internal/coordination/balancer"
+	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
+)
+
+// loadInterval is how often an engine in use is asked for its load.
+const loadInterval = time.Second
+
+// loadTimeout bounds one load query.
+const loadTimeout = 500 * time.Millisecond
+
+// maxLoadBytes bounds a load report.
+const maxLoadBytes = 4 << 10
+
+// loadState is the last load report of an upstream.
+type loadState struct {
+	incarnation string
+}
+
+type loadReport struct {
+	Incarnation string `json:"incarnation"`
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	AgeMS       int64  `json:"age_ms"`
+}
+
+// pollLoads asks the engines of the subset for their load.
+func (p *pool) pollLoads(ctx context.Context) {
+	if p.kind != modelPool {
+		return
+	}
+	for _, u := range p.bal.Snapshot(p.in.now()) {
+		go p.checkIncarnation(ctx, u.Upstream)
+	}
+}
+
+// incarnation is the last incarnation that the upstream reported.
+func (p *pool) incarnation(upstream string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loads[upstream].incarnation
+}
+
+// checkIncarnation asks an engine for its load and returns the incarnation known
+// before and the one reported now. Both are empty when they are not known.
+func (p *pool) checkIncarnation(ctx context.Context, u balancer.Upstream) (before, after string) {
+	before = p.incarnation(u.Name)
+	report, ok := p.queryLoad(ctx, u.Address)
+	if !ok {
+		return before, ""
+	}
+	p.mu.Lock()
+	p.loads[u.Name] = loadState{incarnation: report.Incarnation}
+	p.mu.Unlock()
+	p.bal.ReportLoad(p.in.now(), u.Name, balancer.LoadReport{
+		Incarnation: report.Incarnation,
+		Running:     report.Running,
+		Waiting:     report.Waiting,
+		Age:         time.Duration(report.AgeMS) * time.Millisecond,
+	})
+	return before, report.Incarnation
+}
+
+func (p *pool) queryLoad(ctx context.Context, address string) (loadReport, bool) {
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://" + address + "/load")
+	answer, err := p.client(address).Do(ctx, upstream.Call{Request: req, Fresh: true, FirstByte: loadTimeout})
+	if err != nil {
+		return loadReport{}, false
+	}
+	a := attempt{answer: answer}
+	body, err := a.readAll(maxLoadBytes, loadTimeout)
+	answer.Release(err == nil)
+	var report loadReport
+	if err != nil || json.Unmarshal(body, &report) != nil {
+		return loadReport{}, false
+	}
+	return report, true
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the instance's own metrics. Histograms are kept by class, counters by
+// class or team, so that 2,400 teams do not multiply the buckets.
+type metrics struct {
+	registry       *prometheus.Registry
+	firstToken     *prometheus.HistogramVec
+	tokenInterval  *prometheus.HistogramVec
+	requests       *prometheus.CounterVec
+	refused        *prometheus.CounterVec
+	retries        *prometheus.CounterVec
+	resumes        *prometheus.CounterVec
+	brokenStreams  *prometheus.CounterVec
+	foreignAnswers *prometheus.CounterVec
+	crashes        *prometheus.CounterVec
+	orders         *prometheus.CounterVec
+	revision       prometheus.Gauge
+	configRefused  prometheus.Counter
+}
+
+// latencyBuckets span 5 ms to 82 s in factors of two, in seconds.
+var latencyBuckets = prometheus.ExponentialBuckets(0.005, 2, 15)
+
+func newMetrics() *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	m.firstToken = m.histogram("first_token_seconds", "Time from a request's arrival to its first token or whole answer.", "class")
+	m.tokenInterval = m.histogram("token_interval_seconds", "Mean time between the tokens of a streamed answer.", "class")
+	m.requests = m.counter("requests_total", "Requests that were answered by an upstream.", "class", "team")
+	m.refused = m.counter("refused_total", "Requests that were refused, by error code.", "code")
+	m.retries = m.counter("retries_total", "Retries at another upstream.", "class")
+	m.resumes = m.counter("resumes_total", "Streams continued over a fresh connection to the same engine.", "pool")
+	m.brokenStreams = m.counter("broken_streams_total", "Streams that ended before their end.", "class")
+	m.foreignAnswers = m.counter("foreign_answers_total", "Answers dropped because they belong to another request.", "pool")
+	m.crashes = m.counter("upstream_crashes_total", "Crashes of upstreams seen by requests in progress.", "pool")
+	m.orders = m.counter("orders_total", "Non-idempotent orders by outcome.", "outcome")
+	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_revision", Help: "Revision of the configuration in force."})
+	m.configRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "configuration_refused_total", Help: "Configurations refused as invalid."})
+	m.registry.MustRegister(m.revision, m.configRefused)
+	return m
+}
+
+const namespace = "yuccabridge"
+
+func (m *metrics) histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
+	m.registry.MustRegister(h)
+	return h
+}
+
+func (m *metrics) counter(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.registry.MustRegister(c)
+	return c
+}
+
+// served records an answered request.
+func (m *metrics) served(r *request, interval time.Duration) {
+	m.requests.WithLabelValues(r.class.Name, r.team.name).Inc()
+	if interval > 0 {
+		m.tokenInterval.WithLabelValues(r.class.Name).Observe(interval.Seconds())
+	}
+}
+
+// observeFirstToken records the time from arrival to the first token.
+func (r *request) observeFirstToken(now time.Duration) {
+	r.pool.in.metrics.firstToken.WithLabelValues(r.class.Name).Observe((now - r.arrived).Seconds())
+}
--- /dev/null
+++ b/internal/entry/operations.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"encoding/json"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/yuccabridge/yuccabridge/internal/coordination/balancer"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/scheduler"
+)
+
+// State is the state dump of an instance, in the JSON that "yuccabridge status" reads.
+type State struct {
+	Instance      string      `json:"instance"`
+	FailureDomain string      `json:"failure_domain"`
+	Ready         bool        `json:"ready"`
+	Draining      bool        `json:"draining"`
+	Revision      uint64      `json:"revision"`
+	InProgress    int         `json:"in_progress"`
+	Pools         []PoolState `json:"pools"`
+}
+
+// PoolState is the state of one model or service.
+type PoolState struct {
+	Name      string                   `json:"name"`
+	Pressure  scheduler.Pressure       `json:"pressure"`
+	Upstreams []balancer.UpstreamState `json:"upstreams"`
+}
+
+// newOperationsServer builds the operators' HTTP server.
+func (in *Instance) newOperationsServer() *fasthttp.Server {
+	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(in.metrics.registry, promhttp.HandlerOpts{}))
+	return &fasthttp.Server{
+		Name:            "yuccabridge-operations",
+		CloseOnShutdown: true,
+		Logger:          quietLogger{in},
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			switch string(ctx.Path()) {
+			case "/metrics":
+				metrics(ctx)
+			case "/healthz":
+				ctx.SetBodyString("ok\n")
+			case "/readyz":
+				in.handleReady(ctx)
+			case "/state":
+				in.handleState(ctx)
+			default:
+				ctx.Error("not found", fasthttp.StatusNotFound)
+			}
+		},
+	}
+}
+
+// ready reports whether the instance should receive requests.
+func (in *Instance) ready() bool { return in.routes.Load() != nil && !in.draining.Load() }
+
+func (in *Instance) handleReady(ctx *fasthttp.RequestCtx) {
+	if !in.ready() {
+		ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+// State returns the instance's present state.
+func (in *Instance) State() State {
+	s := State{
+		Instance:      in.settings.Instance,
+		FailureDomain: in.settings.FailureDomain,
+		Ready:         in.ready(),
+		Draining:      in.draining.Load(),
+		InProgress:    in.watcher.inProgress(),
+	}
+	if r := in.routes.Load(); r != nil {
+		s.Revision = r.revision
+	}
+	now := in.now()
+	for _, p := range in.poolList() {
+		s.Pools = append(s.Pools, PoolState{Name: p.name, Pressure: p.sched.Pressure(now), Upstreams: p.bal.Snapshot(now)})
+	}
+	return s
+}
+
+func (in *Instance) handleState(ctx *fasthttp.RequestCtx) {
+	text, err := json.Marshal(in.State())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(text)
+}
--- /dev/null
+++ b/internal/protocol/apierror/apierror.go
@@ -0,0 +1,125 @@
+package apierror
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Code identifies a kind of error. Codes are stable: clients branch on them.
+type Code string
+
+// The codes of the callers' interface.
+const (
+	MissingKey              Code = "missing_key"
+	UnknownKey              Code = "unknown_key"
+	UnknownClass            Code = "unknown_class"
+	ClassNotAllowed         Code = "class_not_allowed"
+	UnknownModel            Code = "unknown_model"
+	NotFound                Code = "not_found"
+	MethodNotAllowed        Code = "method_not_allowed"
+	MalformedRequest        Code = "malformed_request"
+	MalformedJSON           Code = "malformed_json"
+	BodyTooLarge            Code = "body_too_large"
+	HeadersTooLarge         Code = "headers_too_large"
+	RequestTimeout          Code = "request_timeout"
+	TicketRequired          Code = "ticket_required"
+	TicketInvalid           Code = "ticket_invalid"
+	TicketBodyMismatch      Code = "ticket_body_mismatch"
+	OrderNotRun             Code = "order_not_run"
+	OrderUnknown            Code = "order_unknown"
+	Overloaded              Code = "overloaded"
+	Deadline                Code = "deadline"
+	UpstreamFailed          Code = "upstream_failed"
+	RequestCrashesUpstreams Code = "request_crashes_upstreams"
+	Draining                Code = "draining"
+	NotReady                Code = "not_ready"
+)
+
+// Run says whether the request can have run.
+type Run string
+
+const (
+	// NotRun promises that the request did not run and will not run.
+	NotRun Run = "not_run"
+	// Unknown means that the request may have run.
+	Unknown Run = "unknown"
+)
+
+var statuses = map[Code]int{
+	MissingKey:              401,
+	UnknownKey:              401,
+	UnknownClass:            400,
+	ClassNotAllowed:         403,
+	UnknownModel:            404,
+	NotFound:                404,
+	MethodNotAllowed:        405,
+	MalformedRequest:        400,
+	MalformedJSON:           400,
+	BodyTooLarge:            413,
+	HeadersTooLarge:         431,
+	RequestTimeout:          408,
+	TicketRequired:          428,
+	TicketInvalid:           400,
+	TicketBodyMismatch:      422,
+	OrderNotRun:             409,
+	OrderUnknown:            502,
+	Overloaded:              429,
+	Deadline:                503,
+	UpstreamFailed:          502,
+	RequestCrashesUpstreams: 422,
+	Draining:                503,
+	NotReady:                503,
+}
+
+// Error is one error for a caller.
+type Error struct {
+	Code       Code
+	Message    string
+	Run        Run
+	RetryAfter time.Duration
+	// Ticket is a fresh order ticket, with TicketRequired and OrderNotRun.
+	Ticket string
+}
+
+// New returns an error for a request that did not run.
+func New(code Code, message string) *Error {
+	return &Error{Code: code, Message: message, Run: NotRun}
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
+
+// Status is the HTTP status of the error.
+func (e *Error) Status() int {
+	if s, ok := statuses[e.Code]; ok {
+		return s
+	}
+	return 500
+}
+
+type body struct {
+	Error payload `json:"error"`
+}
+
+type payload struct {
+	Code         Code   `json:"code"`
+	Message      string `json:"message"`
+	Run          Run    `json:"run"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	Ticket       string `json:"ticket,omitempty"`
+}
+
+// JSON is the body of the answer.
+func (e *Error) JSON() []byte {
+	text, err := json.Marshal(body{Error: payload{
+		Code:         e.Code,
+		Message:      e.Message,
+		Run:          e.Run,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+		Ticket:       e.Ticket,
+	}})
+	if err != nil {
+		panic(err) // strings and integers always encode
+	}
+	return text
+}
--- /dev/null
+++ b/internal/protocol/chat/events.go
@@ -0,0 +1,123 @@
+package chat
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// MaxEventBytes bounds one server-sent event.
+const MaxEventBytes = 256 << 10
+
+// ErrEventTooLarge reports an event above [MaxEventBytes].
+var ErrEventTooLarge = errors.New("server-sent event is too large")
+
+// Kind classifies an event.
+type Kind int
+
+const (
+	// Data is an event with a JSON chunk of the answer.
+	Data Kind = iota
+	// Done is the final "[DONE]" event.
+	Done
+	// Comment is an event without data, used as a keep-alive.
+	Comment
+)
+
+// Event is one server-sent event. Raw is valid until the next call of Next.
+type Event struct {
+	Kind Kind
+	// Raw holds the event's bytes with the blank line that ends it.
+	Raw []byte
+	// ID is the "id" field of the JSON chunk of a Data event.
+	ID string
+}
+
+// EventReader splits a stream into events.
+type EventReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+// NewEventReader reads events from r.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, 4<<10)}
+}
+
+var (
+	dataField = []byte("data:")
+	doneText  = []byte("[DONE]")
+)
+
+// Next returns the next event. A stream that ends inside an event gives
+// io.ErrUnexpectedEOF, so that a partial event is never forwarded.
+func (e *EventReader) Next() (Event, error) {
+	e.buf = e.buf[:0]
+	lineStart := 0
+	for {
+		part, err := e.r.ReadSlice('\n')
+		e.buf = append(e.buf, part...)
+		if len(e.buf) > MaxEventBytes {
+			return Event{}, ErrEventTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err == io.EOF && len(e.buf) > 0 {
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		if isBlank(e.buf[lineStart:]) {
+			return parseEvent(e.buf)
+		}
+		lineStart = len(e.buf)
+	}
+}
+
+func isBlank(line []byte) bool {
+	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
+}
+
+type chunk struct {
+	ID string `json:"id"`
+}
+
+// parseEvent classifies the event in raw. An event that starts with a blank line
+// of its own counts as a comment.
+func parseEvent(raw []byte) (Event, error) {
+	data := eventData(raw)
+	switch {
+	case len(data) == 0:
+		return Event{Kind: Comment, Raw: raw}, nil
+	case bytes.Equal(data, doneText):
+		return Event{Kind: Done, Raw: raw}, nil
+	}
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Event{}, errors.Wrap(err, "decode event")
+	}
+	return Event{Kind: Data, Raw: raw, ID: c.ID}, nil
+}
+
+// eventData joins the data lines of an event.
+func eventData(raw []byte) []byte {
+	var data []byte
+	for line := range bytes.Lines(raw) {
+		rest, ok := bytes.CutPrefix(line, dataField)
+		if !ok {
+			continue
+		}
+		rest = bytes.TrimSpace(rest)
+		if data == nil {
+			data = rest
+			continue
+		}
+		data = append(append(bytes.Clone(data), '\n'), rest...)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/transport/upstream/client.go
@@ -0,0 +1,333 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Options configures a [Client]. Zero values take the defaults.
+type Options struct {
+	// DialTimeout bounds a fresh dial. Default 1s.
+	DialTimeout time.Duration
+	// WriteTimeout bounds the sending of a request. Default 5s.
+	WriteTimeout time.Duration
+	// ReuseWindow is how long after its last use a connection is reused. Default 2s.
+	ReuseWindow time.Duration
+	// MaxIdle is the number of idle connections kept. Default 16.
+	MaxIdle int
+	// Dial replaces the dialer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (o Options) withDefaults() Options {
+	if o.DialTimeout == 0 {
+		o.DialTimeout = time.Second
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = 5 * time.Second
+	}
+	if o.ReuseWindow == 0 {
+		o.ReuseWindow = 2 * time.Second
+	}
+	if o.MaxIdle == 0 {
+		o.MaxIdle = 16
+	}
+	if o.Dial == nil {
+		dialer := &net.Dialer{KeepAlive: 5 * time.Second}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return o
+}
+
+// Phase is the part of an exchange in which a failure happened.
+type Phase int
+
+const (
+	// Dial failed: no byte has left and the upstream is unreachable.
+	Dial Phase = iota
+	// Write failed: some bytes may have left.
+	Write
+	// Header failed: the request has left and no answer has begun.
+	Header
+	// Body failed: the answer broke off.
+	Body
+)
+
+// Failure describes a failed exchange.
+type Failure struct {
+	Phase Phase
+	// Sent is true when at least one byte of the request may have left.
+	Sent bool
+	// Reused is true when the exchange ran on a pooled connection.
+	Reused bool
+	// Timeout is true when the liveness deadline ran out.
+	Timeout bool
+	Err     error
+}
+
+// Error implements the error interface.
+func (f *Failure) Error() string { return f.Err.Error() }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Client sends requests to one upstream. It is safe for concurrent use.
+type Client struct {
+	address string
+	opts    Options
+
+	mu     sync.Mutex
+	idle   []*conn // the most recently used is last
+	closed bool
+}
+
+// New returns a client of the upstream at address, an IP address with a port.
+func New(address string, o Options) *Client {
+	return &Client{address: address, opts: o.withDefaults()}
+}
+
+// Address returns the upstream's address.
+func (c *Client) Address() string { return c.address }
+
+// Close closes the idle connections. Exchanges in progress end undisturbed.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, cn := range c.idle {
+		cn.Close()
+	}
+	c.idle = nil
+}
+
+// conn is a connection with its buffers.
+type conn struct {
+	net.Conn
+	r        *bufio.Reader
+	w        *bufio.Writer
+	written  atomic.Bool
+	lastUsed time.Time
+	reused   bool
+}
+
+// Write notes that bytes may have left before it writes them.
+func (cn *conn) Write(p []byte) (int, error) {
+	cn.written.Store(true)
+	return cn.Conn.Write(p)
+}
+
+// Call is one request.
+type Call struct {
+	Request *fasthttp.Request
+	// Fresh demands a connection that is dialled for this call.
+	Fresh bool
+	// FirstByte bounds the wait for the answer's header. Zero: no bound.
+	FirstByte time.Duration
+	// BeforeSend, when set, runs after the dial and before the first byte leaves.
+	// When it returns false the call fails with Phase Dial and nothing is sent.
+	BeforeSend func() bool
+}
+
+// errRefused reports that BeforeSend refused the call.
+var errRefused = errors.New("the call was refused before it was sent")
+
+// Do sends the request and reads the answer's header. The body is read from the
+// answer. When ctx ends, the connection is closed, which cancels the request at the
+// upstream. A failure is always a *Failure.
+func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
+	cn, err := c.connection(ctx, call.Fresh)
+	if err != nil {
+		return nil, &Failure{Phase: Dial, Err: errors.Wrap(err, "dial upstream")}
+	}
+	answer, fail := c.exchange(ctx, cn, call)
+	if fail != nil {
+		return nil, fail
+	}
+	return answer, nil
+}
+
+func (c *Client) connection(ctx context.Context, fresh bool) (*conn, error) {
+	if !fresh {
+		if cn := c.takeIdle(); cn != nil {
+			return cn, nil
+		}
+	}
+	return c.dial(ctx)
+}
+
+// LostConnection reports that a pooled connection broke before the answer began.
+// The upstream may have closed it while it was idle, or may have crashed; a fresh
+// dial tells.
+func (f *Failure) LostConnection() bool {
+	return f.Reused && !f.Timeout && (f.Phase == Write || f.Phase == Header)
+}
+
+// Reachable dials the upstream once and reports whether it accepts connections.
+func (c *Client) Reachable(ctx context.Context) bool {
+	cn, err := c.dial(ctx)
+	if err != nil {
+		return false
+	}
+	cn.Close()
+	return true
+}
+
+func (c *Client) dial(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
+	defer cancel()
+	raw, err := c.opts.Dial(ctx, c.address)
+	if err != nil {
+		return nil, err
+	}
+	cn := &conn{Conn: raw}
+	cn.r = bufio.NewReaderSize(raw, 4<<10)
+	cn.w = bufio.NewWriterSize(cn, 4<<10)
+	return cn, nil
+}
+
+// takeIdle returns the most recently used connection that is still in the reuse
+// window and not closed by the upstream, or nil.
+func (c *Client) takeIdle() *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := time.Now().Add(-c.opts.ReuseWindow)
+	for len(c.idle) > 0 {
+		cn := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if cn.lastUsed.After(limit) && !PeerClosed(cn.Conn) {
+			cn.reused = true
+			return cn
+		}
+		cn.Close()
+	}
+	return nil
+}
+
+func (c *Client) putIdle(cn *conn) {
+	cn.lastUsed = time.Now()
+	cn.written.Store(false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || len(c.idle) >= c.opts.MaxIdle {
+		cn.Close()
+		return
+	}
+	c.idle = append(c.idle, cn)
+}
+
+func (c *Client) exchange(ctx context.Context, cn *conn, call Call) (*Answer, *Failure) {
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	fail := func(phase Phase, err error) (*Answer, *Failure) {
+		stop()
+		cn.Close()
+		return nil, &Failure{Phase: phase, Sent: cn.written.Load(), Reused: cn.reused, Timeout: isTimeout(err), Err: err}
+	}
+	if call.BeforeSend != nil && !call.BeforeSend() {
+		return fail(Dial, errRefused)
+	}
+	if err := cn.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout)); err != nil {
+		return fail(Write, errors.Wrap(err, "send request"))
+	}
+	if err := writeRequest(cn, call.Request); err != nil {
+		return fail(Write, errors.Wrap(err, "send request"))
+	}
+	if err := cn.SetReadDeadline(deadline(call.FirstByte)); err != nil {
+		return fail(Header, errors.Wrap(err, "read answer"))
+	}
+	answer := &Answer{client: c, conn: cn, stop: stop}
+	answer.Response.StreamBody = true
+	if err := answer.Response.Read(cn.r); err != nil {
+		return fail(Header, errors.Wrap(err, "read answer"))
+	}
+	return answer, nil
+}
+
+func writeRequest(cn *conn, r *fasthttp.Request) error {
+	if err := r.Write(cn.w); err != nil {
+		return err
+	}
+	return cn.w.Flush()
+}
+
+func deadline(wait time.Duration) time.Time {
+	if wait == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(wait)
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// Answer is an answer whose body is still being read.
+type Answer struct {
+	Response fasthttp.Response
+	client   *Client
+	conn     *conn
+	stop     func() bool
+	ended    bool
+}
+
+// Body returns a reader of the body. Each read is bounded by liveness; zero means
+// no bound.
+func (a *Answer) Body(liveness time.Duration) io.Reader {
+	return &bodyReader{answer: a, liveness: liveness}
+}
+
+// Release ends the exchange. A connection whose body was read to the end returns
+// to the pool; any other is closed, which cancels the request at the upstream.
+func (a *Answer) Release(complete bool) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	cancelled := !a.stop()
+	reusable := complete && !cancelled && !a.Response.ConnectionClose() && a.Response.Header.ContentLength() != -2
+	if !reusable {
+		a.conn.Close()
+		return
+	}
+	if err := a.Response.CloseBodyStream(); err != nil {
+		a.conn.Close()
+		return
+	}
+	a.client.putIdle(a.conn)
+}
+
+type bodyReader struct {
+	answer   *Answer
+	liveness time.Duration
+}
+
+// Read reads body bytes; a failure is a *Failure with Phase Body.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	a := b.answer
+	stream := a.Response.BodyStream()
+	if stream == nil {
+		return 0, io.EOF
+	}
+	if err := a.conn.SetReadDeadline(deadline(b.liveness)); err != nil {
+		return 0, bodyFailure(err)
+	}
+	n, err := stream.Read(p)
+	if err != nil && err != io.EOF {
+		return n, bodyFailure(err)
+	}
+	return n, err
+}
+
+func bodyFailure(err error) *Failure {
+	return &Failure{Phase: Body, Sent: true, Timeout: isTimeout(err), Err: errors.Wrap(err, "read answer")}
+}
--- /dev/null
+++ b/internal/transport/upstream/peek.go
@@ -0,0 +1,32 @@
+package upstream
+
+import (
+	"net"
+	"syscall"
+)
+
+// PeerClosed reports whether the other end has closed the connection, without
+// taking bytes from it. It answers false for connections without a file
+// descriptor. It costs one system call.
+func PeerClosed(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+		case err != nil || n == 0:
+			closed = true
+		}
+		return true
+	})
+	return closed || err != nil
+}
