Test the daemon and the stand-ins as separate processes

The planned stop was only written, not seen. The test binary now runs itself as daemon and as engine, streams 300 tokens, sends SIGTERM in the middle and checks that the answer is whole and that the daemon exits with 0. A wrong settings file must give one line and exit code 2.

--- /dev/null
+++ b/cmd/yuccabridged/process_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/yuccabridge/yuccabridge/internal/emulator"
+)
+
+// startAlone starts one daemon with a configuration file.
+func startAlone(t *testing.T, configuration string) *process {
+	t.Helper()
+	return start(t, "daemon", "--settings", write(t, "settings.yaml", fmt.Sprintf(`instance: entry-1
+failure_domain: a
+callers: {address: "127.0.0.1:0"}
+operations: {address: "127.0.0.2:0"}
+configuration_file: %s
+`, configuration)))
+}
+
+func post(t *testing.T, address, path, body string, header ...string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+deskKey)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func chatBody(t *testing.T, tokens int) string {
+	t.Helper()
+	text, err := json.Marshal(emulator.ChatRequest{
+		Model:    "llm",
+		Messages: []emulator.ChatMessage{{Role: "user", Content: "rack load for tank 4"}},
+		Stream:   true,
+		Emulate:  &emulator.Emulate{OutputTokens: tokens},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// Requests between real processes; a planned stop must not cut off the stream that
+// is in progress, and the daemon must exit with 0.
+func TestPlannedStopFinishesStreams(t *testing.T) {
+	engine := start(t, "engine")
+	daemon := startAlone(t, writeDeployment(t, deployment([]string{engine.fields["address"]})))
+	const tokens = 300
+	resp := post(t, daemon.fields["callers"], "/v1/chat/completions", chatBody(t, tokens))
+	head := make([]byte, 16)
+	if _, err := io.ReadFull(resp.Body, head); err != nil {
+		t.Fatal(err)
+	}
+	daemon.signal(syscall.SIGTERM)
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("the stream was cut off: %v", err)
+	}
+	whole := append(head, rest...)
+	if !bytes.HasSuffix(bytes.TrimSpace(whole), []byte("data: [DONE]")) || bytes.Count(whole, []byte(`"token":`)) != tokens {
+		t.Errorf("the answer is not whole: %d tokens", bytes.Count(whole, []byte(`"token":`)))
+	}
+	if code := daemon.wait(); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+}
+
+// A wrong settings file must stop the daemon with exit code 2 and name the field.
+func TestBadSettings(t *testing.T) {
+	cmd := roleCommand("daemon", "--settings", write(t, "settings.yaml", "instance: entry-1\nfailure_domain: a\ncallers: {address: here}\n"))
+	out, err := cmd.CombinedOutput()
+	if err == nil || cmd.ProcessState.ExitCode() != 2 || !strings.Contains(string(out), "line 3: callers.address: ") || strings.Count(string(out), "\n") != 1 {
+		t.Errorf("exit code %d, output %q", cmd.ProcessState.ExitCode(), out)
+	}
+}
