--- /dev/null
+++ b/internal/coordination/orders/doc.go
@@ -0,0 +1,2 @@
+// Package orders makes non-idempotent orders run at most once.
+package orders
--- /dev/null
+++ b/internal/coordination/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine refuses requests that crash upstreams.
+package quarantine
