Serve orders, quarantine and stream resume in the entry instance

Orders were refused and the quarantine was a placeholder. The entry instance now drives the order flow (ticket, ledger, fresh connection, last check before the first byte) and the quarantine (fingerprint, crash by incarnation), and continues a silent stream over a fresh connection to the same engine.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -88,6 +89,9 @@
 	if path == chatPath {
 		return in.handleChat(ctx, routes, t)
 	}
+	if strings.HasPrefix(path, ordersPath) {
+		return in.handleOrders(ctx, path, t)
+	}
 	if s, ok := routes.service(path); ok {
 		return in.handleService(ctx, routes, s, t)
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -22,6 +22,8 @@
 	client *upstream.Client
 	answer *upstream.Answer
 
+	incarnation string // of the upstream when the attempt began; empty when not known
+
 	started    time.Duration
 	firstToken time.Duration // since started; 0 until the first byte of the answer
 	lastToken  time.Duration
@@ -34,8 +36,14 @@
 
 func (r *request) newAttempt(pick balancer.Pick) *attempt {
 	now := r.pool.in.now()
-	r.pool.in.quarantine.Started(now, r.fingerprint, pick.Upstream.Name)
-	return &attempt{r: r, pick: pick, client: r.pool.client(pick.Upstream.Address), started: now}
+	r.pool.in.quarantine.Started(now, r.fingerprint, r.team.name, pick.Upstream.Name)
+	return &attempt{
+		r:           r,
+		pick:        pick,
+		client:      r.pool.client(pick.Upstream.Address),
+		incarnation: r.pool.incarnation(pick.Upstream.Name),
+		started:     now,
+	}
 }
 
 // send sends the request and checks that the answer belongs to it.
@@ -93,8 +101,10 @@
 		a.answer.Release(status == balancer.OK)
 	}
 	in, now := a.r.pool.in, a.r.pool.in.now()
-	if cleared := in.quarantine.Finished(now, a.r.fingerprint, a.pick.Upstream.Name, status == balancer.OK); len(cleared) > 0 {
-		in.spread(cleared)
+	if status == balancer.OK {
+		in.spread(in.quarantine.Finished(now, a.r.fingerprint, a.pick.Upstream.Name))
+	} else {
+		in.quarantine.Abandoned(now, a.r.fingerprint, a.pick.Upstream.Name)
 	}
 	result := balancer.Result{
 		Status:        status,
@@ -143,7 +153,11 @@
 	if !errors.As(err, &f) || f.Phase == upstream.Dial {
 		return false
 	}
-	return a.restarted() || !a.client.Reachable(a.r.ctx) && a.recordCrash()
+	if a.client.Reachable(a.r.ctx) && !a.restarted() {
+		return false
+	}
+	a.recordCrash()
+	return true
 }
 
 // restarted reports whether the upstream runs under another incarnation than when
@@ -152,16 +166,17 @@
 	if a.r.pool.kind != modelPool {
 		return false
 	}
-	before, after := a.r.pool.checkIncarnation(a.r.ctx, a.pick.Upstream)
-	return before != "" && after != "" && before != after && a.recordCrash()
+	now := a.r.pool.checkIncarnation(a.r.ctx, a.pick.Upstream)
+	return a.incarnation != "" && now != "" && now != a.incarnation
 }
 
-func (a *attempt) recordCrash() bool {
-	id := quarantine.CrashID{Upstream: a.pick.Upstream.Name, Incarnation: a.r.pool.incarnation(a.pick.Upstream.Name)}
+// recordCrash names the crash by the incarnation under which the attempt began. Every
+// request that was running there records it, each with the same name, so it counts once.
+func (a *attempt) recordCrash() {
 	in := a.r.pool.in
+	id := quarantine.CrashID{Upstream: a.pick.Upstream.Name, Incarnation: a.incarnation}
 	in.spread(in.quarantine.Crashed(in.now(), id))
 	in.metrics.crashes.WithLabelValues(a.r.pool.name).Inc()
-	return true
 }
 
 // sent reports whether any byte of the request may have left.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"math/rand/v2"
+	"crypto/rand"
+	mathrand "math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 )
@@ -44,6 +46,8 @@
 	draining   atomic.Bool
 	watcher    *callerWatcher
 	quarantine *quarantine.Quarantine
+	orders     *orderDesk
+	peerKeys   [][]byte // the first signs, all verify
 
 	configuring sync.Mutex
 	pools       map[string]*pool
@@ -68,12 +72,15 @@
 		log:      log,
 		metrics:  newMetrics(),
 		started:  time.Now(),
-		seed:     rand.Uint64(),
+		seed:     mathrand.Uint64(),
 		watcher:  newCallerWatcher(),
 		pools:    map[string]*pool{},
 		leaving:  map[string]bool{},
 	}
-	in.quarantine = quarantine.New()
+	in.quarantine = quarantine.New(quarantine.Options{})
+	if err := in.newOrders(); err != nil {
+		return nil, err
+	}
 	in.callers = in.newCallersServer()
 	in.operations = in.newOperationsServer()
 	if s.ConfigurationFile != "" {
@@ -124,14 +131,7 @@
 
 // fingerprint identifies a request across resends.
 func (in *Instance) fingerprint(team string, body []byte) quarantine.Fingerprint {
-	var h xxhash.Digest
-	h.Reset()
-	var length [8]byte
-	binary.LittleEndian.PutUint64(length[:], uint64(len(team)))
-	h.Write(length[:])
-	h.WriteString(team)
-	h.Write(body)
-	return quarantine.Fingerprint(h.Sum64())
+	return quarantine.FingerprintOf(in.peerKeys[0], team, body)
 }
 
 // apply puts a configuration in force. The caller guarantees that revisions rise.
@@ -172,6 +172,28 @@
 	return list
 }
 
+// newOrders builds the order desk of an instance that works alone. Its keys live as
+// long as the process.
+func (in *Instance) newOrders() error {
+	key := make([]byte, aloneKeySize)
+	rand.Read(key)
+	in.peerKeys = [][]byte{key}
+	keys, err := orders.NewKeyring(in.peerKeys...)
+	if err != nil {
+		return err
+	}
+	self := orders.Member{Address: aloneAddress}
+	rand.Read(self.Incarnation[:])
+	in.orders = newOrderDesk(in, self, keys, rand.Reader, noLinks{})
+	return nil
+}
+
+// aloneAddress stands in tickets of an instance without peers.
+var aloneAddress = netip.MustParseAddrPort("127.0.0.1:1")
+
+// aloneKeySize is the size of the key of an instance without peers, in bytes.
+const aloneKeySize = 32
+
 // spread sends suspicions to the other instances.
 func (in *Instance) spread(s []quarantine.Suspicion) {}
 
@@ -211,6 +233,7 @@
 	for in.watcher.inProgress() > 0 {
 		time.Sleep(stopPoll)
 	}
+	in.orders.drain()
 	in.log.WithField("event", "stopped").Info("every request has ended")
 	return errors.Wrap(in.operations.Shutdown(), "stop operations listener")
 }
--- a/internal/entry/load.go
+++ b/internal/entry/load.go
@@ -49,13 +49,12 @@
 	return p.loads[upstream].incarnation
 }
 
-// checkIncarnation asks an engine for its load and returns the incarnation known
-// before and the one reported now. Both are empty when they are not known.
-func (p *pool) checkIncarnation(ctx context.Context, u balancer.Upstream) (before, after string) {
-	before = p.incarnation(u.Name)
+// checkIncarnation asks an engine for its load and returns the incarnation that it
+// reports. It is empty when there is no report.
+func (p *pool) checkIncarnation(ctx context.Context, u balancer.Upstream) string {
 	report, ok := p.queryLoad(ctx, u.Address)
 	if !ok {
-		return before, ""
+		return ""
 	}
 	p.mu.Lock()
 	p.loads[u.Name] = loadState{incarnation: report.Incarnation}
@@ -66,7 +65,7 @@
 		Waiting:     report.Waiting,
 		Age:         time.Duration(report.AgeMS) * time.Millisecond,
 	})
-	return before, report.Incarnation
+	return report.Incarnation
 }
 
 func (p *pool) queryLoad(ctx context.Context, address string) (loadReport, bool) {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -105,8 +105,8 @@
 		if !a.r.stream || !isSilent(err) {
 			return err
 		}
-		if err := a.reattach(0); err != nil {
-			return err
+		if a.reattach(0) != nil {
+			return err // the first failure tells whether the upstream crashed
 		}
 	}
 	status := a.answer.Response.StatusCode()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -82,8 +82,8 @@
 func (s *stream) next() ([]byte, error) {
 	e, err := s.events.Next()
 	for resumes := 0; err != nil && resumes < maxResumes && s.a.r.ctx.Err() == nil; resumes++ {
-		if rerr := s.a.reattach(s.sent); rerr != nil {
-			return nil, rerr
+		if s.a.reattach(s.sent) != nil {
+			return nil, err // the first failure tells whether the upstream crashed
 		}
 		s.open()
 		e, err = s.events.Next()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/valyala/fasthttp"
 
-	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/balancer"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
@@ -55,8 +54,3 @@
 	"Authorization": true, "Host": true, headerClass: true, headerRequestID: true,
 	headerPriority: true, headerDeadlineMS: true, headerTeam: true, "Expect": true,
 }
-
-// handleOrder runs a non-idempotent operation.
-func (in *Instance) handleOrder(ctx *fasthttp.RequestCtx, s serviceRoute, class *config.Class, t *team) *apierror.Error {
-	return apierror.New(apierror.TicketRequired, "orders are not served yet")
-}
--- a/internal/transport/upstream/peek.go
+++ b/internal/transport/upstream/peek.go
@@ -18,7 +18,8 @@
 		return true
 	}
 	closed := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, works after the connection's read deadline has passed.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -26,7 +27,6 @@
 		case err != nil || n == 0:
 			closed = true
 		}
-		return true
 	})
 	return closed || err != nil
 }
