Add first versions of membership, peerwire and the peer transport

Cause: other packages need the public interfaces of these packages. Change: membership state machine, frames and datagrams, sockets between instances, and the message types of configsync. No test has run yet.

--- /dev/null
+++ b/internal/protocol/peerwire/body.go
@@ -0,0 +1,167 @@
+package peerwire
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/yuccabridge/yuccabridge/internal/coordination/configsync"
+)
+
+const (
+	// maxSections bounds the sections of one configuration. A value of 1 MB holds
+	// fewer models and services than that.
+	maxSections = 16 << 10
+	maxReason   = 1 << 10
+	maxNonce    = 64
+)
+
+func encodeBody(enc *msgpack.Encoder, m Message) error {
+	w := writer{enc: enc}
+	switch m := m.(type) {
+	case Hello:
+		w.identity(m.Identity)
+		w.bytes(m.Nonce)
+		w.bytes(m.MAC)
+	case ConfigPull:
+		w.uint(m.Revision)
+		w.bytes(m.Sum[:])
+		w.length(len(m.Have))
+		for i := range m.Have {
+			w.bytes(m.Have[i][:])
+		}
+	case ConfigPush:
+		w.push(m.Push)
+	case Suspicions:
+		w.bytes(m.Payload)
+	case Pressure:
+		w.bytes(m.Payload)
+	case OrderForward:
+		w.bytes(m.Payload)
+	case OrderAnswer:
+		w.bytes(m.Payload)
+	case Intent:
+		w.bytes(m.Payload)
+	case IntentAck:
+		w.bytes(m.Payload)
+	case Outcome:
+		w.bytes(m.Payload)
+	case Query:
+		w.bytes(m.Payload)
+	case LedgerHandover:
+		w.bytes(m.Payload)
+	case Failure:
+		w.string(m.Reason[:min(len(m.Reason), maxReason)])
+	case KeepAlive, Done:
+	default:
+		return ErrMalformed
+	}
+	return w.err
+}
+
+func decodeBody(dec *msgpack.Decoder, t Type) (Message, error) {
+	r := reader{dec: dec}
+	var m Message
+	switch t {
+	case TypeHello:
+		m = Hello{Identity: r.identity(), Nonce: r.bytes(maxNonce), MAC: r.bytes(macSize)}
+	case TypeConfigPull:
+		m = ConfigPull{Pull: r.pull()}
+	case TypeConfigPush:
+		m = ConfigPush{Push: r.push()}
+	case TypeSuspicions:
+		m = Suspicions{Payload: r.bytes(MaxFrame)}
+	case TypePressure:
+		m = Pressure{Payload: r.bytes(MaxFrame)}
+	case TypeOrderForward:
+		m = OrderForward{Payload: r.bytes(MaxFrame)}
+	case TypeOrderAnswer:
+		m = OrderAnswer{Payload: r.bytes(MaxFrame)}
+	case TypeIntent:
+		m = Intent{Payload: r.bytes(MaxFrame)}
+	case TypeIntentAck:
+		m = IntentAck{Payload: r.bytes(MaxFrame)}
+	case TypeOutcome:
+		m = Outcome{Payload: r.bytes(MaxFrame)}
+	case TypeQuery:
+		m = Query{Payload: r.bytes(MaxFrame)}
+	case TypeLedgerHandover:
+		m = LedgerHandover{Payload: r.bytes(MaxFrame)}
+	case TypeKeepAlive:
+		m = KeepAlive{}
+	case TypeDone:
+		m = Done{}
+	case TypeFailure:
+		m = Failure{Reason: r.string(maxReason)}
+	default:
+		return nil, ErrMalformed
+	}
+	return m, r.err
+}
+
+func (w *writer) identity(i Identity) {
+	w.string(i.Name)
+	w.string(i.Domain)
+	w.bytes(i.Process[:])
+	w.addr(i.TCP)
+}
+
+func (r *reader) identity() Identity {
+	i := Identity{Name: r.string(maxName), Domain: r.string(maxName)}
+	r.fixed(i.Process[:])
+	i.TCP = r.addr()
+	return i
+}
+
+func (r *reader) pull() configsync.Pull {
+	p := configsync.Pull{Revision: r.uint()}
+	r.fixed(p.Sum[:])
+	for range r.length(maxSections) {
+		var s configsync.Sum
+		r.fixed(s[:])
+		if r.err != nil {
+			break
+		}
+		p.Have = append(p.Have, s)
+	}
+	return p
+}
+
+func (w *writer) push(p configsync.Push) {
+	w.uint(p.Revision)
+	w.bytes(p.Sum[:])
+	w.length(len(p.Manifest))
+	for _, s := range p.Manifest {
+		w.string(s.Name)
+		w.bytes(s.Sum[:])
+		w.uint(uint64(s.Size))
+	}
+	w.length(len(p.Sections))
+	for _, s := range p.Sections {
+		w.string(s.Name)
+		w.bytes(s.Sum[:])
+		w.bytes(s.Data)
+	}
+}
+
+func (r *reader) push() configsync.Push {
+	p := configsync.Push{Revision: r.uint()}
+	r.fixed(p.Sum[:])
+	for range r.length(maxSections) {
+		s := configsync.SectionRef{Name: r.string(maxName)}
+		r.fixed(s.Sum[:])
+		s.Size = int(min(r.uint(), MaxFrame))
+		if r.err != nil {
+			return p
+		}
+		p.Manifest = append(p.Manifest, s)
+	}
+	for range r.length(maxSections) {
+		s := configsync.Section{Name: r.string(maxName)}
+		r.fixed(s.Sum[:])
+		s.Data = r.bytes(MaxFrame)
+		if r.err != nil {
+			return p
+		}
+		p.Sections = append(p.Sections, s)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/protocol/peerwire/codec.go
@@ -0,0 +1,140 @@
+package peerwire
+
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// maxName bounds names of instances, domains and sections in bytes.
+const maxName = 128
+
+// writer encodes fields in order and keeps the first error.
+type writer struct {
+	enc *msgpack.Encoder
+	err error
+}
+
+func (w *writer) uint(v uint64) {
+	if w.err == nil {
+		w.err = w.enc.EncodeUint(v)
+	}
+}
+
+func (w *writer) bool(v bool) {
+	if w.err == nil {
+		w.err = w.enc.EncodeBool(v)
+	}
+}
+
+func (w *writer) bytes(b []byte) {
+	if w.err == nil {
+		w.err = w.enc.EncodeBytes(b)
+	}
+}
+
+func (w *writer) string(s string) {
+	if w.err == nil {
+		w.err = w.enc.EncodeString(s)
+	}
+}
+
+func (w *writer) length(n int) {
+	if w.err == nil {
+		w.err = w.enc.EncodeArrayLen(n)
+	}
+}
+
+// addr encodes an address without its zone.
+func (w *writer) addr(a netip.AddrPort) {
+	b, err := netip.AddrPortFrom(a.Addr().WithZone(""), a.Port()).MarshalBinary()
+	if err != nil && w.err == nil {
+		w.err = err
+	}
+	w.bytes(b)
+}
+
+// reader decodes fields in order and keeps the first error. Lengths are checked
+// before memory is allocated.
+type reader struct {
+	dec *msgpack.Decoder
+	err error
+}
+
+func (r *reader) uint() uint64 {
+	if r.err != nil {
+		return 0
+	}
+	var v uint64
+	v, r.err = r.dec.DecodeUint64()
+	return v
+}
+
+func (r *reader) bool() bool {
+	if r.err != nil {
+		return false
+	}
+	var v bool
+	v, r.err = r.dec.DecodeBool()
+	return v
+}
+
+func (r *reader) bytes(limit int) []byte {
+	if r.err != nil {
+		return nil
+	}
+	n, err := r.dec.DecodeBytesLen()
+	if err == nil && n > limit {
+		err = errors.Wrapf(ErrMalformed, "%d bytes where at most %d are allowed", n, limit)
+	}
+	if err != nil || n <= 0 {
+		r.err = err
+		return nil
+	}
+	var b []byte
+	// Bytes arrive from memory: growing by steps bounds what a false length costs.
+	for step := 64 << 10; len(b) < n && r.err == nil; {
+		old := len(b)
+		b = append(b, make([]byte, min(step, n-old))...)
+		r.err = r.dec.ReadFull(b[old:])
+	}
+	return b
+}
+
+func (r *reader) string(limit int) string { return string(r.bytes(limit)) }
+
+// fixed fills b, whose length must match.
+func (r *reader) fixed(b []byte) {
+	v := r.bytes(len(b))
+	if r.err == nil && len(v) != len(b) {
+		r.err = errors.Wrapf(ErrMalformed, "%d bytes where %d are expected", len(v), len(b))
+	}
+	copy(b, v)
+}
+
+func (r *reader) length(limit int) int {
+	if r.err != nil {
+		return 0
+	}
+	n, err := r.dec.DecodeArrayLen()
+	if err == nil && n > limit {
+		err = errors.Wrapf(ErrMalformed, "%d elements where at most %d are allowed", n, limit)
+	}
+	if err != nil {
+		r.err = err
+		return 0
+	}
+	return max(n, 0)
+}
+
+func (r *reader) addr() netip.AddrPort {
+	b := r.bytes(18)
+	var a netip.AddrPort
+	if r.err == nil && len(b) > 0 {
+		if err := a.UnmarshalBinary(b); err != nil {
+			r.err = errors.Wrap(ErrMalformed, err.Error())
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/transport/peer/gossip.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
+	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
+)
+
+// TickInterval is the time between ticks of the membership machine.
+const TickInterval = 100 * time.Millisecond
+
+// GossipOptions configure a Gossip.
+type GossipOptions struct {
+	Machine *membership.Machine
+	Codec   *peerwire.Datagrams
+	// Now returns the monotonic time since the process started.
+	Now func() time.Duration
+	// OnAction receives every action that is not a Send, in order. It must not block.
+	OnAction func(now time.Duration, a membership.Action)
+	// Drop, when set, suppresses datagrams to an address, so that tests can cut links.
+	Drop func(to netip.AddrPort) bool
+}
+
+// Gossip feeds a membership machine from a UDP socket.
+type Gossip struct {
+	opts GossipOptions
+	conn *net.UDPConn
+	mu   sync.Mutex // keeps the actions of one step together
+}
+
+// ListenGossip opens the UDP socket. Run serves it.
+func ListenGossip(listen netip.AddrPort, o GossipOptions) (*Gossip, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for datagrams")
+	}
+	return &Gossip{opts: o, conn: conn}, nil
+}
+
+// Addr returns the address of the socket.
+func (g *Gossip) Addr() netip.AddrPort { return g.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// SetMachine sets the machine before Run, for callers that need the address of the
+// socket to construct it.
+func (g *Gossip) SetMachine(m *membership.Machine) { g.opts.Machine = m }
+
+// Close closes the socket of a Gossip that is not run.
+func (g *Gossip) Close() error { return g.conn.Close() }
+
+// Run ticks the machine and reads datagrams until the context ends, then closes the
+// socket.
+func (g *Gossip) Run(ctx context.Context) error {
+	var done sync.WaitGroup
+	defer done.Wait()
+	stop := context.AfterFunc(ctx, func() { g.conn.Close() })
+	defer stop()
+	done.Add(1)
+	go func() {
+		defer done.Done()
+		g.tick(ctx)
+	}()
+	buf := make([]byte, peerwire.MaxDatagram+1)
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			// A refused datagram comes back as an error of the socket on some systems.
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "read datagrams")
+			}
+			continue
+		}
+		m, err := g.opts.Codec.Open(buf[:n])
+		if err != nil {
+			continue // counted by the codec
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		g.step(func(now time.Duration) []membership.Action { return g.opts.Machine.Receive(now, from, m) })
+	}
+}
+
+func (g *Gossip) tick(ctx context.Context) {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		g.step(g.opts.Machine.Tick)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Leave announces that this instance leaves.
+func (g *Gossip) Leave() { g.step(g.opts.Machine.Leave) }
+
+func (g *Gossip) step(f func(now time.Duration) []membership.Action) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.opts.Now()
+	for _, a := range f(now) {
+		s, ok := a.(membership.Send)
+		if !ok {
+			if g.opts.OnAction != nil {
+				g.opts.OnAction(now, a)
+			}
+			continue
+		}
+		if g.opts.Drop != nil && g.opts.Drop(s.To) {
+			continue
+		}
+		if b, err := g.opts.Codec.Seal(s.Message); err == nil {
+			// A datagram that cannot be sent is lost like any other.
+			_, _ = g.conn.WriteToUDPAddrPort(b, s.To)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/peer/handshake.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/rand"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
+)
+
+// session is an authenticated connection before its loops start.
+type session struct {
+	conn     net.Conn
+	in       *bufio.Reader
+	peer     peerwire.Identity
+	sendMAC  *peerwire.FrameMAC // nil with TLS
+	checkMAC *peerwire.FrameMAC
+}
+
+func isLoopback(a net.Addr) bool {
+	p, err := netip.ParseAddrPort(a.String())
+	return err == nil && p.Addr().Unmap().IsLoopback()
+}
+
+func newNonce() []byte {
+	b := make([]byte, peerwire.NonceSize)
+	rand.Read(b) // never fails: it ends the program instead
+	return b
+}
+
+func (s *session) write(m peerwire.Message) error {
+	b, err := peerwire.AppendFrame(nil, peerwire.Frame{Message: m}, nil)
+	if err != nil {
+		return err
+	}
+	_, err = s.conn.Write(b)
+	return err
+}
+
+func (s *session) readHello() (peerwire.Hello, error) {
+	b, err := peerwire.ReadFrame(s.in, peerwire.MaxHandshakeFrame)
+	if err != nil {
+		return peerwire.Hello{}, err
+	}
+	f, err := peerwire.DecodeFrame(b, nil)
+	if err != nil {
+		return peerwire.Hello{}, err
+	}
+	h, ok := f.Message.(peerwire.Hello)
+	if !ok {
+		return h, errors.Errorf("%s where a hello is expected", f.Message.Type())
+	}
+	return h, nil
+}
+
+// handshakeClient sends a hello, checks the server's proof and sends its own.
+func (n *Node) handshakeClient(c net.Conn) (*session, error) {
+	s := &session{conn: c, in: bufio.NewReader(c)}
+	if err := c.SetDeadline(time.Now().Add(n.opts.HandshakeTimeout)); err != nil {
+		return nil, err
+	}
+	h := peerwire.Handshake{Client: n.self, ClientNonce: newNonce()}
+	if err := s.write(peerwire.Hello{Identity: n.self, Nonce: h.ClientNonce}); err != nil {
+		return nil, err
+	}
+	answer, err := s.readHello()
+	if err != nil {
+		return nil, err
+	}
+	h.Server, h.ServerNonce, s.peer = answer.Identity, answer.Nonce, answer.Identity
+	proof := peerwire.Hello{Identity: n.self}
+	if n.certs == nil {
+		key := n.opts.Keys.Verify(h.Transcript(peerwire.Server), answer.MAC)
+		if key == nil || len(answer.Nonce) != peerwire.NonceSize {
+			return nil, peerwire.ErrUnauthenticated
+		}
+		proof.MAC = peerwire.SignWith(key, h.Transcript(peerwire.Client))
+		s.sendMAC = peerwire.NewFrameMAC(key, h, peerwire.Client)
+		s.checkMAC = peerwire.NewFrameMAC(key, h, peerwire.Server)
+	}
+	if err := s.write(proof); err != nil {
+		return nil, err
+	}
+	return s, c.SetDeadline(time.Time{})
+}
+
+// handshakeServer answers a hello and checks the client's proof.
+func (n *Node) handshakeServer(c net.Conn) (*session, error) {
+	s := &session{conn: c, in: bufio.NewReader(c)}
+	if err := c.SetDeadline(time.Now().Add(n.opts.HandshakeTimeout)); err != nil {
+		return nil, err
+	}
+	hello, err := s.readHello()
+	if err != nil {
+		return nil, err
+	}
+	h := peerwire.Handshake{Client: hello.Identity, ClientNonce: hello.Nonce, Server: n.self, ServerNonce: newNonce()}
+	answer := peerwire.Hello{Identity: n.self, Nonce: h.ServerNonce}
+	if n.certs == nil {
+		answer.MAC = n.opts.Keys.Sign(h.Transcript(peerwire.Server))
+	}
+	if err := s.write(answer); err != nil {
+		return nil, err
+	}
+	proof, err := s.readHello()
+	if err != nil {
+		return nil, err
+	}
+	if n.certs == nil {
+		key := n.opts.Keys.Verify(h.Transcript(peerwire.Client), proof.MAC)
+		if key == nil {
+			return nil, peerwire.ErrUnauthenticated
+		}
+		s.sendMAC = peerwire.NewFrameMAC(key, h, peerwire.Server)
+		s.checkMAC = peerwire.NewFrameMAC(key, h, peerwire.Client)
+	}
+	s.peer = hello.Identity
+	return s, c.SetDeadline(time.Time{})
+}
