Connect the instances of a region: membership, configuration, orders, news

An instance worked alone with a configuration file. It now joins the membership of its failure domain, reads or receives the configuration by revision, forwards orders to their owners and records intents at a witness, and passes on suspicions, pressure and the list of leaving upstreams. Each peer message is authenticated; a message that arrives before the instance is assembled waits.

The list of leaving upstreams is read by the two readers of a domain and passed on, because 3,100 instances that poll twice a second exceed the platform's 2,000 reads.

--- a/cmd/yuccabridged/harness_test.go
+++ b/cmd/yuccabridged/harness_test.go
@@ -150,6 +150,9 @@
 		Teams:   []config.Team{{Name: "desk", KeySHA256: []string{hex.EncodeToString(digest[:])}}},
 		Models:  []config.Model{{Name: "llm", Class: "interactive"}},
 	}
+	if len(engines) == 0 {
+		d.Models = nil
+	}
 	for i, address := range engines {
 		d.Models[0].Upstreams = append(d.Models[0].Upstreams, config.Upstream{Name: fmt.Sprintf("llm-%d", i), Address: address, FailureDomain: d.FailureDomains[i%2]})
 	}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -6,7 +6,8 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
-	"os"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/configsync"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
@@ -47,11 +49,16 @@
 	watcher    *callerWatcher
 	quarantine *quarantine.Quarantine
 	orders     *orderDesk
-	peerKeys   [][]byte // the first signs, all verify
+	peers      *peerGroup     // nil without peers
+	config     *configuration // nil without a platform
+	peerKeys   [][]byte       // the first signs, all verify
+	serving    chan struct{}  // closed when all parts are assembled
 
-	configuring sync.Mutex
-	pools       map[string]*pool
-	leaving     map[string]bool
+	configuring  sync.Mutex
+	pools        map[string]*pool
+	leaving      map[string]bool
+	domainPeers  []string // live instances of the failure domain, sorted
+	leavingLists leavingLists
 
 	callers    *fasthttp.Server
 	operations *fasthttp.Server
@@ -76,11 +83,15 @@
 		watcher:  newCallerWatcher(),
 		pools:    map[string]*pool{},
 		leaving:  map[string]bool{},
+		serving:  make(chan struct{}),
 	}
 	in.quarantine = quarantine.New(quarantine.Options{})
-	if err := in.newOrders(); err != nil {
+	if err := in.newPeers(); err != nil {
 		return nil, err
 	}
+	if s.Platform != nil {
+		in.config = newConfiguration(in, configsync.Peer{ID: in.selfProcess(), Domain: s.FailureDomain})
+	}
 	in.callers = in.newCallersServer()
 	in.operations = in.newOperationsServer()
 	if s.ConfigurationFile != "" {
@@ -91,22 +102,10 @@
 	if err := in.listen(); err != nil {
 		return nil, err
 	}
+	close(in.serving)
 	return in, nil
 }
 
-func (in *Instance) loadFile(file string) error {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return errors.Wrap(err, "read configuration")
-	}
-	d, err := config.Parse(text)
-	if err != nil {
-		return errors.Wrap(err, file)
-	}
-	in.apply(1, d)
-	return nil
-}
-
 func (in *Instance) listen() error {
 	callers, err := net.Listen("tcp", in.settings.Callers.Address)
 	if err != nil {
@@ -126,6 +125,20 @@
 // OperationsAddress is the address that operators reach.
 func (in *Instance) OperationsAddress() string { return in.listeners.operations.Addr().String() }
 
+func (in *Instance) peerAddress() string {
+	if in.peers == nil {
+		return ""
+	}
+	return in.peers.self.TCP.String()
+}
+
+func (in *Instance) gossipAddress() string {
+	if in.peers == nil {
+		return ""
+	}
+	return in.peers.self.UDP.String()
+}
+
 // now is the monotonic time since the start.
 func (in *Instance) now() time.Duration { return time.Since(in.started) }
 
@@ -138,6 +151,14 @@
 func (in *Instance) apply(revision uint64, d *config.Deployment) {
 	in.configuring.Lock()
 	defer in.configuring.Unlock()
+	in.configurePools(d)
+	in.routes.Store(newRoutes(revision, d, in.pools))
+	in.metrics.revision.Set(float64(revision))
+	in.log.WithFields(logrus.Fields{"event": "configuration_applied", "revision": revision, "deployment": d.Name}).Info("configuration applied")
+}
+
+// configurePools gives each pool its upstreams. The caller holds configuring.
+func (in *Instance) configurePools(d *config.Deployment) {
 	next := map[string]*pool{}
 	for _, m := range d.Models {
 		next[m.Name] = in.keepPool(m.Name, modelPool, d)
@@ -148,9 +169,6 @@
 		next[s.Name].configure(d, s.Upstreams, in.leaving)
 	}
 	in.pools = next
-	in.routes.Store(newRoutes(revision, d, next))
-	in.metrics.revision.Set(float64(revision))
-	in.log.WithFields(logrus.Fields{"event": "configuration_applied", "revision": revision, "deployment": d.Name}).Info("configuration applied")
 }
 
 // keepPool returns the pool with its learned state, or a new one.
@@ -158,7 +176,11 @@
 	if p, ok := in.pools[name]; ok && p.kind == kind {
 		return p
 	}
-	return newPool(in, name, kind, d, in.seed^xxhash.Sum64String(name))
+	p := newPool(in, name, kind, d, in.seed^xxhash.Sum64String(name))
+	if in.domainPeers != nil {
+		p.bal.SetPeers(in.now(), in.domainPeers)
+	}
+	return p
 }
 
 // poolList returns the pools in force.
@@ -169,23 +191,34 @@
 	for _, p := range in.pools {
 		list = append(list, p)
 	}
+	slices.SortFunc(list, func(a, b *pool) int { return strings.Compare(a.name, b.name) })
 	return list
 }
 
-// newOrders builds the order desk of an instance that works alone. Its keys live as
-// long as the process.
-func (in *Instance) newOrders() error {
+// newPeers opens the sockets for peers, or prepares an instance that works alone.
+func (in *Instance) newPeers() error {
+	if in.settings.Peers == nil {
+		return in.workAlone()
+	}
+	var err error
+	if in.peerKeys, err = readKeys(in.settings.Peers.KeyFile); err != nil {
+		return err
+	}
+	if in.peers, err = newPeerGroup(in, in.settings.Peers, in.peerKeys); err != nil {
+		return err
+	}
+	self := orders.Member{Incarnation: orders.Incarnation(in.peers.self.Incarnation.Process), Address: in.peers.self.TCP}
+	return in.newOrders(self, in.peers)
+}
+
+// workAlone draws keys that live as long as the process.
+func (in *Instance) workAlone() error {
 	key := make([]byte, aloneKeySize)
 	rand.Read(key)
 	in.peerKeys = [][]byte{key}
-	keys, err := orders.NewKeyring(in.peerKeys...)
-	if err != nil {
-		return err
-	}
 	self := orders.Member{Address: aloneAddress}
 	rand.Read(self.Incarnation[:])
-	in.orders = newOrderDesk(in, self, keys, rand.Reader, noLinks{})
-	return nil
+	return in.newOrders(self, noLinks{})
 }
 
 // aloneAddress stands in tickets of an instance without peers.
@@ -194,8 +227,19 @@
 // aloneKeySize is the size of the key of an instance without peers, in bytes.
 const aloneKeySize = 32
 
-// spread sends suspicions to the other instances.
-func (in *Instance) spread(s []quarantine.Suspicion) {}
+func (in *Instance) newOrders(self orders.Member, links orderLinks) error {
+	keys, err := orders.NewKeyring(in.peerKeys...)
+	if err != nil {
+		return err
+	}
+	in.orders = newOrderDesk(in, self, keys, rand.Reader, links)
+	return nil
+}
+
+// fresh reports whether the instance may act on what it knows about others.
+func (in *Instance) fresh(now time.Duration) bool {
+	return in.peers == nil || in.peers.members.Fresh(now)
+}
 
 // Run serves until ctx ends, then drains: it fails its readiness, accepts requests
 // for a short while longer, finishes every request in progress and returns.
@@ -208,6 +252,14 @@
 	group.Go(func() error { return every(work, tickInterval, in.tickPools) })
 	group.Go(func() error { return every(work, watchInterval, in.watcher.check) })
 	group.Go(func() error { return every(work, loadInterval, func() { in.pollLoads(work) }) })
+	if in.peers != nil {
+		group.Go(func() error { return in.peers.run(work) })
+		group.Go(func() error { return every(work, valuesInterval, in.reportValues) })
+	}
+	if in.config != nil {
+		group.Go(func() error { return in.config.run(work) })
+		group.Go(func() error { return in.readInstances(work) })
+	}
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -218,13 +270,16 @@
 		return err
 	})
 	in.log.WithFields(logrus.Fields{"event": "started", "instance": in.settings.Instance, "failure_domain": in.settings.FailureDomain,
-		"callers": in.CallersAddress(), "operations": in.OperationsAddress()}).Info("instance started")
+		"callers": in.CallersAddress(), "operations": in.OperationsAddress(), "peers": in.peerAddress(), "gossip": in.gossipAddress()}).Info("instance started")
 	return group.Wait()
 }
 
 // drain is the planned stop.
 func (in *Instance) drain() error {
 	in.draining.Store(true)
+	if in.peers != nil {
+		in.peers.gossip.Leave()
+	}
 	in.log.WithFields(logrus.Fields{"event": "draining", "in_progress": in.watcher.inProgress()}).Info("draining")
 	time.Sleep(drainDelay)
 	if err := in.callers.Shutdown(); err != nil {
@@ -234,6 +289,11 @@
 		time.Sleep(stopPoll)
 	}
 	in.orders.drain()
+	if in.peers != nil {
+		if err := in.peers.node.Close(); err != nil {
+			return errors.Wrap(err, "stop peers' listener")
+		}
+	}
 	in.log.WithField("event", "stopped").Info("every request has ended")
 	return errors.Wrap(in.operations.Shutdown(), "stop operations listener")
 }
--- a/internal/entry/operations.go
+++ b/internal/entry/operations.go
@@ -8,18 +8,29 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/balancer"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/configsync"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/scheduler"
 )
 
 // State is the state dump of an instance, in the JSON that "yuccabridge status" reads.
 type State struct {
-	Instance      string      `json:"instance"`
-	FailureDomain string      `json:"failure_domain"`
-	Ready         bool        `json:"ready"`
-	Draining      bool        `json:"draining"`
-	Revision      uint64      `json:"revision"`
-	InProgress    int         `json:"in_progress"`
-	Pools         []PoolState `json:"pools"`
+	Instance      string             `json:"instance"`
+	FailureDomain string             `json:"failure_domain"`
+	Ready         bool               `json:"ready"`
+	Draining      bool               `json:"draining"`
+	Revision      uint64             `json:"revision"`
+	InProgress    int                `json:"in_progress"`
+	Members       []MemberState      `json:"members,omitempty"`
+	Configuration *configsync.Status `json:"configuration,omitempty"`
+	Pools         []PoolState        `json:"pools"`
+}
+
+// MemberState is what the instance knows about another one.
+type MemberState struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	State         string `json:"state"`
+	Revision      uint64 `json:"revision"`
 }
 
 // PoolState is the state of one model or service.
@@ -54,7 +65,9 @@
 }
 
 // ready reports whether the instance should receive requests.
-func (in *Instance) ready() bool { return in.routes.Load() != nil && !in.draining.Load() }
+func (in *Instance) ready() bool {
+	return in.routes.Load() != nil && !in.draining.Load() && (in.config == nil || in.config.machine.Ready())
+}
 
 func (in *Instance) handleReady(ctx *fasthttp.RequestCtx) {
 	if !in.ready() {
@@ -76,6 +89,15 @@
 	if r := in.routes.Load(); r != nil {
 		s.Revision = r.revision
 	}
+	if in.peers != nil {
+		for _, m := range in.peers.all() {
+			s.Members = append(s.Members, MemberState{Name: m.Name, FailureDomain: m.Domain, State: m.State.String(), Revision: m.Revision})
+		}
+	}
+	if in.config != nil {
+		status := in.config.machine.Status()
+		s.Configuration = &status
+	}
 	now := in.now()
 	for _, p := range in.poolList() {
 		s.Pools = append(s.Pools, PoolState{Name: p.name, Pressure: p.sched.Pressure(now), Upstreams: p.bal.Snapshot(now)})
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -220,6 +220,9 @@
 	p.pumping.Lock()
 	defer p.pumping.Unlock()
 	now := p.in.now()
+	if !p.in.fresh(now) {
+		return // a later tick dispatches
+	}
 	var parked []scheduler.Request
 	for len(parked) < maxParked && p.bal.Free(now) > 0 {
 		r, ok, shed := p.sched.Next(now)
--- a/internal/protocol/peerwire/body.go
+++ b/internal/protocol/peerwire/body.go
@@ -32,7 +32,7 @@
 		w.push(m.Push)
 	case Suspicions:
 		w.bytes(m.Payload)
-	case Pressure:
+	case Instances:
 		w.bytes(m.Payload)
 	case OrderForward:
 		w.bytes(m.Payload)
@@ -69,8 +69,8 @@
 		m = ConfigPush{Push: r.push()}
 	case TypeSuspicions:
 		m = Suspicions{Payload: r.bytes(MaxFrame)}
-	case TypePressure:
-		m = Pressure{Payload: r.bytes(MaxFrame)}
+	case TypeInstances:
+		m = Instances{Payload: r.bytes(MaxFrame)}
 	case TypeOrderForward:
 		m = OrderForward{Payload: r.bytes(MaxFrame)}
 	case TypeOrderAnswer:
--- a/internal/protocol/peerwire/message.go
+++ b/internal/protocol/peerwire/message.go
@@ -16,7 +16,7 @@
 	TypeConfigPull
 	TypeConfigPush
 	TypeSuspicions
-	TypePressure
+	TypeInstances
 	TypeOrderForward
 	TypeOrderAnswer
 	TypeIntent
@@ -69,8 +69,8 @@
 	ConfigPush struct{ configsync.Push }
 	// Suspicions carries crash suspects, encoded by the quarantine.
 	Suspicions struct{ Payload []byte }
-	// Pressure carries the pressure of the sender's schedulers.
-	Pressure struct{ Payload []byte }
+	// Instances carries the upstreams that leave according to the platform's list.
+	Instances struct{ Payload []byte }
 	// OrderForward carries an order to the owner of its ticket.
 	OrderForward struct{ Payload []byte }
 	// OrderAnswer answers an OrderForward or a Query.
@@ -98,7 +98,7 @@
 func (ConfigPull) Type() Type     { return TypeConfigPull }
 func (ConfigPush) Type() Type     { return TypeConfigPush }
 func (Suspicions) Type() Type     { return TypeSuspicions }
-func (Pressure) Type() Type       { return TypePressure }
+func (Instances) Type() Type      { return TypeInstances }
 func (OrderForward) Type() Type   { return TypeOrderForward }
 func (OrderAnswer) Type() Type    { return TypeOrderAnswer }
 func (Intent) Type() Type         { return TypeIntent }
--- a/internal/transport/peer/node.go
+++ b/internal/transport/peer/node.go
@@ -212,7 +212,7 @@
 func isRepeatable(t peerwire.Type) bool {
 	switch t {
 	case peerwire.TypeConfigPull, peerwire.TypeConfigPush, peerwire.TypeSuspicions,
-		peerwire.TypePressure, peerwire.TypeIntent, peerwire.TypeOutcome, peerwire.TypeQuery:
+		peerwire.TypeInstances, peerwire.TypeIntent, peerwire.TypeOutcome, peerwire.TypeQuery:
 		return true
 	}
 	return false
