Add the estimates of service time and service rate

Cause: engine counts are not declared, so the service rate has to be learned from the requests that run, and a wrong estimate must not last when it keeps requests from running.

Change: an exponentially weighted mean and an HDR sketch that become unknown after 7 half-lives (70 s) without samples, and the capacity in service seconds per second: work completed while others wait, or the requests in flight before there are 8 completions.

--- /dev/null
+++ b/internal/state/estimate/doc.go
@@ -0,0 +1,21 @@
+// Package estimate learns service times, output lengths and the service rate
+// from the requests that run.
+//
+// All estimates forget: evidence halves every [HalfLife], and an estimate whose
+// evidence has decayed below a quarter of one sample is unknown again. A wrong
+// estimate that keeps requests from running, and thereby itself from being
+// corrected, therefore ends after at most 7 half-lives (the evidence is at most
+// 32 samples, and 32 / 2^7 = 1/4).
+//
+// [Mean] is an exponentially weighted moving average. [Sketch] holds quantiles
+// of a recent window in an HDR histogram. [Capacity] is the service rate, in
+// service seconds per second, which is the number of requests that run at once
+// while requests wait. It needs no declared engine count:
+//
+//   - with at least 8 completions of evidence it is the service time of the
+//     requests that ended while others waited, divided by that time;
+//   - before that, it is the mean number of requests in flight while others
+//     waited, or the number in flight now.
+//
+// None of the types is safe for concurrent use.
+package estimate
