--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -63,6 +63,7 @@
 	batch       *batch
 	recent      *recentStreams
 	incarnation int
+	down        bool   // crashed; connections that break now are not cancels
 	made        uint64 // identifiers made up for requests without one
 	answered    uint64
 	switches    EngineSwitches
@@ -99,6 +100,7 @@
 func (e *Engine) listen(addr string) error {
 	e.mu.Lock()
 	e.incarnation++
+	e.down = false
 	e.loads.record(e.now(), LoadReport{Incarnation: e.incarnationName()})
 	e.mu.Unlock()
 	return e.server.start(addr)
@@ -262,7 +264,7 @@
 func (e *Engine) cancel(s *stream, a attachment) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s.attached != a.number || s.ended != active {
+	if s.attached != a.number || s.ended != active || e.down {
 		return
 	}
 	s.ended = cancelled
--- a/internal/emulator/engine_test.go
+++ b/internal/emulator/engine_test.go
@@ -15,7 +15,7 @@
 
 // fastModel keeps the tests quick; no test depends on its times.
 func fastModel() Model {
-	return Model{Slots: 2, PrefillPerToken: time.Microsecond, DecodeInterval: 200 * time.Microsecond}
+	return Model{Slots: 2, TokenBudget: 1 << 30, PrefillPerToken: time.Microsecond, DecodeInterval: 200 * time.Microsecond}
 }
 
 func startEngine(t *testing.T, m Model) *Engine {
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -188,7 +188,7 @@
 
 // dial tracks connections, because the HTTP client cannot interrupt a waiting call.
 func (c *Client) dial(addr string) (net.Conn, error) {
-	inner, err := fasthttp.DialTimeout(addr, c.timeout)
+	inner, err := net.DialTimeout("tcp", addr, c.timeout)
 	if err != nil {
 		return nil, err
 	}
