Record the starts of requests at the engine stand-in

Cause: the checker has to show whether a request ran although its caller was told "not run"; and an answer with a wrong identifier but the caller's echo passed the checker.

--- a/internal/emulator/chat.go
+++ b/internal/emulator/chat.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Paths and headers of the engine.
+// Paths and headers of the engine; PathControl holds for all stand-ins.
 const (
 	PathChat          = "/v1/chat/completions"
 	PathLoad          = "/load"
@@ -20,7 +20,7 @@
 	HeaderPriority    = "X-Priority"
 	HeaderDeadline    = "X-Deadline-Ms"
 	HeaderIncarnation = "X-Incarnation"
-	pathControl       = "/control"
+	PathControl       = "/control"
 )
 
 // lowestTier is taken for requests without a priority.
@@ -93,7 +93,9 @@
 		writeJSON(ctx, fasthttp.StatusOK, e.Load())
 	case strings.HasPrefix(path, PathStreams) && ctx.IsGet():
 		e.resumeStream(ctx, strings.TrimPrefix(path, PathStreams))
-	case path == pathControl:
+	case path == PathExecutions:
+		writeJSON(ctx, fasthttp.StatusOK, e.Executions())
+	case path == PathControl:
 		e.server.serveControl(ctx, e)
 	default:
 		writeError(ctx, fasthttp.StatusNotFound, "not_found", path)
@@ -132,7 +134,8 @@
 	s.job.tier = lowestTier
 	s.job.prompt, s.job.blocks = countTokens(prompt), prefixBlocks(prompt)
 	if r.Emulate != nil {
-		s.echo, s.job.output = r.Emulate.Echo, max(0, r.Emulate.OutputTokens)
+		s.tag, s.echo = r.Emulate.Echo, r.Emulate.Echo
+		s.job.output = max(0, r.Emulate.OutputTokens)
 	}
 	s.limit = max(0, r.MaxTokens)
 	return s
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -13,6 +14,8 @@
 	maxBodyBytes = 8 << 20
 	// defaultRecentStreams bounds the streams that can be resumed.
 	defaultRecentStreams = 1024
+	// maxRecordedRuns bounds the record of starts, which is kept for whole experiments.
+	maxRecordedRuns = 1 << 20
 )
 
 // EngineOptions configure an engine stand-in.
@@ -69,6 +72,7 @@
 	switches    EngineSwitches
 	counters    EngineCounters
 	loads       loadHistory
+	runs        map[string]int // starts by the request's echo
 }
 
 // NewEngine returns an engine that is not yet listening.
@@ -82,6 +86,7 @@
 		batch:    newBatch(o.Model),
 		recent:   newRecentStreams(o.RecentStreams),
 		switches: EngineSwitches{Straggle: 1},
+		runs:     map[string]int{},
 	}
 	e.server.handler = e.handle
 	return e
@@ -125,6 +130,14 @@
 	return e.counters
 }
 
+// Executions lists how often each request was started, by its emulate.echo. It
+// shows whether a request ran although its caller was told that it did not.
+func (e *Engine) Executions() Executions {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Executions{Keys: maps.Clone(e.runs)}
+}
+
 func (e *Engine) now() time.Duration { return time.Since(e.started) }
 
 func (e *Engine) incarnationName() string {
@@ -181,6 +194,9 @@
 		e.counters.PromptTokens += uint64(j.prompt)
 		e.counters.CachedTokens += uint64(max(0, j.prompt+j.generated-j.prefill))
 		poisoned = poisoned || j.stream.poison
+		if tag := j.stream.tag; tag != "" && len(e.runs) < maxRecordedRuns {
+			e.runs[tag]++
+		}
 	}
 	e.counters.MaxConcurrent = max(e.counters.MaxConcurrent, len(e.batch.running))
 	return poisoned
@@ -222,7 +238,7 @@
 	}
 	e.answered++
 	if n := e.switches.WrongIDEvery; n > 0 && e.answered%uint64(n) == 0 {
-		s.id = "wrong-" + s.id
+		s.id, s.echo = "wrong-"+s.id, "wrong-"+s.echo
 	}
 	if s.job.output == 0 {
 		s.job.output = e.draw()
--- a/internal/emulator/engine_control.go
+++ b/internal/emulator/engine_control.go
@@ -14,7 +14,8 @@
 	// CrashRestart is the time after which the engine comes back from such a crash.
 	// Zero: it stays down.
 	CrashRestart Duration `json:"crash_restart"`
-	// WrongIDEvery gives every n-th answer the identifier of another request. Zero: off.
+	// WrongIDEvery makes every n-th answer another request's: identifier, echo and
+	// text are not the caller's. Zero: off.
 	WrongIDEvery int `json:"wrong_id_every"`
 	// NoResume refuses to resume streams.
 	NoResume bool `json:"no_resume"`
--- a/internal/emulator/fault_test.go
+++ b/internal/emulator/fault_test.go
@@ -13,7 +13,7 @@
 // control sends a command and decodes the answer into status.
 func control(t *testing.T, addr, command string, status any) int {
 	t.Helper()
-	res, err := freshClient.Post("http://"+addr+pathControl, "application/json", strings.NewReader(command))
+	res, err := freshClient.Post("http://"+addr+PathControl, "application/json", strings.NewReader(command))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -192,7 +192,7 @@
 
 func (p *Platform) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
-	if path == pathControl {
+	if path == PathControl {
 		p.server.serveControl(ctx, p)
 		return
 	}
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -56,7 +56,7 @@
 // handle holds requests while the server is frozen. The control endpoint keeps
 // answering, or a freeze could not be ended over HTTP.
 func (s *server) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != pathControl {
+	if string(ctx.Path()) != PathControl {
 		s.frozen.wait()
 	}
 	s.handler(ctx)
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -47,7 +48,7 @@
 // alone, which shows an order that ran under two tickets.
 type Executions struct {
 	Keys   map[string]int `json:"keys"`
-	Orders map[string]int `json:"orders"`
+	Orders map[string]int `json:"orders,omitempty"`
 }
 
 // ServiceAnswer is the answer of a service.
@@ -134,14 +135,7 @@
 func (s *Service) Executions() Executions {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := Executions{Keys: map[string]int{}, Orders: map[string]int{}}
-	for k, n := range s.executions.Keys {
-		c.Keys[k] = n
-	}
-	for k, n := range s.executions.Orders {
-		c.Orders[k] = n
-	}
-	return c
+	return Executions{Keys: maps.Clone(s.executions.Keys), Orders: maps.Clone(s.executions.Orders)}
 }
 
 func (s *Service) status() any {
@@ -160,7 +154,7 @@
 
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
-	case pathControl:
+	case PathControl:
 		s.server.serveControl(ctx, s)
 	case PathExecutions:
 		writeJSON(ctx, fasthttp.StatusOK, s.Executions())
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -7,7 +7,8 @@
 type stream struct {
 	job    job
 	id     string // identifier that text and events carry
-	echo   string
+	tag    string // the request's emulate.echo
+	echo   string // what the events carry; differs from tag in a foreign answer
 	model  string
 	limit  int  // the request's max_tokens; zero: none
 	poison bool // the request crashes the engine when it starts to run
