--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -13,6 +14,8 @@
 	maxBodyBytes = 8 << 20
 	// defaultRecentStreams bounds the streams that can be resumed.
 	defaultRecentStreams = 1024
+	// maxRecordedRuns bounds the record of starts, which is kept for whole experiments.
+	maxRecordedRuns = 1 << 20
 )
 
 // EngineOptions configure an engine stand-in.
@@ -63,11 +66,13 @@
 	batch       *batch
 	recent      *recentStreams
 	incarnation int
+	down        bool   // crashed; connections that break now are not cancels
 	made        uint64 // identifiers made up for requests without one
 	answered    uint64
 	switches    EngineSwitches
 	counters    EngineCounters
 	loads       loadHistory
+	runs        map[string]int // starts by the request's echo
 }
 
 // NewEngine returns an engine that is not yet listening.
@@ -81,6 +86,7 @@
 		batch:    newBatch(o.Model),
 		recent:   newRecentStreams(o.RecentStreams),
 		switches: EngineSwitches{Straggle: 1},
+		runs:     map[string]int{},
 	}
 	e.server.handler = e.handle
 	return e
@@ -99,6 +105,7 @@
 func (e *Engine) listen(addr string) error {
 	e.mu.Lock()
 	e.incarnation++
+	e.down = false
 	e.loads.record(e.now(), LoadReport{Incarnation: e.incarnationName()})
 	e.mu.Unlock()
 	return e.server.start(addr)
@@ -123,6 +130,14 @@
 	return e.counters
 }
 
+// Executions lists how often each request was started, by its emulate.echo. It
+// shows whether a request ran although its caller was told that it did not.
+func (e *Engine) Executions() Executions {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Executions{Keys: maps.Clone(e.runs)}
+}
+
 func (e *Engine) now() time.Duration { return time.Since(e.started) }
 
 func (e *Engine) incarnationName() string {
@@ -179,6 +194,9 @@
 		e.counters.PromptTokens += uint64(j.prompt)
 		e.counters.CachedTokens += uint64(max(0, j.prompt+j.generated-j.prefill))
 		poisoned = poisoned || j.stream.poison
+		if tag := j.stream.tag; tag != "" && len(e.runs) < maxRecordedRuns {
+			e.runs[tag]++
+		}
 	}
 	e.counters.MaxConcurrent = max(e.counters.MaxConcurrent, len(e.batch.running))
 	return poisoned
@@ -220,7 +238,7 @@
 	}
 	e.answered++
 	if n := e.switches.WrongIDEvery; n > 0 && e.answered%uint64(n) == 0 {
-		s.id = "wrong-" + s.id
+		s.id, s.echo = "wrong-"+s.id, "wrong-"+s.echo
 	}
 	if s.job.output == 0 {
 		s.job.output = e.draw()
@@ -262,7 +280,7 @@
 func (e *Engine) cancel(s *stream, a attachment) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if s.attached != a.number || s.ended != active {
+	if s.attached != a.number || s.ended != active || e.down {
 		return
 	}
 	s.ended = cancelled
