--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -8,12 +8,37 @@
 
 	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/balancer"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/baseline"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/retry"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/scheduler"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
+	"github.com/yuccabridge/yuccabridge/internal/settings"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
+// queue decides which request is next and which are refused.
+type queue interface {
+	Reconfigure(now time.Duration, o scheduler.Options)
+	Enqueue(now time.Duration, r scheduler.Request) []scheduler.Shed
+	Next(now time.Duration) (scheduler.Request, bool, []scheduler.Shed)
+	Tick(now time.Duration) []scheduler.Shed
+	Cancel(now time.Duration, id uint64) bool
+	Observe(now time.Duration, x scheduler.Sample)
+	MergePressure(now time.Duration, peer string, p scheduler.Pressure, age time.Duration)
+	Pressure(now time.Duration) scheduler.Pressure
+}
+
+// chooser decides which upstream serves a request.
+type chooser interface {
+	Update(now time.Duration, ups []balancer.Upstream)
+	SetPeers(now time.Duration, instances []string)
+	Free(now time.Duration) int
+	Pick(now time.Duration, r balancer.Request) (balancer.Pick, bool)
+	Done(now time.Duration, p balancer.Pick, r balancer.Result)
+	ReportLoad(now time.Duration, upstream string, l balancer.LoadReport)
+	Snapshot(now time.Duration) []balancer.UpstreamState
+}
+
 // poolKind tells model engines from plain services.
 type poolKind int
 
@@ -28,8 +53,8 @@
 	kind poolKind
 	in   *Instance
 
-	sched *scheduler.Scheduler
-	bal   *balancer.Balancer
+	sched queue
+	bal   chooser
 
 	// pumping serialises dispatching, so that a slot seen by Free is still there for Pick.
 	pumping sync.Mutex
@@ -64,6 +89,10 @@
 		budgets: map[string]*retry.Budget{},
 		loads:   map[string]loadState{},
 	}
+	if in.settings.Policy == settings.Baseline {
+		p.sched, p.bal = baseline.NewQueue(in.settings.Limits.QueueLimit), baseline.NewRoundRobin()
+		return p
+	}
 	p.sched = scheduler.New(schedulerOptions(d, in.settings.Limits.QueueLimit), rand.New(rand.NewPCG(seed, 1)))
 	p.bal = balancer.New(balancer.Options{
 		Instance:            in.settings.Instance,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -14,6 +14,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/scheduler"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
+	"github.com/yuccabridge/yuccabridge/internal/settings"
 )
 
 // Headers between the parties.
@@ -78,13 +79,21 @@
 
 // mayRetry takes one retry from the class's budget.
 func (r *request) mayRetry() bool {
+	if r.pool.in.settings.Policy == settings.Baseline {
+		return len(r.tried) < baselineTries
+	}
 	return r.pool.budget(r.class).Allow(r.pool.in.now())
 }
 
+// baselineTries is how many upstreams the baseline policy tries, without a budget.
+const baselineTries = 3
+
 // upstreamHeaders sets the headers that every upstream receives.
 func (r *request) upstreamHeaders(h *fasthttp.RequestHeader, now time.Duration) {
 	h.Set(headerRequestID, r.id)
-	h.Set(headerPriority, strconv.Itoa(r.class.Tier))
+	if r.pool.in.settings.Policy == settings.Standard {
+		h.Set(headerPriority, strconv.Itoa(r.class.Tier))
+	}
 	left := max(r.deadline()-now, 0)
 	h.Set(headerDeadlineMS, strconv.FormatInt(left.Milliseconds(), 10))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,10 +27,22 @@
 	ConfigurationFile string `yaml:"configuration_file,omitempty"`
 	// Limits protect the instance from callers.
 	Limits Limits `yaml:"limits,omitempty"`
+	// Policy is "standard", or "baseline" for the comparison in experiments. Default standard.
+	Policy Policy `yaml:"policy,omitempty" validate:"omitempty,oneof=standard baseline"`
 	// Log configures the log.
 	Log Log `yaml:"log,omitempty"`
 }
 
+// Policy selects how requests are queued and upstreams chosen.
+type Policy string
+
+const (
+	// Standard is the router's policy.
+	Standard Policy = "standard"
+	// Baseline is a first-in first-out queue with upstreams in turn and retries at once.
+	Baseline Policy = "baseline"
+)
+
 // Listener is an address to listen on.
 type Listener struct {
 	// Address is an IP address with a port.
@@ -153,6 +165,7 @@
 	setDefault(&l.Liveness, config.Duration(2*time.Second))
 	setDefault(&l.AnswerTimeout, config.Duration(2*time.Minute))
 	setDefault(&s.Log.Level, "info")
+	setDefault(&s.Policy, Standard)
 }
 
 func setDefault[T comparable](field *T, value T) {
