--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -132,7 +132,8 @@
 	return in.peers.self.TCP.String()
 }
 
-func (in *Instance) gossipAddress() string {
+// GossipAddress is the address that other instances join through.
+func (in *Instance) GossipAddress() string {
 	if in.peers == nil {
 		return ""
 	}
@@ -270,7 +271,7 @@
 		return err
 	})
 	in.log.WithFields(logrus.Fields{"event": "started", "instance": in.settings.Instance, "failure_domain": in.settings.FailureDomain,
-		"callers": in.CallersAddress(), "operations": in.OperationsAddress(), "peers": in.peerAddress(), "gossip": in.gossipAddress()}).Info("instance started")
+		"callers": in.CallersAddress(), "operations": in.OperationsAddress(), "peers": in.peerAddress(), "gossip": in.GossipAddress()}).Info("instance started")
 	return group.Wait()
 }
 
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -92,7 +92,13 @@
 // another one than the try before when there are several.
 func (r *runner) nextTarget() string {
 	n := r.turn.Add(1)
-	return r.scenario.Targets[n%uint64(len(r.scenario.Targets))]
+	list := r.scenario.Targets
+	if r.scenario.Live != nil {
+		if live := r.scenario.Live(); len(live) > 0 {
+			list = live
+		}
+	}
+	return list[n%uint64(len(list))]
 }
 
 // request sends one arrival with its resends.
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -26,6 +26,9 @@
 	Drain config.Duration `yaml:"drain,omitempty" validate:"min=0"`
 	// Targets are the addresses of entry instances; requests alternate between them.
 	Targets []string `yaml:"targets" validate:"required,min=1,dive,ipport"`
+	// Live, when set, returns the targets that a load balancer would use now. It must
+	// be safe for concurrent use.
+	Live func() []string `yaml:"-" validate:"-"`
 	// Timeout bounds one attempt. Zero: 2 min.
 	Timeout config.Duration `yaml:"timeout,omitempty" validate:"min=0"`
 	// MaxInFlight bounds the open requests; what exceeds it is counted as not sent. Zero: 20,000.
@@ -127,13 +130,21 @@
 	if err := config.DecodeStrict(text, s); err != nil {
 		return nil, err
 	}
-	if err := s.validate(); err != nil {
+	if err := s.Complete(); err != nil {
 		return nil, config.Locate(text, err)
 	}
-	s.setDefaults()
 	return s, nil
 }
 
+// Complete checks the scenario and fills in the defaults.
+func (s *Scenario) Complete() error {
+	if err := s.validate(); err != nil {
+		return err
+	}
+	s.setDefaults()
+	return nil
+}
+
 func (s *Scenario) validate() error {
 	if err := config.ValidateStruct(s); err != nil {
 		return err
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,326 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/emulator"
+	"github.com/yuccabridge/yuccabridge/internal/entry"
+	"github.com/yuccabridge/yuccabridge/internal/protocol/platformapi"
+	"github.com/yuccabridge/yuccabridge/internal/settings"
+)
+
+const (
+	// DefaultInstances is the number of entry instances of a region.
+	DefaultInstances = 8
+	// readyTimeout bounds the wait for an instance to serve.
+	readyTimeout = 20 * time.Second
+	// readyPoll is how often readiness is looked at.
+	readyPoll = 20 * time.Millisecond
+	// peerKeySize is the size of the peers' key in bytes.
+	peerKeySize = 32
+)
+
+// Options configures a fleet. Zero values take the defaults.
+type Options struct {
+	// Deployment is served; its upstream addresses are replaced.
+	Deployment *config.Deployment
+	// Instances is the number of entry instances. Default 8.
+	Instances int
+	// Policy of the entry instances. Default standard.
+	Policy settings.Policy
+	// Seed of the engines.
+	Seed uint64
+	// Model holds the engines' performance figures.
+	Model emulator.Model
+	// Log receives the instances' log. Default: dropped.
+	Log io.Writer
+	// WaitMembers waits until every instance knows every other one.
+	WaitMembers bool
+}
+
+// Fleet is a running region.
+type Fleet struct {
+	Deployment *config.Deployment
+	Platform   *emulator.Platform
+	Engines    []*emulator.Engine // in the order of the models' upstreams
+	Services   []*emulator.Service
+
+	options Options
+	folder  string
+	mu      sync.Mutex
+	members []*Member
+}
+
+// Member is one entry instance of a fleet.
+type Member struct {
+	Name     string
+	Domain   string
+	Instance *entry.Instance
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+// Start starts everything and waits until the instances serve.
+func Start(o Options) (*Fleet, error) {
+	if o.Instances == 0 {
+		o.Instances = DefaultInstances
+	}
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	f := &Fleet{options: o}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	if err := f.startStandIns(); err != nil {
+		return err
+	}
+	if err := f.writeKey(); err != nil {
+		return err
+	}
+	for i := range f.options.Instances {
+		if err := f.startInstance(i); err != nil {
+			return err
+		}
+	}
+	return f.waitReady()
+}
+
+// startStandIns starts the platform and a stand-in for each upstream.
+func (f *Fleet) startStandIns() error {
+	d, err := copyDeployment(f.options.Deployment)
+	if err != nil {
+		return err
+	}
+	f.Deployment = d
+	for i := range d.Models {
+		for j := range d.Models[i].Upstreams {
+			if err := f.startEngine(&d.Models[i].Upstreams[j]); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range d.Services {
+		for j := range d.Services[i].Upstreams {
+			if err := f.startService(&d.Services[i].Upstreams[j]); err != nil {
+				return err
+			}
+		}
+	}
+	f.Platform = emulator.NewPlatform(emulator.PlatformOptions{})
+	if err := f.Platform.Start("127.0.0.1:0"); err != nil {
+		return errors.Wrap(err, "start platform")
+	}
+	return f.Publish()
+}
+
+func copyDeployment(d *config.Deployment) (*config.Deployment, error) {
+	text, err := d.YAML()
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse(text)
+}
+
+func (f *Fleet) startEngine(u *config.Upstream) error {
+	e := emulator.NewEngine(emulator.EngineOptions{Name: u.Name, Model: f.options.Model, Seed: f.options.Seed + uint64(len(f.Engines))})
+	if err := e.Start("127.0.0.1:0"); err != nil {
+		return errors.Wrap(err, "start engine")
+	}
+	f.Engines = append(f.Engines, e)
+	u.Address = e.Addr()
+	return nil
+}
+
+func (f *Fleet) startService(u *config.Upstream) error {
+	s := emulator.NewService(u.Name)
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		return errors.Wrap(err, "start service")
+	}
+	f.Services = append(f.Services, s)
+	u.Address = s.Addr()
+	return nil
+}
+
+// Publish publishes the deployment at the platform.
+func (f *Fleet) Publish() error {
+	text, err := f.Deployment.YAML()
+	if err != nil {
+		return err
+	}
+	_, err = f.Platform.Publish(text)
+	return err
+}
+
+// SetLeaving marks upstreams as leaving in the platform's list.
+func (f *Fleet) SetLeaving(names ...string) {
+	var list []platformapi.Instance
+	for _, m := range f.Deployment.Models {
+		for _, u := range m.Upstreams {
+			state := platformapi.Live
+			if slices.Contains(names, u.Name) {
+				state = platformapi.Leaving
+			}
+			list = append(list, platformapi.Instance{Name: u.Name, Address: u.Address, State: state})
+		}
+	}
+	f.Platform.SetInstances(list)
+}
+
+func (f *Fleet) writeKey() error {
+	var err error
+	if f.folder, err = os.MkdirTemp("", "yuccabridge-"); err != nil {
+		return errors.Wrap(err, "create folder")
+	}
+	key := make([]byte, peerKeySize)
+	rand.Read(key)
+	return errors.Wrap(os.WriteFile(f.keyFile(), []byte(hex.EncodeToString(key)+"\n"), 0o600), "write key")
+}
+
+func (f *Fleet) keyFile() string { return filepath.Join(f.folder, "peers.key") }
+
+// startInstance starts entry instance i, which joins through those that run.
+func (f *Fleet) startInstance(i int) error {
+	domains := f.Deployment.FailureDomains
+	m := &Member{Name: fmt.Sprintf("entry-%d", i+1), Domain: domains[i%len(domains)], done: make(chan error, 1)}
+	s := &settings.Settings{
+		Instance:      m.Name,
+		FailureDomain: m.Domain,
+		Callers:       settings.Listener{Address: "127.0.0.1:0"},
+		Operations:    settings.Listener{Address: "127.0.0.2:0"},
+		Peers:         &settings.Peers{Address: "127.0.0.1:0", Gossip: "127.0.0.1:0", Seeds: f.seeds(), KeyFile: f.keyFile()},
+		Platform:      &settings.Platform{Address: f.Platform.Addr()},
+		Policy:        f.options.Policy,
+	}
+	if err := s.Complete(); err != nil {
+		return err
+	}
+	log := logrus.New()
+	log.SetOutput(f.options.Log)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	var err error
+	if m.Instance, err = entry.New(s, log); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() { m.done <- m.Instance.Run(ctx) }()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = append(f.members, m)
+	return nil
+}
+
+func (f *Fleet) seeds() []string {
+	var list []string
+	for _, m := range f.Members() {
+		list = append(list, m.Instance.GossipAddress())
+	}
+	return list
+}
+
+// Members returns the running entry instances.
+func (f *Fleet) Members() []*Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.members)
+}
+
+// Targets are the callers' addresses of the instances that are ready, as a load
+// balancer sees them.
+func (f *Fleet) Targets() []string {
+	var list []string
+	for _, m := range f.Members() {
+		if m.ready() {
+			list = append(list, m.Instance.CallersAddress())
+		}
+	}
+	return list
+}
+
+func (m *Member) ready() bool {
+	resp, err := http.Get("http://" + m.Instance.OperationsAddress() + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Stop begins the planned stop of an instance and returns a channel with its result.
+func (f *Fleet) Stop(m *Member) <-chan error {
+	m.cancel()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = slices.DeleteFunc(f.members, func(x *Member) bool { return x == m })
+	return m.done
+}
+
+func (f *Fleet) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, m := range f.Members() {
+		for !f.serves(m) {
+			if time.Now().After(deadline) {
+				return errors.Errorf("%s is not ready after %s", m.Name, readyTimeout)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) serves(m *Member) bool {
+	return m.ready() && (!f.options.WaitMembers || len(m.Instance.State().Members) >= f.options.Instances-1)
+}
+
+// Close stops everything at once. Requests in progress are finished first.
+func (f *Fleet) Close() error {
+	var group errgroup.Group
+	for _, m := range f.Members() {
+		group.Go(func() error { return <-f.Stop(m) })
+	}
+	err := group.Wait()
+	for _, e := range f.Engines {
+		e.Stop()
+	}
+	for _, s := range f.Services {
+		s.Stop()
+	}
+	if f.Platform != nil {
+		f.Platform.Stop()
+	}
+	if f.folder != "" {
+		err = errors.Wrap(firstError(err, os.RemoveAll(f.folder)), "stop fleet")
+	}
+	return err
+}
+
+func firstError(list ...error) error {
+	for _, err := range list {
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,13 +131,21 @@
 	if err := config.DecodeStrict(text, s); err != nil {
 		return nil, err
 	}
-	if err := s.Validate(); err != nil {
+	if err := s.Complete(); err != nil {
 		return nil, config.Locate(text, err)
 	}
-	s.fillDefaults()
 	return s, nil
 }
 
+// Complete checks the settings and fills in the defaults.
+func (s *Settings) Complete() error {
+	if err := s.Validate(); err != nil {
+		return err
+	}
+	s.fillDefaults()
+	return nil
+}
+
 // Validate checks the settings.
 func (s *Settings) Validate() error {
 	if err := config.ValidateStruct(s); err != nil {
