Add the command-line tool

Cause: operators and experiments need to check, print and compare configurations, to start stand-ins and to send load. Exit code 1 is a failed check (config check, violations in load), 2 is bad input.

--- /dev/null
+++ b/cmd/yuccabridge/main.go
@@ -0,0 +1,62 @@
+// Command yuccabridge is the operator's tool: it checks, prints and compares
+// configurations, starts stand-ins for a deployment and runs load against it.
+//
+// Exit codes: 0 success, 1 a check failed, 2 bad input.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+const (
+	exitCheckFailed = 1
+	exitBadInput    = 2
+)
+
+// checkError is the error of a check that ran and failed.
+type checkError struct{ error }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes the command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(stderr, err)
+	var failed checkError
+	if errors.As(err, &failed) {
+		return exitCheckFailed
+	}
+	return exitBadInput
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "yuccabridge",
+		Short:         "Check configurations, emulate a deployment and load it",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newConfig(), newEmulate(), newLoad())
+	return root
+}
--- /dev/null
+++ b/cmd/yuccabridge/main_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/examples"
+	"github.com/yuccabridge/yuccabridge/internal/transport/platform"
+)
+
+func execute(ctx context.Context, args ...string) (code int, stdout, stderr string) {
+	var out, err bytes.Buffer
+	code = run(ctx, args, &out, &err)
+	return code, out.String(), err.String()
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func example(t *testing.T, change func(*config.Deployment)) string {
+	t.Helper()
+	d := examples.Regie()
+	change(d)
+	text, err := d.YAML()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// Scripts rely on the exit codes, and operators on one line that names the place.
+func TestExitCodesAndErrors(t *testing.T) {
+	good := example(t, func(*config.Deployment) {})
+	file := write(t, "good.yaml", good)
+	bad := write(t, "bad.yaml", strings.Replace(good, "tier: 1", "tier: 0", 1))
+	scenario, err := os.ReadFile("../../examples/regie-load.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := write(t, "load.yaml", strings.Replace(string(scenario), "class: dossier-drafts", "class: unknown", 1))
+	cases := []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"config", "check", file}, 0, ""},
+		{[]string{"config", "check", bad}, 1, bad + ": line 12: classes[0].tier: "},
+		{[]string{"config", "print", bad}, 2, bad + ": line 12: classes[0].tier: "},
+		{[]string{"config", "diff", file, bad}, 2, bad + ": line 12: "},
+		{[]string{"config", "check", "missing.yaml"}, 2, "missing.yaml: no such file"},
+		{[]string{"config", "check"}, 2, "accepts 1 arg"},
+		{[]string{"dance"}, 2, "unknown command"},
+		{[]string{"emulate"}, 2, "required flag"},
+		{[]string{"emulate", "--config", file, "--instance", "i1"}, 2, "--instance i1: "},
+		{[]string{"load", "--config", file, "--scenario", other}, 2, other + ": line 40: classes[2].class: "},
+	}
+	for _, c := range cases {
+		code, _, stderr := execute(t.Context(), c.args...)
+		if code != c.code || !strings.HasPrefix(stderr, c.want) || strings.Count(stderr, "\n") > 1 {
+			t.Errorf("%v: code %d, %q; want %d, %q", c.args, code, stderr, c.code, c.want)
+		}
+	}
+}
+
+// The printed form must be the text that the config package prints.
+func TestPrint(t *testing.T) {
+	good := example(t, func(*config.Deployment) {})
+	code, stdout, stderr := execute(t.Context(), "config", "print", write(t, "c.yaml", "# comment\n"+good))
+	if code != 0 || stdout != good {
+		t.Errorf("code %d, %s", code, stderr)
+	}
+}
+
+// Operators review a change by this output: each kind of change must show once.
+func TestDiff(t *testing.T) {
+	before := write(t, "a.yaml", example(t, func(*config.Deployment) {}))
+	after := write(t, "b.yaml", example(t, func(d *config.Deployment) {
+		d.Objective = config.Goodput
+		d.Classes[0].Deadline = config.Duration(6 * time.Second)
+		d.Teams = d.Teams[1:]
+		d.Models[0].Upstreams[0].Address = "127.0.0.1:1"
+		d.Services[0].NonIdempotent = append(d.Services[0].NonIdempotent, config.Operation{Method: "PUT", Path: "/ordres-ligne/x"})
+		d.Services = append(d.Services, config.Service{Name: "s", PathPrefix: "/s/", Class: "dossier-drafts",
+			Upstreams: []config.Upstream{{Name: "s-1", Address: "127.0.0.1:2", FailureDomain: "keroman"}}})
+		d.ClassRules = append(d.ClassRules[:2], d.ClassRules[3:]...)
+	}))
+	_, stdout, _ := execute(t.Context(), "config", "diff", before, after)
+	want := []string{
+		"~ objective: attainment -> goodput",
+		"~ classes[floor-instructions].deadline: 5s -> 6s",
+		"- teams[ligne-chrome-dur]: {name=ligne-chrome-dur weight=4 key_sha256=[",
+		"~ models[atelier-llm].upstreams[atelier-01].address: 127.0.0.1:18001 -> 127.0.0.1:1",
+		"~ services[ordres-ligne].non_idempotent: [{method=POST path=/ordres-ligne/runs}] -> [{method=POST path=/ordres-ligne/runs} {method=PUT path=/ordres-ligne/x}]",
+		"+ services[s]: {name=s path_prefix=/s/ class=dossier-drafts upstreams=[{name=s-1 address=127.0.0.1:2 failure_domain=keroman}]}",
+		"~ class_rules: [",
+	}
+	lines := strings.Split(strings.TrimSpace(stdout), "\n")
+	if len(lines) != len(want) {
+		t.Fatalf("%d lines:\n%s", len(lines), stdout)
+	}
+	for i, line := range lines {
+		if !strings.HasPrefix(line, want[i]) {
+			t.Errorf("line %d: %q, want %q", i, line, want[i])
+		}
+	}
+	if _, same, _ := execute(t.Context(), "config", "diff", before, before); same != "" {
+		t.Errorf("no change shows as %q", same)
+	}
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// The emulate command must serve the file as the platform's configuration and end
+// cleanly when it is told to stop.
+func TestEmulate(t *testing.T) {
+	text := example(t, func(d *config.Deployment) {
+		d.Models[0].Upstreams = d.Models[0].Upstreams[:1]
+		d.Models[0].Upstreams[0].Address = freeAddress(t)
+		d.Services[0].Upstreams = d.Services[0].Upstreams[:1]
+		d.Services[0].Upstreams[0].Address = freeAddress(t)
+	})
+	addr := freeAddress(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ended := make(chan string, 1)
+	go func() {
+		code, _, stderr := execute(ctx, "emulate", "--config", write(t, "c.yaml", text), "--platform", addr, "--instance", "i1=127.0.0.1:9")
+		ended <- fmt.Sprint(code, stderr)
+	}()
+	c := platform.New(platform.Options{Address: addr})
+	defer c.Close()
+	for range 5000 {
+		if r := c.Read(); r.Outcome == platform.OK {
+			if string(r.Deployment.Text) != text || r.Deployment.Revision != 1 {
+				t.Errorf("revision %d with another text", r.Deployment.Revision)
+			}
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if r := c.Instances(); len(r.Instances) != 1 || r.Instances[0].Name != "i1" {
+		t.Errorf("instances %+v", r)
+	}
+	stop()
+	if result := <-ended; !strings.HasPrefix(result, "0 ") && !strings.HasPrefix(result, "0time") {
+		t.Errorf("ended with %s", result)
+	}
+}
