--- a/internal/experiment/run_test.go
+++ b/internal/experiment/run_test.go
@@ -1,8 +1,11 @@
 package experiment
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -54,10 +57,21 @@
 	return b
 }
 
+// proxyTo reads a request whole before it passes it on: net/http closes the body of
+// a request once its answer begins, and a proxy that still reads it then breaks the
+// connection to the upstream.
 func proxyTo(addr string) http.Handler {
 	p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: addr})
 	p.FlushInterval = -1
-	return p
+	p.ErrorLog = log.New(io.Discard, "", 0)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		p.ServeHTTP(w, r)
+	})
 }
 
 // run sends a short load to the bed.
