Implement tiers, aged share, admission and pressure in the scheduler

Cause: the interface was served by a first-in, first-out queue.

Change: tiers with fair queueing, the aged share ordered by the time at which a dispatch is due, exemption of the request that an aged dispatch passes over, deadline-based admission that counts the guaranteed aged share, shedding at Enqueue, Next and Tick, a full-queue rule with a reserve for each lower tier, pressure between peers and Reconfigure.

--- /dev/null
+++ b/internal/coordination/scheduler/choose.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import "time"
+
+// choose returns the request to dispatch, or nil. The caller removes it.
+func (s *Scheduler) choose(now time.Duration) *item {
+	best, waiting := s.queue.Best()
+	if !waiting {
+		return nil
+	}
+	if best > s.lowestAllowed(now) {
+		return s.chooseHeld(now)
+	}
+	head := s.queue.Head(best).Value
+	if s.passed != nil && s.passed.Tier == best {
+		head = s.passed
+	}
+	if x := s.chooseAged(now, best); x != nil {
+		s.releasePassed()
+		if x.Tier > best {
+			s.passOver(now, head)
+		}
+		s.sinceAged, s.agedTurnAt = 0, now
+		return x
+	}
+	s.releasePassed()
+	s.sinceAged = min(s.sinceAged+1, s.agedShare-1)
+	return head
+}
+
+// chooseAged returns the request that takes an aged dispatch now, or nil.
+func (s *Scheduler) chooseAged(now time.Duration, best int) *item {
+	if s.sinceAged < s.agedShare-1 || s.aged.Len() == 0 {
+		return nil
+	}
+	x := s.aged.Min()
+	switch {
+	case now >= x.forcedAt:
+		return x
+	case now >= x.agedAt && x.Tier > best && s.spares(now, x.Tier):
+		return x
+	default:
+		return nil
+	}
+}
+
+// chooseHeld returns the request that the aged share serves while a peer sheds
+// a tier above all those waiting here. Without other dispatches to count, the
+// share is taken by time.
+func (s *Scheduler) chooseHeld(now time.Duration) *item {
+	if s.aged.Len() == 0 || now < s.aged.Min().agedAt {
+		return nil
+	}
+	if s.agedTurnAt > 0 && now-s.agedTurnAt < time.Duration(s.agedShare)*s.gap(now) {
+		return nil
+	}
+	s.releasePassed()
+	s.sinceAged, s.agedTurnAt = 0, now
+	return s.aged.Min()
+}
+
+// passOver records that an aged dispatch takes the turn of x. Until the next
+// dispatch x is neither expired nor the victim of a full queue, and that
+// dispatch goes to x unless a tier above x has a request by then. When the
+// upstreams stall and no dispatch follows, the exemption ends.
+func (s *Scheduler) passOver(now time.Duration, x *item) {
+	s.passed = x
+	mean, _ := s.service.Value(now)
+	s.passedUntil = max(x.limit, now) + 2*seconds(mean) + stallGrace
+	s.queue.Protect(&x.Entry)
+	x.class.limits.Remove(x.limitPos)
+}
+
+// releasePassed ends the exemption of the request that was passed over.
+func (s *Scheduler) releasePassed() {
+	if s.passed == nil {
+		return
+	}
+	s.passed.class.limits.Add(s.passed)
+	s.passed = nil
+}
--- /dev/null
+++ b/internal/coordination/scheduler/class.go
@@ -0,0 +1,108 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/state/estimate"
+	"github.com/yuccabridge/yuccabridge/internal/state/fairqueue"
+)
+
+// item is a queued request.
+type item struct {
+	fairqueue.Entry[*item]
+	request  Request
+	class    *class
+	limit    time.Duration // latest useful first token
+	agedAt   time.Duration
+	forcedAt time.Duration // from then on the aged share is due, see doc.go
+	limitPos int           // in class.limits
+	agedPos  int           // in Scheduler.aged
+}
+
+// learned are the estimates of a class; they outlive a Reconfigure.
+type learned struct {
+	service                 estimate.Mean // seconds
+	firstToken, outputToken *estimate.Sketch
+	teams                   map[string]*estimate.Mean // service seconds
+}
+
+func newLearned() *learned {
+	return &learned{
+		firstToken:  estimate.NewSketch(),
+		outputToken: estimate.NewSketch(),
+		teams:       map[string]*estimate.Mean{},
+	}
+}
+
+// class is a class in force, or a former one that still has queued requests.
+type class struct {
+	Class
+	*learned
+	queued int
+	limits *fairqueue.Heap[*item] // queued requests by limit
+}
+
+func newClass(c Class, l *learned) *class {
+	if c.MaxWait <= 0 {
+		c.MaxWait = c.Deadline
+	}
+	return &class{Class: c, learned: l, limits: fairqueue.NewHeap(
+		func(a, b *item) bool { return a.limit < b.limit },
+		func(x *item, i int) { x.limitPos = i },
+	)}
+}
+
+// limitOf returns the latest useful time of the first token.
+func (c *class) limitOf(r Request, o Objective) time.Duration {
+	limit := r.Deadline
+	if limit == 0 {
+		limit = r.Arrived + c.Deadline
+	}
+	if o == Goodput {
+		return limit
+	}
+	return min(limit, r.Arrived+c.FirstTokenTarget)
+}
+
+// firstTokenTime returns the learned time from dispatch to the first token; 0 while unknown.
+func (c *class) firstTokenTime(now time.Duration) time.Duration {
+	ms, ok := c.firstToken.Median(now)
+	if !ok {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// serviceTime returns the expected service seconds of a team's request, with
+// the class and then all requests in place of what is unknown.
+func (c *class) serviceTime(now time.Duration, team string, all *estimate.Mean) (float64, bool) {
+	if m := c.teams[team]; m != nil {
+		if v, ok := m.Value(now); ok {
+			return v, true
+		}
+	}
+	if v, ok := c.service.Value(now); ok {
+		return v, true
+	}
+	return all.Value(now)
+}
+
+// observe records a sample.
+func (c *class) observe(now time.Duration, x Sample, knownTeam bool) {
+	c.service.Add(now, x.Service.Seconds())
+	if x.FirstToken > 0 {
+		c.firstToken.Add(now, x.FirstToken.Milliseconds())
+	}
+	if x.OutputTokens > 0 {
+		c.outputToken.Add(now, int64(x.OutputTokens))
+	}
+	if !knownTeam {
+		return
+	}
+	m := c.teams[x.Team]
+	if m == nil {
+		m = &estimate.Mean{}
+		c.teams[x.Team] = m
+	}
+	m.Add(now, x.Service.Seconds())
+}
