--- a/internal/coordination/configsync/machine.go
+++ b/internal/coordination/configsync/machine.go
@@ -16,6 +16,8 @@
 	ReadersPerDomain = 2
 	// PollInterval is the time after which an instance asks a random peer.
 	PollInterval = 4 * time.Second
+	// emptyPollInterval is that time for an instance without any revision.
+	emptyPollInterval = time.Second
 	// StartTime is the time after which a fresh instance does not wait for the rest.
 	StartTime = 5 * time.Second
 	// WatchWait is the time for which a call may wait at the platform: 13 calls a
--- a/internal/coordination/configsync/peers.go
+++ b/internal/coordination/configsync/peers.go
@@ -213,8 +213,12 @@
 		return
 	}
 	m.nextPoll = now + PollInterval
+	if !m.accepted {
+		m.nextPoll = now + emptyPollInterval
+	}
 	domain := m.opts.Self.Domain
-	if n := len(m.domains); n > 0 && m.rng.IntN(2) == 0 {
+	alone := len(m.members[domain]) < 2
+	if n := len(m.domains); n > 0 && (alone || m.rng.IntN(2) == 0) {
 		domain = m.domains[m.rng.IntN(n)]
 	}
 	if p, ok := m.randomPeer(domain); ok {
--- a/internal/coordination/configsync/platform.go
+++ b/internal/coordination/configsync/platform.go
@@ -16,8 +16,6 @@
 	// minWatchGap is the shortest time between two calls of one reader. It bounds
 	// the calls when a stale replica answers at once with an old revision.
 	minWatchGap = 100 * time.Millisecond
-	// freshGap is that time for a fresh instance, whose calls do not wait.
-	freshGap = 500 * time.Millisecond
 )
 
 // ResultStatus is the outcome of a call to the platform.
@@ -64,7 +62,7 @@
 		return
 	}
 	wait := WatchWait
-	if !m.ready {
+	if !m.ready && !m.heardPlat {
 		wait = 0 // a fresh instance wants the current revision, not the next one
 	}
 	w.id++
@@ -109,6 +107,6 @@
 	w.running, w.failures = false, 0
 	w.at = now + minWatchGap
 	if !m.ready {
-		w.at = now + freshGap
+		w.at = now + freshSpread // behind the first calls of all others
 	}
 }
--- a/internal/coordination/membership/doc.go
+++ b/internal/coordination/membership/doc.go
@@ -10,8 +10,8 @@
 // that does not refute within the suspicion time is dead. A claim about a process is
 // ordered by its refutation counter, then by its state (alive, suspect, leaving,
 // dead); the greater claim wins. Only the process itself increments its counter, so
-// a dead claim is overridden only by a process that still runs, and a process that
-// has announced that it leaves never increments it again.
+// a dead claim is overridden only by a process that still runs. A process that has
+// announced that it leaves is leaving in all its later incarnations.
 //
 // A dead claim about a member that the receiver has not suspected for half the
 // suspicion time makes it a suspect first. Two halves of a healed partition thus
--- a/internal/coordination/membership/handle.go
+++ b/internal/coordination/membership/handle.go
@@ -33,8 +33,14 @@
 	s := m.members[p]
 	if s != nil && s.State == Dead {
 		// The sender does not know that it was declared dead: its claims about others
-		// come from a view that failed. Only answers tell it so.
+		// come from a view that failed. What it says about this process is heard, or
+		// two processes that hold each other dead could never meet again.
 		m.stats.FromDead++
+		for _, u := range msg.Updates {
+			if u.Incarnation.Process == m.self.Incarnation.Process {
+				m.refute(now, u)
+			}
+		}
 	} else if s != nil {
 		m.values(now, s, c, true)
 		m.merge(now, from, msg)
@@ -62,8 +68,15 @@
 			continue
 		}
 		m.apply(now, *c, from)
-		if x := m.members[p]; x != nil && x != m.self && x.State != Dead {
+		x := m.members[p]
+		if x == nil || x == m.self {
+			continue
+		}
+		if x.State != Dead {
 			m.values(now, x, *c, false)
 		}
+		if msg.Kind == SyncReply && overrides(x.Incarnation.Refutation, x.State, c.Incarnation.Refutation, c.State) {
+			m.enqueue(x) // the sender has missed this claim
+		}
 	}
 }
--- a/internal/coordination/membership/links.go
+++ b/internal/coordination/membership/links.go
@@ -27,6 +27,12 @@
 	for range m.names {
 		m.nextDomain = (m.nextDomain + 1) % len(m.names)
 		d := m.domains[m.names[m.nextDomain]]
+		if now-d.acked > linkTimeout && now-d.syncedAt >= syncInterval {
+			// All known members may be gone. Others of this domain may know new ones.
+			if x := m.random(m.self.domain); x != m.self {
+				m.startSync(now, d.name, x)
+			}
+		}
 		for _, x := range m.linksOf(now, d) {
 			if sent == MaxLinks {
 				return
@@ -35,7 +41,20 @@
 			if x.linkSent == 0 {
 				x.linkSent = now
 			}
-			m.sendTo(now, x, Message{Kind: Ping, Seq: m.nextSeq(), Target: x.Incarnation.Process})
+			x.linkSeq = m.nextSeq()
+			m.sendTo(now, x, Message{Kind: Ping, Seq: x.linkSeq, Target: x.Incarnation.Process})
+		}
+	}
+}
+
+// handleLinkAck removes a linked member whose address another process answers at. A
+// domain of one instance has nobody else to notice.
+func (m *Machine) handleLinkAck(now time.Duration, msg *Message) {
+	for _, name := range m.names {
+		for _, x := range m.domains[name].links {
+			if x.linkSeq == msg.Seq && x.State != Dead && msg.Target != x.Incarnation.Process {
+				m.setState(now, x, x.Incarnation.Refutation, Dead)
+			}
 		}
 	}
 }
@@ -66,13 +85,14 @@
 	copy(b[:], m.self.Incarnation.Process[:])
 	all := make([]candidate, 0, len(d.live))
 	for _, x := range d.live {
-		if x.State == Leaving {
-			continue
-		}
 		copy(b[16:], x.Incarnation.Process[:])
 		h := xxhash.Sum64(b[:])
-		if now < x.linkSkip {
-			h = 0 // only when there is no other
+		// Leaving and silent members are linked only when there are no others.
+		switch {
+		case now < x.linkSkip:
+			h = 0
+		case x.State == Leaving:
+			h = 1
 		}
 		all = append(all, candidate{x, h})
 	}
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -68,6 +68,7 @@
 		byAddr:  map[netip.AddrPort]*member{},
 		domains: map[string]*domain{},
 		seeds:   slices.Clone(o.Seeds),
+		pages:   maxPages,
 	}
 	m.self = m.insert(0, o.Self)
 	m.out = nil
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -18,7 +18,7 @@
 
 // Incarnation is a process with its refutation counter. Only the process itself
 // increments the counter: to refute a suspicion, to rejoin after it was declared
-// dead, and once when it leaves.
+// dead, and when it leaves.
 type Incarnation struct {
 	Process    Process
 	Refutation uint32
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -8,6 +8,8 @@
 const (
 	// indirectProbes is the number of helpers that are asked to ping a silent member.
 	indirectProbes = 2
+	// maxLeaverProbes bounds the extra probes of leaving members in a period.
+	maxLeaverProbes = 4
 	// maxRelays bounds the pings that are in flight for others.
 	maxRelays = 64
 	// recentAcks is the number of members of the own domain that are remembered as
@@ -79,6 +81,19 @@
 	}
 	m.probe = probe{target: x, seq: m.nextSeq(), sentAt: now}
 	m.sendTo(now, x, Message{Kind: Ping, Seq: m.probe.seq, Target: x.Incarnation.Process})
+	m.probeLeavers(now)
+}
+
+// probeLeavers pings members that leave and have missed a probe: they cannot be
+// suspected openly, because suspicion does not override leaving.
+func (m *Machine) probeLeavers(now time.Duration) {
+	sent := 0
+	for _, x := range m.suspects {
+		if x.State == Leaving && x.suspicion > 0 && x != m.probe.target && sent < maxLeaverProbes {
+			sent++
+			m.sendTo(now, x, Message{Kind: Ping, Seq: m.nextSeq(), Target: x.Incarnation.Process})
+		}
+	}
 }
 
 // nextTarget returns the next member of the round that is not dead.
@@ -194,6 +209,7 @@
 			return
 		}
 	}
+	m.handleLinkAck(now, msg)
 	if !m.joined {
 		m.startSync(now, m.self.Domain, s)
 	}
--- a/internal/coordination/membership/sync.go
+++ b/internal/coordination/membership/sync.go
@@ -48,13 +48,15 @@
 	}
 	d.mismatches++
 	// A domain that was never fetched is fetched at once.
-	if m.joined && (d.mismatches >= syncMismatches || !d.synced) && (now-d.syncedAt >= syncInterval || !d.synced) {
+	if (d.mismatches >= syncMismatches || !d.synced) && (now-d.syncedAt >= syncInterval || !d.synced) {
 		m.startSync(now, d.name, s)
 	}
 }
 
+// startSync fetches the view of a domain from s. A process that joins may ask a
+// member of another domain for its own: its domain may have no other member.
 func (m *Machine) startSync(now time.Duration, domain string, s *member) {
-	if m.sync.domain != nil || s == nil || s.domain.name != domain {
+	if m.sync.domain != nil || s == nil || s.State == Dead {
 		return
 	}
 	d := m.domainOf(now, domain)
@@ -179,7 +181,8 @@
 }
 
 // finishSync ends a fetch. Members of another domain that their own domain does not
-// know any more are dead.
+// know any more are dead. Members of the own domain are passed on: whoever probes
+// them decides.
 func (m *Machine) finishSync(now time.Duration, s *member) {
 	y := m.sync
 	m.sync = syncSession{}
@@ -189,13 +192,14 @@
 	}
 	if y.domain == m.self.domain {
 		m.joined = true
-		return
-	}
-	if s.domain != y.domain {
-		return
 	}
 	for _, x := range slices.Clone(y.domain.live) {
-		if _, ok := y.seen[x.Incarnation.Process]; !ok && x.stateAt < y.started {
+		if _, ok := y.seen[x.Incarnation.Process]; ok || x == m.self || x.stateAt >= y.started {
+			continue
+		}
+		if y.domain == m.self.domain {
+			m.enqueue(x) // the other side has not heard of it
+		} else if s.domain == y.domain {
 			m.setState(now, x, x.Incarnation.Refutation, Dead)
 		}
 	}
--- a/internal/coordination/membership/table.go
+++ b/internal/coordination/membership/table.go
@@ -27,6 +27,7 @@
 	quiet     time.Duration // no suspicion before this time
 	linkSkip  time.Duration // not chosen as a link before this time
 	linkSent  time.Duration
+	linkSeq   uint64
 	transmits int
 	queued    bool
 	urgent    bool
@@ -108,6 +109,7 @@
 	x.Incarnation.Refutation, x.State, x.stateAt = refutation, s, now
 	d.digest ^= digestOf(x.Member)
 	d.dirty = true
+	x.suspicion = 0 // a timer belongs to the claim that started it
 	m.relist(x)
 	if previous == Leaving || s == Leaving {
 		x.left = true
@@ -163,6 +165,11 @@
 	if c.UDP == m.self.UDP && c.State != Dead {
 		c.State, authority = Dead, c.UDP
 	}
+	if c.State == Suspect && c.Domain != m.self.Domain {
+		// Its own domain decides. A suspicion whose author has died would never be
+		// refuted here, because nobody has told the member.
+		c.State = Alive
+	}
 	x := m.members[p]
 	if x == nil {
 		m.insert(now, c)
@@ -186,7 +193,7 @@
 
 // believesDeath reports whether a dead claim is taken over at once.
 func (m *Machine) believesDeath(now time.Duration, x *member, c Member, authority netip.AddrPort) bool {
-	if x.domain != m.self.domain || authority == c.UDP || x.State == Leaving {
+	if x.domain != m.self.domain || authority == c.UDP || x.State == Dead || x.left {
 		return true
 	}
 	return x.State == Suspect && now-x.stateAt >= m.opts.SuspicionTime/2
@@ -204,14 +211,14 @@
 }
 
 // refute answers a claim that this process is suspect or dead. A leaving process
-// does not refute.
+// refutes only its death, and stays leaving.
 func (m *Machine) refute(now time.Duration, c Member) {
-	if m.self.State == Leaving || c.State != Suspect && c.State != Dead ||
-		c.Incarnation.Refutation < m.self.Incarnation.Refutation {
+	if !overrides(c.Incarnation.Refutation, c.State, m.self.Incarnation.Refutation, m.self.State) ||
+		c.State != Suspect && c.State != Dead {
 		return
 	}
 	m.stats.Refutations++
-	m.setState(now, m.self, c.Incarnation.Refutation+1, Alive)
+	m.setState(now, m.self, c.Incarnation.Refutation+1, m.self.State)
 }
 
 // values takes over newer values of x.
