--- a/internal/coordination/configsync/machine_test.go
+++ b/internal/coordination/configsync/machine_test.go
@@ -197,4 +197,3 @@
 		}
 	}
 }
-
