--- a/internal/transport/peer/node.go
+++ b/internal/transport/peer/node.go
@@ -20,6 +20,8 @@
 	DialFailures, HandshakeFailures                 uint64
 	Unauthenticated, Oversized, Malformed, Silenced uint64
 	Redialed                                        uint64
+	// ReloadFailures counts looks at key files that could not be used.
+	ReloadFailures uint64
 }
 
 // Node listens for peers and calls them. It is safe for concurrent use.
@@ -82,7 +84,11 @@
 func (n *Node) Stats() Stats {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.stats
+	s := n.stats
+	if n.certs != nil {
+		s.ReloadFailures = n.certs.failures()
+	}
+	return s
 }
 
 // Close ends all connections and waits for their goroutines.
--- a/internal/transport/peer/tls.go
+++ b/internal/transport/peer/tls.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 )
 
-// reloadInterval is the shortest time between two looks at the key files.
-const reloadInterval = time.Second
+// defaultReload is the shortest time between two looks at the key files.
+const defaultReload = time.Second
 
 // TLSFiles names the files with the certificate of this instance, its key, and the
 // certificates of the authorities of all peers, in PEM.
@@ -19,6 +19,9 @@
 	Certificate string
 	Key         string
 	CA          string
+	// ReloadInterval is the shortest time between two looks at the files, 1 s by
+	// default.
+	ReloadInterval time.Duration
 }
 
 // certificates holds what was last read from the key files. When the files cannot be
@@ -27,12 +30,12 @@
 type certificates struct {
 	files TLSFiles
 
-	mu      sync.Mutex
-	looked  time.Time
-	stamps  [3]stamp
-	pair    *tls.Certificate
-	pool    *x509.CertPool
-	failure error
+	mu     sync.Mutex
+	looked time.Time
+	stamps [3]stamp
+	pair   *tls.Certificate
+	pool   *x509.CertPool
+	failed uint64
 }
 
 type stamp struct {
@@ -41,6 +44,9 @@
 }
 
 func loadCertificates(f TLSFiles) (*certificates, error) {
+	if f.ReloadInterval <= 0 {
+		f.ReloadInterval = defaultReload
+	}
 	c := &certificates{files: f}
 	if err := c.reload(); err != nil {
 		return nil, err
@@ -87,9 +93,11 @@
 func (c *certificates) current() (*tls.Certificate, *x509.CertPool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Since(c.looked) >= reloadInterval {
+	if time.Since(c.looked) >= c.files.ReloadInterval {
 		c.looked = time.Now()
-		c.failure = c.reload()
+		if c.reload() != nil {
+			c.failed++
+		}
 	}
 	return c.pair, c.pool
 }
@@ -127,3 +135,9 @@
 	_, err := s.PeerCertificates[0].Verify(o)
 	return err
 }
+
+func (c *certificates) failures() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
