Fix readers of the instance list, choice of witnesses and lost outcomes

A member that could not be reached is not chosen for 5 s. - An answered order was 'unknown' when its owner was killed right after the answer: the outcome travelled to the witness beside the answer. It now goes first, for at most 100 ms.

--- a/cmd/yuccabridge/load.go
+++ b/cmd/yuccabridge/load.go
@@ -61,14 +61,9 @@
 		s.Duration = config.Duration(f.duration)
 	}
 	report := experiment.Run(c.Context(), s, d)
-	if err := report.WriteTable(c.OutOrStdout()); err != nil {
+	if err := showReport(c.OutOrStdout(), report, f.json); err != nil {
 		return err
 	}
-	if f.json != "" {
-		if err := writeReport(f.json, report); err != nil {
-			return err
-		}
-	}
 	if n := report.ViolationCount(); n > 0 {
 		return checkError{errors.Errorf("%s: %d violations", f.scenario, n)}
 	}
--- a/cmd/yuccabridge/main.go
+++ b/cmd/yuccabridge/main.go
@@ -57,6 +57,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newConfig(), newEmulate(), newLoad())
+	root.AddCommand(newConfig(), newEmulate(), newLoad(), newDemo())
 	return root
 }
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -220,8 +220,7 @@
 	if err != nil {
 		panic(err) // a list of strings always encodes
 	}
-	domain := slices.DeleteFunc(r.in.peers.all(), func(m membership.Member) bool { return m.Domain != r.in.settings.FailureDomain })
-	r.in.peers.toAll(domain, peerwire.Instances{Payload: b})
+	r.in.peers.toAll(r.in.peers.ownDomain(), peerwire.Instances{Payload: b})
 }
 
 func (in *Instance) receiveLeaving(from [16]byte, b []byte) error {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -223,6 +223,10 @@
 	for _, c := range commands {
 		switch c := c.(type) {
 		case orders.Send:
+			if _, isOutcome := c.Message.(orders.OutcomeReport); isOutcome {
+				d.sendFirst(c)
+				continue
+			}
 			d.background(func() { d.send(c) })
 		case orders.Broadcast:
 			d.background(func() { d.links.Broadcast(c.Message) })
@@ -236,6 +240,25 @@
 	}
 }
 
+// sendFirst delivers the outcome of an order to its witness before the caller hears of
+// it, so that the answer can be repeated when this instance is killed right after. A
+// witness that cannot be reached delays the answer by at most outcomeWait.
+func (d *orderDesk) sendFirst(c orders.Send) {
+	done := make(chan struct{})
+	d.background(func() {
+		defer close(done)
+		d.send(c)
+	})
+	select {
+	case <-done:
+	case <-time.After(outcomeWait):
+	}
+}
+
+// outcomeWait bounds the wait for the witness. An exchange between failure domains
+// takes 3 ms.
+const outcomeWait = 100 * time.Millisecond
+
 func (d *orderDesk) background(fn func()) {
 	d.running.Go(fn)
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -7,11 +7,13 @@
 	"crypto/rand"
 	"encoding/hex"
 	"hash/fnv"
+	"maps"
 	mathrand "math/rand/v2"
 	"net/netip"
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +41,9 @@
 	members *membership.Machine
 	gossip  *peer.Gossip
 	node    *peer.Node
+
+	mu          sync.Mutex
+	unreachable map[orders.Incarnation]time.Duration // when a call failed last
 }
 
 // readKeys reads the keys of a key file, one in hex a line.
@@ -69,7 +74,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, s.KeyFile)
 	}
-	g := &peerGroup{in: in, keys: list}
+	g := &peerGroup{in: in, keys: list, unreachable: map[orders.Incarnation]time.Duration{}}
 	g.self = membership.Member{Name: in.settings.Instance, Domain: in.settings.FailureDomain}
 	rand.Read(g.self.Incarnation.Process[:])
 	if err := g.listen(s); err != nil {
@@ -167,12 +172,15 @@
 
 // isReader reports whether this instance reads at the platform for its domain.
 func (g *peerGroup) isReader() bool {
-	for _, p := range configsync.Readers(g.self.Domain, peersOf(append(g.all(), g.self))) {
-		if p.ID == g.self.Incarnation.Process {
-			return true
-		}
-	}
-	return false
+	domain := peersOf(append(g.ownDomain(), g.self))
+	return slices.ContainsFunc(configsync.Readers(g.self.Domain, domain), func(p configsync.Peer) bool {
+		return p.ID == g.self.Incarnation.Process
+	})
+}
+
+// ownDomain returns the live members of the own failure domain, without this instance.
+func (g *peerGroup) ownDomain() []membership.Member {
+	return slices.DeleteFunc(g.all(), func(m membership.Member) bool { return m.Domain != g.self.Domain })
 }
 
 func peersOf(members []membership.Member) []configsync.Peer {
@@ -252,9 +260,35 @@
 		return err
 	}
 	_, err = g.call(to.Address, wire)
+	g.noteReachable(to, err == nil)
 	return err
 }
 
+// noteReachable remembers members that could not be reached a moment ago: a crash is
+// known here before the failure detector reports it.
+func (g *peerGroup) noteReachable(m orders.Member, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ok {
+		delete(g.unreachable, m.Incarnation)
+		return
+	}
+	now := g.in.now()
+	maps.DeleteFunc(g.unreachable, func(_ orders.Incarnation, at time.Duration) bool { return now-at > unreachableTime })
+	g.unreachable[m.Incarnation] = now
+}
+
+func (g *peerGroup) isUnreachable(p membership.Process) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.unreachable[orders.Incarnation(p)]
+	return ok && g.in.now()-at <= unreachableTime
+}
+
+// unreachableTime is how long a member that could not be reached is not chosen as a
+// witness. The failure detector needs about as long to report a crash.
+const unreachableTime = 5 * time.Second
+
 // Broadcast implements orderLinks.
 func (g *peerGroup) Broadcast(m orders.Message) {
 	wire, err := orderwire.Encode(m)
@@ -276,7 +310,9 @@
 // choose returns a random alive member, of another domain or of the own one where
 // there is one.
 func (g *peerGroup) choose(otherDomain bool) orders.Member {
-	members := slices.DeleteFunc(g.all(), func(m membership.Member) bool { return m.State != membership.Alive })
+	members := slices.DeleteFunc(g.all(), func(m membership.Member) bool {
+		return m.State != membership.Alive || g.isUnreachable(m.Incarnation.Process)
+	})
 	preferred := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
 		return (m.Domain != g.self.Domain) != otherDomain || !g.members.Reachable(g.in.now(), m.Domain)
 	})
--- a/internal/protocol/peerwire/frame_test.go
+++ b/internal/protocol/peerwire/frame_test.go
@@ -26,7 +26,7 @@
 		Manifest: []configsync.SectionRef{{Name: "meta", Sum: configsync.Sum{4}, Size: 5}},
 		Sections: []configsync.Section{{Name: "meta", Sum: configsync.Sum{4}, Data: []byte("hello")}},
 	}},
-	Suspicions{[]byte("a")}, Pressure{[]byte("b")}, OrderForward{[]byte("c")}, OrderAnswer{[]byte("d")},
+	Suspicions{[]byte("a")}, Instances{[]byte("b")}, OrderForward{[]byte("c")}, OrderAnswer{[]byte("d")},
 	Intent{[]byte("e")}, IntentAck{[]byte("f")}, Outcome{[]byte("g")}, Query{[]byte("h")},
 	LedgerHandover{bytes.Repeat([]byte("i"), 200_000)}, KeepAlive{}, Done{}, Failure{Reason: "no"},
 }
--- a/internal/transport/peer/node_test.go
+++ b/internal/transport/peer/node_test.go
@@ -43,7 +43,7 @@
 	switch m := m.(type) {
 	case peerwire.Query:
 		return peerwire.OrderAnswer{Payload: append([]byte(from.Name+" "), m.Payload...)}, nil
-	case peerwire.Pressure:
+	case peerwire.Instances:
 		return nil, nil
 	}
 	return nil, errors.New("unexpected " + m.Type().String())
@@ -89,7 +89,7 @@
 	if s := a.Stats(); s.Dialed != 1 || b.Stats().Accepted != 1 {
 		t.Errorf("dialled %d times", s.Dialed)
 	}
-	if m, err := a.Call(testContext(t), b.Addr(), peerwire.Pressure{}); err != nil || m != (peerwire.Done{}) {
+	if m, err := a.Call(testContext(t), b.Addr(), peerwire.Instances{}); err != nil || m != (peerwire.Done{}) {
 		t.Errorf("a call without answer gave %v, %v", m, err)
 	}
 	var failure peerwire.Failure
