Require evidence of a backlog for the learned capacity

While nothing waits, the requests in flight are only a lower bound of the capacity, but they were taken for the capacity itself.

Change: the capacity is unknown, and requests are admitted, until requests have waited for 50 ms in all.

--- a/internal/state/estimate/doc.go
+++ b/internal/state/estimate/doc.go
@@ -15,8 +15,8 @@
 //
 //   - with at least 8 completions of evidence it is the service time of the
 //     requests that ended while others waited, divided by that time;
-//   - before that, it is the mean number of requests in flight while others
-//     waited, or the number in flight now.
+//   - before that, it is the mean number of requests in flight while others waited;
+//   - it is unknown until requests have waited for 50 ms in all.
 //
 // None of the types is safe for concurrent use.
 package estimate
--- a/internal/state/estimate/estimate.go
+++ b/internal/state/estimate/estimate.go
@@ -16,6 +16,10 @@
 	// minCompletions is the evidence from which the completed work measures the
 	// capacity. With fewer completions one long request would dominate it.
 	minCompletions = 8
+	// minBusy is the evidence, in seconds during which requests waited, of a
+	// known capacity. While nothing waits, free slots may exist, and a request
+	// that waits for an instant shows no lack of them.
+	minBusy = 0.05
 )
 
 func decay(from, to time.Duration) float64 {
@@ -124,12 +128,12 @@
 func (c *Capacity) Value(now time.Duration) (float64, bool) {
 	c.advance(now)
 	switch {
-	case c.completions >= minCompletions && c.busy > 0 && c.work > 0:
+	case c.busy < minBusy || c.occupied == 0:
+		return 0, false
+	case c.completions >= minCompletions && c.work > 0:
 		return c.work / c.busy, true
-	case c.busy > 0 && c.occupied > 0:
-		return c.occupied / c.busy, true
 	default:
-		return float64(c.inFlight), c.inFlight > 0
+		return c.occupied / c.busy, true
 	}
 }
 
