balancer: keep the latency baseline from creeping up

With six instances and 4 to 16 hidden slots, each instance learned its baseline behind the others' requests, and an overloaded upstream's latency became its own reference. Changes: a drain opens a quarter of the limit every 32 service times and measures low-load latency; the wait for the first token is also bounded by the rest of the service time; a baseline rises only at low load, without a reported queue, or after long overload at the minimum limit, and then to the fastest window.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -174,7 +174,8 @@
 	u.limit.observe(now, s.dispatched, x, u.inFlight+1, u.capacity(now), &limitContext{
 		intervalTarget: b.o.TokenIntervalTarget.Seconds(),
 		ceiling:        b.ceiling(u),
-		queued:         u.report.queued(now),
+		queued:         u.report.fresh(now) && u.report.waiting > 0,
+		idle:           u.report.fresh(now) && u.report.waiting == 0,
 	})
 }
 
--- a/internal/coordination/balancer/limit.go
+++ b/internal/coordination/balancer/limit.go
@@ -23,10 +23,14 @@
 	// is also the excess load that is tolerated.
 	intervalFactor = 1.5
 	plainFactor    = 1.5
-	// firstTokenFactor is larger because prompts differ in length and a prefix is
-	// cached or not. The excess load stays small all the same: queueing adds a share
-	// of a whole service time to the first token.
-	firstTokenFactor = 3
+	// firstTokenMaxExcess tolerates three times the baseline, because prompts differ in
+	// length and a prefix is cached or not.
+	firstTokenMaxExcess = 2
+	// firstTokenWait is the share of the rest of the service time that a first token
+	// may wait in a queue. It takes effect when the baseline is long, which it is when
+	// it was learned behind a queue; a multiple alone would let that queue grow.
+	firstTokenWait      = 0.5
+	firstTokenMinExcess = 0.5
 	// latencySlack keeps differences of a few milliseconds from counting as overload.
 	latencySlack = 0.005
 
@@ -37,28 +41,40 @@
 	baselineRise = 0.25
 	// lowLoadShare is the share of the limit that counts as low load.
 	lowLoadShare = 0.5
-	// floorPatience is the number of service times of overload at the minimum limit
-	// after which the latency there becomes the baseline. It is longer than the first
-	// drain periods, so that an instance with a wrong baseline corrects its own first.
-	floorPatience = 16
+	// The patience is the number of service times of overload at the minimum limit
+	// after which the latency there becomes the baseline. Either other instances hold a
+	// queue at the upstream, and accepting it makes it permanent, or requests became
+	// slower, and the limit is too low until it is accepted. patienceLong applies when
+	// the first token takes long enough to be a wait in a queue. A fresh load report
+	// with or without a queue decides between the two, so it lengthens or shortens the
+	// patience.
+	patienceShort  = 16
+	patienceLong   = 32
+	patienceIdle   = 4
+	patienceQueued = 256
 
 	// drainShare is the share of the limit that is open while the low-load latency is
 	// measured again.
 	drainShare = 0.25
-	// drainServices is the length of a drain in service times. The first half lets the
-	// queue empty; requests dispatched in the second half are measured.
-	drainServices = 2
+	// drainMeasured is the number of requests measured in a drain, as a share of the
+	// limit. They take two service times, after one in which the queue empties.
+	drainMeasured = 0.5
+	// drainMax bounds the length of a drain in service times.
+	drainMax = 8
 	// drainPeriodFirst and drainPeriodMax are the service times between drains of an
 	// upstream that stays full. The period doubles from the first to the second, at
-	// which drains cost about 2*(1-drainShare)/32, under 5% of its capacity.
-	drainPeriodFirst = 4
+	// which drains cost about 3*(1-drainShare)/32, 7% of its capacity. The first
+	// comes early because instances that start together learn their baseline behind
+	// each other's requests, and drain together.
+	drainPeriodFirst = 1
 	drainPeriodMax   = 32
 )
 
 // limiter adapts the concurrency limit of one upstream to its latency. The low-load
 // baseline falls with any faster window. It rises only when this instance loads the
-// upstream little, or when overload persists at the minimum limit; otherwise a
-// saturated upstream's latency would slowly become its own baseline.
+// upstream little, when a fresh load report shows no queue, or when overload persists
+// at the minimum limit; otherwise a saturated upstream's latency would slowly become
+// its own baseline.
 type limiter struct {
 	value, min, max float64
 	ramping         bool
@@ -70,6 +86,9 @@
 	cutAt     time.Duration // last decrease
 	overSince time.Duration // start of overload at the minimum, 0 when not overloaded
 
+	// Fastest window since overSince.
+	floorFirst, floorInterval float64
+
 	// While draining, requests dispatched from window.since until drainUntil measure
 	// the low-load latency.
 	draining    bool
@@ -116,15 +135,24 @@
 	if l.drainAt == 0 {
 		l.drainAt = now // the first period starts with the first completion
 	}
-	if l.draining && dispatched >= l.drainUntil {
-		l.endDrain()
+	if l.draining && now >= l.drainUntil {
+		l.endDrain(now)
+	}
+	if !l.draining && inFlight >= capacity && l.drainDue(now) {
+		l.startDrain(now)
 	}
 	w := &l.window
 	if dispatched < w.since {
 		return
 	}
 	w.add(s, inFlight, capacity)
-	if l.draining || w.n < int(min(windowMax, max(windowMin, l.value))) {
+	if l.draining {
+		if float64(w.n) >= min(windowMax, max(windowMin, l.value*drainMeasured)) {
+			l.endDrain(now)
+		}
+		return
+	}
+	if w.n < int(min(windowMax, max(windowMin, l.value))) {
 		return
 	}
 	l.decide(now, o)
@@ -136,6 +164,7 @@
 	intervalTarget float64 // seconds, 0 when not set
 	ceiling        float64 // bound of increases
 	queued         bool    // a fresh load report shows a queue
+	idle           bool    // a fresh load report shows none
 }
 
 func (w *window) add(s sample, inFlight, capacity int) {
@@ -167,17 +196,16 @@
 	w := &l.window
 	first, interval := mean(w.first, w.firsts), mean(w.interval, w.ints)
 	lowLoad := float64(w.peak) <= lowLoadShare*l.value
-	follow(&l.firstBase, first, lowLoad)
 	follow(&l.intervalBase, interval, lowLoad)
-	over := l.overloaded(first, interval, w.plain, o.intervalTarget)
+	slow := l.slowTokens(interval, o)
+	follow(&l.firstBase, first, lowLoad || o.idle && !slow)
+	over := slow || l.lateFirst(first, w.plain, o)
 	if !over {
 		l.overSince = 0
 	}
 	switch {
 	case over:
-		l.decrease(now, first, interval)
-	case w.full > 0 && l.drainDue(now):
-		l.startDrain(now)
+		l.decrease(now, first, interval, o)
 	case w.full > 0 && !o.queued:
 		step := float64(w.full) / l.value
 		if l.ramping {
@@ -200,72 +228,105 @@
 	}
 }
 
-func (l *limiter) overloaded(first, interval float64, plain bool, target float64) bool {
-	factor := float64(firstTokenFactor)
-	if plain {
-		factor = plainFactor
-	}
-	if first > l.firstBase*factor+latencySlack {
+// lateFirst reports whether the first token comes too late.
+func (l *limiter) lateFirst(first float64, plain bool, o *limitContext) bool {
+	if o.queued && first > firstTokenWait*max(0, float64(l.service)-first) {
 		return true
 	}
-	if target > 0 {
+	return first > l.firstBase+l.firstTolerance(plain)+latencySlack
+}
+
+// slowTokens reports whether the token interval is too long.
+func (l *limiter) slowTokens(interval float64, o *limitContext) bool {
+	if target := o.intervalTarget; target > 0 {
 		return interval > target
 	}
 	return interval > l.intervalBase*intervalFactor+latencySlack
 }
 
+// firstTolerance is the excess of the first token over its baseline that is accepted.
+func (l *limiter) firstTolerance(plain bool) float64 {
+	if plain {
+		return l.firstBase * (plainFactor - 1)
+	}
+	generation := max(0, float64(l.service)-l.firstBase)
+	wait := max(l.firstBase*firstTokenMinExcess, generation*firstTokenWait)
+	return min(l.firstBase*firstTokenMaxExcess, wait)
+}
+
 // decrease lowers the limit at most once per service time.
-func (l *limiter) decrease(now time.Duration, first, interval float64) {
+func (l *limiter) decrease(now time.Duration, first, interval float64, o *limitContext) {
 	if l.cutAt > 0 && now-l.cutAt < l.services(1) {
 		return
 	}
 	l.ramping = false
 	if l.value <= l.min {
-		l.atMinimum(now, first, interval)
+		l.atMinimum(now, first, interval, o)
 	}
 	l.value = max(l.min, l.value*limitDecrease)
 	l.cutAt = now
 	l.window.since = now
 }
 
-// atMinimum accepts the latency as the new baseline when overload persists at the
-// minimum limit: this instance isn't the cause.
-func (l *limiter) atMinimum(now time.Duration, first, interval float64) {
+// atMinimum raises the baseline when overload persists at the minimum limit: this
+// instance isn't the cause. The fastest window of that time counts, because it saw the
+// others drain.
+func (l *limiter) atMinimum(now time.Duration, first, interval float64, o *limitContext) {
 	if l.overSince == 0 {
 		l.overSince = now
+		l.floorFirst, l.floorInterval = first, interval
 		return
 	}
-	if now-l.overSince < l.services(floorPatience) {
+	lower(&l.floorFirst, first)
+	lower(&l.floorInterval, interval)
+	if now-l.overSince < l.services(l.patience(o)) {
 		return
 	}
-	l.firstBase, l.intervalBase = max(first, l.firstBase), max(interval, l.intervalBase)
+	l.firstBase = max(l.firstBase, l.floorFirst)
+	l.intervalBase = max(l.intervalBase, l.floorInterval)
 	l.overSince = 0
+	l.ramping = true
+}
+
+// patience returns the service times of overload at the minimum limit before the
+// latency there is accepted.
+func (l *limiter) patience(o *limitContext) float64 {
+	switch {
+	case o.queued:
+		return patienceQueued
+	case o.idle:
+		return patienceIdle
+	case l.floorFirst > firstTokenWait*(float64(l.service)-l.floorFirst):
+		return patienceLong
+	}
+	return patienceShort
 }
 
 func (l *limiter) drainDue(now time.Duration) bool {
-	return l.service > 0 && now-l.drainAt >= l.services(l.drainPeriod)
+	// At the smallest limits there is nothing to close.
+	return l.value >= 2*l.min && l.service > 0 && now-l.drainAt >= l.services(l.drainPeriod)
 }
 
 // startDrain opens only part of the limit, so that the low-load latency is seen even
 // while the upstream stays saturated.
 func (l *limiter) startDrain(now time.Duration) {
 	l.draining = true
-	l.drainUntil = now + l.services(drainServices)
+	l.drainUntil = now + l.services(drainMax)
 	l.drainPeriod = min(2*l.drainPeriod, drainPeriodMax)
-	l.window = window{since: now + l.services(drainServices/2)}
+	l.window = window{since: now + l.services(1)}
 }
 
 // endDrain lowers the baselines to what was measured. It never raises them: other
 // instances may have kept the upstream saturated meanwhile.
-func (l *limiter) endDrain() {
+func (l *limiter) endDrain(now time.Duration) {
 	w := &l.window
 	if w.n >= windowMin {
-		lower(&l.firstBase, mean(w.first, w.firsts))
-		lower(&l.intervalBase, mean(w.interval, w.ints))
+		follow(&l.firstBase, mean(w.first, w.firsts), false)
+		follow(&l.intervalBase, mean(w.interval, w.ints), false)
 	}
 	l.draining = false
-	l.drainAt = l.drainUntil
-	l.window = window{since: l.drainUntil}
+	l.drainAt = now
+	l.window = window{since: now}
 }
 
 func lower(base *float64, x float64) {
--- a/internal/coordination/balancer/report.go
+++ b/internal/coordination/balancer/report.go
@@ -6,9 +6,8 @@
 // by up to seconds; the influence falls linearly until then.
 const reportValid = 5 * time.Second
 
-// queueHoldAge is the age up to which a reported queue suppresses increases of the
-// limit.
-const queueHoldAge = time.Second
+// reportFresh is the age up to which a report informs the limit.
+const reportFresh = time.Second
 
 // loadReport is the newest load report of an upstream, adjusted by what this instance
 // has sent and completed since it was measured.
@@ -47,9 +46,9 @@
 	return weight * float64(queued) / float64(queued+l.running+1)
 }
 
-// queued reports whether a fresh report shows a queue.
-func (l *loadReport) queued(now time.Duration) bool {
-	return l.known && l.waiting > 0 && now-l.measured <= queueHoldAge
+// fresh reports whether the report is recent enough to inform the limit.
+func (l *loadReport) fresh(now time.Duration) bool {
+	return l.known && now-l.measured <= reportFresh
 }
 
 // reportLoad stores a report unless a newer one is known.
--- a/internal/coordination/balancer/sim_test.go
+++ b/internal/coordination/balancer/sim_test.go
@@ -14,6 +14,9 @@
 	slots   int
 	running int
 	queue   []*job
+
+	reported   LoadReport // state at the previous completion
+	reportedAt time.Duration
 }
 
 type job struct {
@@ -44,12 +47,14 @@
 type simulation struct {
 	rng       *rand.Rand
 	now       time.Duration
+	until     time.Duration // end of the last checked period
 	running   jobs
 	engines   map[string]*engine
 	balancers []*Balancer
 	count     int
 	prefill   time.Duration
 	jitter    float64 // of the prefill, as a share
+	reports   bool    // engines report their load of the completion before
 }
 
 func newSimulation(seed uint64, instances, upstreams, slots int, o Options) *simulation {
@@ -128,6 +133,9 @@
 		j.b.Done(s.now, j.pick, Result{
 			Status: OK, FirstToken: j.first, TokenInterval: j.interval, Service: s.now - j.sent,
 		})
+		if s.reports {
+			s.report(j)
+		}
 		if e := j.engine; len(e.queue) > 0 {
 			next := e.queue[0]
 			e.queue = e.queue[1:]
@@ -136,18 +144,76 @@
 	}
 }
 
+// report gives the balancer the engine's load as of the previous completion.
+func (s *simulation) report(j *job) {
+	e := j.engine
+	if e.reportedAt > 0 {
+		l := e.reported
+		l.Age = s.now - e.reportedAt
+		j.b.ReportLoad(s.now, j.pick.Upstream.Name, l)
+	}
+	e.reported = LoadReport{Incarnation: "1", Running: e.running, Waiting: len(e.queue)}
+	e.reportedAt = s.now
+}
+
+// checkBand fails when the load is outside the band around the hidden slots in one of
+// six successive periods.
+func (s *simulation) checkBand(t *testing.T, slots int, low, high, busy float64) {
+	t.Helper()
+	for range 6 {
+		s.until += 10 * time.Minute
+		inFlight, used := s.run(s.until, 5*time.Minute)
+		load := inFlight / float64(slots)
+		t.Logf("%v: in flight %.2f of the slots, busy %.2f", s.until, load, used)
+		if load < low || load > high || used < busy {
+			t.Errorf("%v: in flight %.2f of the slots, want %.2f to %.2f; busy %.2f, want %.2f",
+				s.until, load, low, high, used, busy)
+		}
+	}
+}
+
+// The limits must find the hidden capacity without a configured count, and neither
+// creep up with their own latency nor lock up. One slot per instance is the least that
+// independent limits can use, and increases come in steps of one, so the upper bound
+// is weaker with fewer than about two slots per instance.
 func TestLimitConvergence(t *testing.T) {
-	for _, n := range []int{1, 6} {
-		for _, slots := range []int{4, 8, 16, 32, 64} {
-			for _, target := range []time.Duration{0, 53 * time.Millisecond} {
-				s := newSimulation(1, n, 1, slots, Options{TokenIntervalTarget: target})
-				var out string
-				for m := range 6 {
-					f, u := s.run(time.Duration(m+1)*10*time.Minute, 5*time.Minute)
-					out += fmt.Sprintf(" %.2f/%.2f", f/float64(slots), u)
-				}
-				t.Logf("instances %d slots %d target %v: %s", n, slots, target, out)
+	for _, c := range []struct {
+		instances, slots int
+		high             float64
+	}{
+		{1, 4, 1.3}, {1, 16, 1.3}, {1, 64, 1.3},
+		{6, 16, 1.3}, {6, 32, 1.3}, {6, 64, 1.3}, {6, 8, 3.5}, {6, 4, 6},
+	} {
+		for _, target := range []time.Duration{0, 53 * time.Millisecond} {
+			for _, jitter := range []float64{0, 0.8} {
+				t.Run(fmt.Sprintf("%dx%d/%v/%v", c.instances, c.slots, target, jitter), func(t *testing.T) {
+					s := newSimulation(1, c.instances, 1, c.slots, Options{TokenIntervalTarget: target})
+					s.jitter = jitter
+					s.checkBand(t, c.slots, 0.65, c.high, 0.65)
+				})
 			}
 		}
 	}
 }
+
+// Longer prompts raise the first-token time of every request. A baseline that can't
+// follow keeps the limits at their minimum for ever. The limits have 15 minutes.
+func TestLimitFollowsLongerPrompts(t *testing.T) {
+	for _, n := range []int{1, 6} {
+		s := newSimulation(1, n, 1, 32, Options{})
+		s.run(10*time.Minute, time.Minute)
+		s.prefill *= 10
+		s.until = 20 * time.Minute
+		s.checkBand(t, 32, 0.65, 1.7, 0.65)
+	}
+}
+
+// An instance that joins a saturated upstream learns a loaded baseline; the load must
+// stay within the band all the same.
+func TestLimitJoiningInstance(t *testing.T) {
+	s := newSimulation(1, 5, 1, 32, Options{})
+	s.run(10*time.Minute, time.Minute)
+	s.addInstance(1, 5, Options{}, []Upstream{{Name: "u0", Domain: "a"}})
+	s.until = 10 * time.Minute
+	s.checkBand(t, 32, 0.65, 1.3, 0.65)
+}
