--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -157,7 +157,10 @@
 // learn feeds the result of a request into the learned state of its upstream.
 func (b *Balancer) learn(now time.Duration, u *upstream, s *slot, r Result) {
 	if r.Status == Failed || r.Status == Crashed {
-		u.eject.fail(now, s.dispatched, s.probe, b.rng)
+		if u.eject.fail(now, s.dispatched, s.probe) {
+			v := b.view(Request{})
+			u.eject.backOff(now, v.allEjected, b.rng)
+		}
 		if r.Status == Crashed {
 			u.limit.value = min(u.limit.value, max(u.limit.min, b.o.InitialLimit))
 		}
--- a/internal/coordination/balancer/eject.go
+++ b/internal/coordination/balancer/eject.go
@@ -14,7 +14,8 @@
 	// back-off.
 	ejectJitter = 0.25
 	// ejectMaxAll replaces ejectMax while every upstream of the subset is ejected:
-	// waiting costs more than a failed dial then.
+	// waiting costs more than a failed dial then, and the first one to recover should
+	// not serve alone for long.
 	ejectMaxAll = time.Second
 )
 
@@ -28,23 +29,26 @@
 }
 
 // fail records a failed request. Requests dispatched before the ejection share its
-// cause and don't extend it.
-func (e *ejection) fail(now, dispatched time.Duration, probe bool, rng *rand.Rand) {
-	if e.ejected && !probe {
-		return
-	}
-	if !e.ejected && dispatched < e.since {
-		return
+// cause and don't extend it. It returns whether a back-off began.
+func (e *ejection) fail(now, dispatched time.Duration, probe bool) bool {
+	if e.ejected && !probe || !e.ejected && dispatched < e.since {
+		return false
 	}
 	e.ejected = true
 	e.since = now
 	e.failures++
-	backoff := ejectMax
-	if e.failures <= 5 {
-		backoff = min(ejectMax, ejectBase<<(e.failures-1))
+	return true
+}
+
+// backOff sets the time of the next probe.
+func (e *ejection) backOff(now time.Duration, allEjected bool, rng *rand.Rand) {
+	wait := ejectMax
+	if allEjected {
+		wait = ejectMaxAll
+	} else if shift := e.failures - 1; shift < 5 {
+		wait = min(ejectMax, ejectBase<<shift)
 	}
-	backoff += time.Duration(rng.Float64() * ejectJitter * float64(backoff))
-	e.retryAt = now + backoff
+	e.retryAt = now + wait + time.Duration(rng.Float64()*ejectJitter*float64(wait))
 }
 
 // succeed ends the ejection. Only a request dispatched after the failure shows that
