--- a/internal/coordination/orders/flow.go
+++ b/internal/coordination/orders/flow.go
@@ -9,8 +9,9 @@
 
 const (
 	// DefaultRounds is how often an entry instance asks owner and witness before it
-	// answers "unknown" for an order that may still be running.
-	DefaultRounds = 3
+	// answers "unknown" for an order that may still be running. Four rounds of 1.5 s
+	// outlast a freeze or a cut of 3 s.
+	DefaultRounds = 4
 	// DefaultRoundDelay is the pause between two rounds.
 	DefaultRoundDelay = 500 * time.Millisecond
 
@@ -20,8 +21,7 @@
 	maxSuccessions = 4096
 )
 
-// FlowOptions configures a Flow. Zero values take the defaults; Rounds below zero is
-// invalid.
+// FlowOptions configures a Flow. Zero values take the defaults.
 type FlowOptions struct {
 	Self       Member
 	Ledger     *Ledger
@@ -155,6 +155,19 @@
 	f.successions.Put(now, m.Owner, m.Successor, 0)
 }
 
+// Successions returns the stopped owners whose successor is known, for an instance that
+// joins.
+func (f *Flow) Successions(now time.Duration) []Succession {
+	f.successionMu.Lock()
+	defer f.successionMu.Unlock()
+	var out []Succession
+	f.successions.All(now, func(owner Incarnation, m Member, _ time.Duration) bool {
+		out = append(out, Succession{Owner: owner, Successor: m})
+		return true
+	})
+	return out
+}
+
 func (f *Flow) successorOf(now time.Duration, owner Incarnation) Member {
 	f.successionMu.Lock()
 	defer f.successionMu.Unlock()
--- a/internal/coordination/orders/ledger.go
+++ b/internal/coordination/orders/ledger.go
@@ -24,7 +24,7 @@
 	// two bits each.
 	DefaultWindow = 1 << 22
 	// DefaultOutcomes bounds the finished orders whose outcome is kept.
-	DefaultOutcomes = 1 << 18
+	DefaultOutcomes = 1 << 17
 	// DefaultActive bounds the orders that have begun and are not finished.
 	DefaultActive = 1 << 14
 	// MaxStoredAnswer is the size of the largest answer that is kept and copied, so
--- /dev/null
+++ b/internal/coordination/orders/ledger_test.go
@@ -0,0 +1,252 @@
+package orders
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func testKeys(t testing.TB, keys ...string) Keyring {
+	raw := make([][]byte, len(keys))
+	for i, k := range keys {
+		raw[i] = []byte(k)
+	}
+	k, err := NewKeyring(raw...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func testMember(id byte, address string) Member {
+	return Member{Incarnation: Incarnation{id}, Address: netip.MustParseAddrPort(address)}
+}
+
+type testLedger struct {
+	*Ledger
+	t       testing.TB
+	witness Member
+}
+
+func newTestLedger(t testing.TB, o LedgerOptions) testLedger {
+	w := newWorld(7, 0, bounds{})
+	o.Self, o.Keys, o.Random = testMember(1, "10.0.0.1:7000"), w.keys, w
+	return testLedger{NewLedger(o), t, testMember(2, "10.0.0.2:7000")}
+}
+
+func (l testLedger) issue(witness Member) Ticket {
+	t, err := l.Issue(0, "team", witness)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	return t
+}
+
+// done runs an order to its answer.
+func (l testLedger) done(now time.Duration, answer Answer) Ticket {
+	t := l.issue(Member{})
+	l.Begin(now, t, BodyHash{1})
+	if !l.MarkSending(now, t.ID) || !l.Finish(now, t.ID, answer) {
+		l.t.Fatal("order did not finish")
+	}
+	return t
+}
+
+// TestTicketForms guards against a ticket that changes on its way, is too long, or is
+// accepted when forged, truncated, extended or respelled.
+func TestTicketForms(t *testing.T) {
+	old, both, fresh := testKeys(t, "old"), testKeys(t, "new", "old"), testKeys(t, "new")
+	rapid.Check(t, func(r *rapid.T) {
+		addresses := rapid.SampledFrom([]string{"10.1.2.3:7000", "[2001:db8::1]:65535"})
+		ticket := Ticket{Owner: testMember(1, addresses.Draw(r, "owner")), Team: rapid.StringN(0, -1, MaxTeamSize).Draw(r, "team"),
+			Number: rapid.Uint64().Draw(r, "number"), ID: TicketID{rapid.Byte().Draw(r, "id")}}
+		if rapid.Bool().Draw(r, "witness") {
+			ticket.Witness = testMember(2, addresses.Draw(r, "witness address"))
+		}
+		old.sign(&ticket)
+		text := ticket.String()
+		if len(ticket.Team) <= 20 && len(text) > 200 || len(text) > 256 {
+			r.Fatalf("text form has %d characters with a team name of %d", len(text), len(ticket.Team))
+		}
+		for _, k := range []Keyring{old, both} {
+			if got, err := k.ParseText(text); err != nil || got != ticket {
+				r.Fatalf("got %v, %v; want %v", got, err, ticket)
+			}
+		}
+		if _, err := fresh.ParseText(text); !errors.Is(err, ErrTicketForged) {
+			r.Fatalf("ticket of a removed key: %v", err)
+		}
+		b, _ := ticket.MarshalBinary()
+		changed := bytes.Clone(b)
+		changed[rapid.IntRange(0, len(b)-1).Draw(r, "byte")] ^= 1 << rapid.IntRange(0, 7).Draw(r, "bit")
+		for _, bad := range [][]byte{changed, b[:rapid.IntRange(0, len(b)-1).Draw(r, "length")], append(bytes.Clone(b), 0)} {
+			if _, err := old.Parse(bad); err == nil {
+				r.Fatalf("accepted %x for %x", bad, b)
+			}
+		}
+		for _, bad := range []string{text + "=", text + "\n", text[:10] + "\r\n" + text[10:], strings.Repeat("A", 400)} {
+			if _, err := old.ParseText(bad); err == nil {
+				r.Fatalf("accepted %q", bad)
+			}
+		}
+	})
+}
+
+// TestMalformedTicketWithValidMAC guards against reading beyond fields, and against
+// several spellings of one ticket, when a key holder signs a malformed payload.
+func TestMalformedTicketWithValidMAC(t *testing.T) {
+	k := testKeys(t, "key")
+	ticket := Ticket{Owner: testMember(1, "10.0.0.1:1"), Team: "team"}
+	good := ticket.payload()
+	for name, payload := range map[string][]byte{
+		"version":         append([]byte{9}, good[1:]...),
+		"family":          append([]byte{1, 5}, good[2:]...),
+		"no owner":        append([]byte{1, 0}, good[24:]...),
+		"short":           good[:len(good)-1],
+		"long":            append(bytes.Clone(good), 0),
+		"mapped address":  Ticket{Owner: testMember(1, "[::ffff:10.0.0.1]:1"), Team: "team"}.payload(),
+		"zero member":     append([]byte{1, familyIPv4}, append(make([]byte, 16), good[18:]...)...),
+		"team too long":   Ticket{Owner: ticket.Owner, Team: strings.Repeat("x", MaxTeamSize+1)}.payload(),
+		"nothing at all":  {},
+		"only a version":  {1},
+		"truncated owner": good[:10],
+	} {
+		signed := append(bytes.Clone(payload), mac(k.keys[0], payload)...)
+		if _, err := k.ParseText(base64.RawURLEncoding.EncodeToString(signed)); !errors.Is(err, ErrTicketMalformed) {
+			t.Errorf("%s: %v, want %v", name, err, ErrTicketMalformed)
+		}
+	}
+}
+
+// TestMarkSendingOnce guards against a second send, and against a send before the
+// acknowledgement of the named witness incarnation or after the ticket is sealed.
+func TestMarkSendingOnce(t *testing.T) {
+	l := newTestLedger(t, LedgerOptions{})
+	ticket := l.issue(l.witness)
+	if d := l.Begin(0, ticket, BodyHash{1}); d.Action != ActionRecordIntent {
+		t.Fatalf("decision %v", d)
+	}
+	if l.MarkSending(0, ticket.ID) || l.IntentAcked(0, ticket.ID, Incarnation{3}) || l.MarkSending(0, ticket.ID) {
+		t.Error("sent without the acknowledgement of the named witness")
+	}
+	if !l.IntentAcked(0, ticket.ID, l.witness.Incarnation) || !l.MarkSending(0, ticket.ID) {
+		t.Error("not sent after the acknowledgement")
+	}
+	if l.MarkSending(0, ticket.ID) || l.IntentAcked(0, ticket.ID, l.witness.Incarnation) || l.MarkSending(0, ticket.ID) {
+		t.Error("sent twice")
+	}
+	if o := l.Seal(0, ticket); o.Kind != Running {
+		t.Errorf("sealing an order that is being sent: %s", o.Kind)
+	}
+	ready := l.issue(Member{})
+	l.Begin(0, ready, BodyHash{1})
+	if o := l.Seal(0, ready); o.Kind != NotRun || l.MarkSending(0, ready.ID) {
+		t.Errorf("sealed as %s and sent", o.Kind)
+	}
+	waiting := l.issue(l.witness)
+	l.Begin(0, waiting, BodyHash{1})
+	if ids := l.Close(0); len(ids) != 1 || ids[0] != waiting.ID || l.IntentAcked(0, waiting.ID, l.witness.Incarnation) || l.Running() != 1 {
+		t.Errorf("closing sealed %v", ids)
+	}
+	if _, err := l.Issue(0, "team", l.witness); !errors.Is(err, ErrClosed) {
+		t.Errorf("closed ledger issues: %v", err)
+	}
+	if d := l.Begin(0, ready, BodyHash{1}); d.Outcome.Kind != NotRun {
+		t.Errorf("sealed ticket begins with %v", d)
+	}
+}
+
+// TestAnswersAreBounded guards against memory that grows with the answers, and against a
+// ticket that runs again, or counts as not run, after its answer is dropped.
+func TestAnswersAreBounded(t *testing.T) {
+	l := newTestLedger(t, LedgerOptions{Answers: shardCount * 1000, Window: shardCount * 64})
+	answer := Answer{Status: 200, Body: make([]byte, 100)}
+	var tickets []Ticket
+	for range 40 {
+		tickets = append(tickets, l.done(0, answer))
+	}
+	if cost := l.shards[0].finished.Cost(); cost > 1000 {
+		t.Errorf("%d bytes of answers, want at most 1000", cost)
+	}
+	kind := func(now time.Duration, ticket Ticket) Kind {
+		d := l.Begin(now, ticket, BodyHash{1})
+		if d.Action != ActionReport {
+			t.Fatalf("used ticket gets action %d", d.Action)
+		}
+		return d.Outcome.Kind
+	}
+	if first, last := kind(0, tickets[0]), kind(DefaultRetention-1, tickets[39]); first != Unknown || last != Done {
+		t.Errorf("oldest is %s and newest %s, want unknown and done", first, last)
+	}
+	for _, ticket := range tickets {
+		if k := kind(DefaultRetention, ticket); k != Unknown {
+			t.Fatalf("after the retention: %s", k)
+		}
+	}
+	unbegun := l.issue(Member{})
+	for range 200 {
+		l.issue(Member{})
+	}
+	if k := kind(0, unbegun); k != Unknown || kind(0, tickets[0]) != Unknown {
+		t.Errorf("ticket below the window is %s, want unknown", k)
+	}
+}
+
+// TestHandoverKeepsAnswers guards against answers that are lost, split wrongly or
+// unbounded in a handover, also when the successor hands over in turn.
+func TestHandoverKeepsAnswers(t *testing.T) {
+	l := newTestLedger(t, LedgerOptions{})
+	answer := Answer{Status: 200, Body: make([]byte, 400_000)}
+	var tickets []Ticket
+	for range 3 {
+		tickets = append(tickets, l.done(0, answer))
+	}
+	unbegun := l.issue(Member{})
+	parts := l.Export(0)
+	for range 2 {
+		s := NewSuccessor(SuccessorOptions{Answers: 4 << 20})
+		for i, p := range parts {
+			if _, ok := s.Answer(0, unbegun, BodyHash{}); ok {
+				t.Fatalf("answered after %d of %d parts", i, len(parts))
+			}
+			if complete, err := s.Import(0, p); err != nil || complete != (i == len(parts)-1) {
+				t.Fatalf("part %d: complete %v, %v", i, complete, err)
+			}
+		}
+		for _, ticket := range tickets {
+			if o, ok := s.Answer(0, ticket, BodyHash{1}); !ok || o.Kind != Done || len(o.Answer.Body) != 400_000 {
+				t.Errorf("answer is %s, %v", o.Kind, ok)
+			}
+		}
+		if o, _ := s.Answer(0, unbegun, BodyHash{}); o.Kind != NotRun {
+			t.Errorf("ticket that was not begun is %s", o.Kind)
+		}
+		parts = s.Export(0)
+	}
+}
+
+// TestWitnessRefusesWithoutRoom guards against a witness that forgets an owner of which
+// it dropped a record: it refuses intents instead.
+func TestWitnessRefusesWithoutRoom(t *testing.T) {
+	w := NewWitness(WitnessOptions{Self: Incarnation{9}, Records: 1, Owners: 1})
+	ticket := func(owner byte) Ticket {
+		return Ticket{ID: TicketID{0, owner}, Owner: Member{Incarnation: Incarnation{owner}}, Witness: Member{Incarnation: Incarnation{9}}}
+	}
+	if !w.Intent(0, ticket(1), BodyHash{1}) || !w.Intent(0, ticket(2), BodyHash{1}) {
+		t.Fatal("no room for the first intents")
+	}
+	if w.Intent(0, ticket(3), BodyHash{1}) {
+		t.Error("accepted an intent that drops a record without a mark")
+	}
+	for owner, want := range map[byte]Kind{1: Unknown, 2: Unknown, 3: Unknown} {
+		if o := w.Query(0, ticket(owner), BodyHash{1}); o.Kind != want {
+			t.Errorf("owner %d: %s, want %s", owner, o.Kind, want)
+		}
+	}
+}
--- a/internal/coordination/orders/orders_test.go
+++ b/internal/coordination/orders/orders_test.go
@@ -147,13 +147,13 @@
 func (m machine) restart() {
 	p := m.live()
 	m.kill(p)
-	m.start(p.place)
+	m.join(p.place)
 }
 
 func (m machine) revive() {
 	for _, p := range m.places {
 		if !p.alive {
-			m.start(p.place)
+			m.join(p.place)
 			return
 		}
 	}
--- a/internal/coordination/orders/witness.go
+++ b/internal/coordination/orders/witness.go
@@ -9,7 +9,7 @@
 
 const (
 	// DefaultWitnessRecords bounds the tickets that a witness keeps a record of.
-	DefaultWitnessRecords = 1 << 17
+	DefaultWitnessRecords = 1 << 16
 	// DefaultWitnessOwners bounds the owners of which a witness has dropped records.
 	DefaultWitnessOwners = 1 << 16
 )
--- a/internal/coordination/orders/world_test.go
+++ b/internal/coordination/orders/world_test.go
@@ -121,6 +121,19 @@
 	w.places[place] = p
 }
 
+// join starts a process that learns the known successions from a live instance.
+func (w *world) join(place int) {
+	w.start(place)
+	for _, q := range w.places {
+		if q.alive && q.place != place {
+			for _, s := range q.flow.Successions(w.now) {
+				w.send(q, w.places[place].member, s)
+			}
+			return
+		}
+	}
+}
+
 func (w *world) kill(p *process) { p.alive = false }
 
 func (w *world) fault(format string, args ...any) {
