--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -59,6 +59,8 @@
 			shuffled.Merge(now, []Suspicion{x})
 		}
 		forwarded.Merge(now, shuffled.Snapshot(now))
+		// Late copies of the crashes do not undo the clearings in the snapshot.
+		forwarded.Merge(now, slices.DeleteFunc(slices.Clone(messages), func(x Suspicion) bool { return x.Cleared }))
 		for f := range Fingerprint(4) {
 			open := 0
 			for _, cleared := range state[f] {
@@ -266,10 +268,14 @@
 	for i := range 5 {
 		a.Started(0, poison, "team", fmt.Sprint("u", i))
 	}
+	var sent []Suspicion
 	for i := range 4 { // copies that ran at the same moment
 		at := time.Duration(i) * time.Second
-		b.Merge(at, a.Crashed(at, CrashID{fmt.Sprint("u", i), "1"}))
+		s := a.Crashed(at, CrashID{fmt.Sprint("u", i), "1"})
+		b.Merge(at, s)
+		sent = append(sent, s...)
 	}
+	b.Merge(time.Minute, sent) // delayed duplicates do not prolong the suspicion
 	if s := a.Finished(4*time.Second, poison, "u4"); s != nil {
 		t.Errorf("a completion cleared a convicted request: %v", s)
 	}
@@ -298,6 +304,11 @@
 	for range 100_000 {
 		q.Merge(0, []Suspicion{{Fingerprint: Fingerprint(rng.Uint64()), Team: "attacker", Crashes: crashes}})
 	}
+	for i := range 200 { // a full quarantine still takes the suspects of other teams
+		f := Fingerprint(rng.Uint64())
+		victims = append(victims, f)
+		q.Merge(0, []Suspicion{{Fingerprint: f, Team: fmt.Sprint("team", i%20), Crashes: crashes}})
+	}
 	if n := q.Len(); n != DefaultEntries {
 		t.Errorf("%d entries, want %d", n, DefaultEntries)
 	}
