--- a/internal/coordination/orders/ledger_test.go
+++ b/internal/coordination/orders/ledger_test.go
@@ -6,9 +6,11 @@
 	"errors"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 )
 
@@ -162,6 +164,32 @@
 	}
 }
 
+// TestConcurrentSendersSendOnce guards against two goroutines that both send one order,
+// and, with the race detector, against unlocked state.
+func TestConcurrentSendersSendOnce(t *testing.T) {
+	l := newTestLedger(t, LedgerOptions{})
+	for range 200 {
+		ticket := l.issue(l.witness)
+		var sent atomic.Int32
+		var g errgroup.Group
+		for range 4 {
+			g.Go(func() error {
+				l.Begin(0, ticket, BodyHash{1})
+				l.IntentAcked(0, ticket.ID, l.witness.Incarnation)
+				if l.MarkSending(0, ticket.ID) {
+					sent.Add(1)
+					l.Finish(0, ticket.ID, Answer{})
+				}
+				return nil
+			})
+		}
+		_ = g.Wait()
+		if n := sent.Load(); n != 1 {
+			t.Fatalf("sent %d times", n)
+		}
+	}
+}
+
 // TestAnswersAreBounded guards against memory that grows with the answers, and against a
 // ticket that runs again, or counts as not run, after its answer is dropped.
 func TestAnswersAreBounded(t *testing.T) {
