--- a/internal/coordination/balancer/limit.go
+++ b/internal/coordination/balancer/limit.go
@@ -19,10 +19,10 @@
 	windowMax = 16
 
 	// intervalFactor and plainFactor are tolerated multiples of the low-load baseline.
-	// Both latencies grow in proportion to the load past the capacity, so the factor
-	// is also the excess load that is tolerated.
+	// Where a latency grows in proportion to the load past the capacity, the factor is
+	// also the load that is tolerated. Whole service times vary more than intervals.
 	intervalFactor = 1.5
-	plainFactor    = 1.5
+	plainFactor    = 2
 	// firstTokenMaxExcess tolerates three times the baseline, because prompts differ in
 	// length and a prefix is cached or not.
 	firstTokenMaxExcess = 2
--- a/internal/coordination/balancer/sim_test.go
+++ b/internal/coordination/balancer/sim_test.go
@@ -54,6 +54,7 @@
 	count     int
 	prefill   time.Duration
 	jitter    float64 // of the prefill, as a share
+	plain     bool    // results carry only the service time
 	reports   bool    // engines report their load of the completion before
 }
 
@@ -130,9 +131,11 @@
 		}
 		s.now = j.end
 		j.engine.running--
-		j.b.Done(s.now, j.pick, Result{
-			Status: OK, FirstToken: j.first, TokenInterval: j.interval, Service: s.now - j.sent,
-		})
+		r := Result{Status: OK, FirstToken: j.first, TokenInterval: j.interval, Service: s.now - j.sent}
+		if s.plain {
+			r.FirstToken, r.TokenInterval = 0, 0
+		}
+		j.b.Done(s.now, j.pick, r)
 		if s.reports {
 			s.report(j)
 		}
@@ -198,6 +201,16 @@
 	}
 }
 
+// A plain service shows only service times; its limit must neither collapse with their
+// variation nor grow without bound.
+func TestLimitPlainService(t *testing.T) {
+	for _, c := range [][2]int{{1, 4}, {1, 16}, {6, 32}, {6, 64}} {
+		s := newSimulation(1, c[0], 1, c[1], Options{})
+		s.plain, s.jitter = true, 0.8
+		s.checkBand(t, c[1], 0.65, 1.5, 0.65)
+	}
+}
+
 // Longer prompts raise the first-token time of every request. A baseline that can't
 // follow keeps the limits at their minimum for ever. The limits have 15 minutes.
 func TestLimitFollowsLongerPrompts(t *testing.T) {
