Spread pressure through a domain, bound the wait for whole answers, notice silent sockets

Pressure reached a given member of the domain only with direct probes: once a second among few members, about once in 80 s among 160, while news older than 1 s does not count. The new pressure table merges and passes news on with its age, and shedding instances gossip at once. In the model of 160 instances (fan-out 5, rounds of 200 ms) every one has the news at the same moment within 15 rounds, and news that is not renewed is gone after 1 s.

A whole answer on a silent connection kept its caller for the answer timeout of 2 min. The wait is now eight times the class's mean service time, at least 10 s. Sockets give up after 5 s without acknowledgement. The drain delay is a setting, and an instance that joins is told who answers for stopped owners.

--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -41,12 +41,13 @@
 	}
 }
 
-// flush sends the urgent claims to the neighbours and to random members.
+// flush sends the urgent claims and the own pressure to the neighbours and to random
+// members.
 func (m *Machine) flush(now time.Duration, tick bool) {
-	if len(m.urgent) == 0 || !m.started || (!tick && now-m.lastFlush < FlushInterval) {
+	if len(m.urgent) == 0 && !m.pressed || !m.started || (!tick && now-m.lastFlush < FlushInterval) {
 		return
 	}
-	m.lastFlush = now
+	m.lastFlush, m.pressed = now, false
 	claims := make([]Member, 0, min(len(m.urgent), MaxUpdates))
 	room := MaxBody - fixedSize - memberSize(m.self.Member)
 	n := 0
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -40,6 +40,7 @@
 
 	queue     []*member
 	urgent    []*member
+	pressed   bool // the own pressure waits for a round of gossip
 	lastFlush time.Duration
 	pressures [recentPressures]*member
 	nextValue int
@@ -125,7 +126,9 @@
 }
 
 // SetValues sets the values that the instance reports about itself. It returns false
-// and keeps the old values when pressure is longer than MaxPressure.
+// and keeps the old values when pressure is longer than MaxPressure. Pressure that is
+// not empty leaves with the next round of urgent gossip: probes alone would reach a
+// given member of a large domain only once in a minute.
 func (m *Machine) SetValues(now time.Duration, revision uint64, pressure []byte) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -135,6 +138,7 @@
 	m.self.Revision = revision
 	m.self.Pressure = slices.Clone(pressure)
 	m.self.valueAt = now
+	m.pressed = len(pressure) > 0
 	return true
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -102,6 +102,7 @@
 	}
 	in, now := a.r.pool.in, a.r.pool.in.now()
 	if status == balancer.OK {
+		a.r.pool.learnService(a.r.class.Name, now-a.started)
 		in.spread(in.quarantine.Finished(now, a.r.fingerprint, a.pick.Upstream.Name))
 	} else {
 		in.quarantine.Abandoned(now, a.r.fingerprint, a.pick.Upstream.Name)
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -21,6 +21,7 @@
 	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/configsync"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/pressure"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 )
@@ -29,9 +30,6 @@
 	// tickInterval bounds how late a queued request is shed after it can no longer
 	// meet its deadline.
 	tickInterval = 20 * time.Millisecond
-	// drainDelay is how long a stopping instance still accepts requests after its
-	// readiness has failed, so that the platform's load balancer notices.
-	drainDelay = 2 * time.Second
 	// stopPoll is how often a stopping instance looks whether its requests have ended.
 	stopPoll = 20 * time.Millisecond
 )
@@ -59,6 +57,7 @@
 	leaving      map[string]bool
 	domainPeers  []string // live instances of the failure domain, sorted
 	leavingLists leavingLists
+	pressure     *pressure.Table
 
 	callers    *fasthttp.Server
 	operations *fasthttp.Server
@@ -84,6 +83,7 @@
 		pools:    map[string]*pool{},
 		leaving:  map[string]bool{},
 		serving:  make(chan struct{}),
+		pressure: pressure.NewTable(),
 	}
 	in.quarantine = quarantine.New(quarantine.Options{})
 	if err := in.newPeers(); err != nil {
@@ -282,7 +282,7 @@
 		in.peers.gossip.Leave()
 	}
 	in.log.WithFields(logrus.Fields{"event": "draining", "in_progress": in.watcher.inProgress()}).Info("draining")
-	time.Sleep(drainDelay)
+	time.Sleep(in.settings.DrainDelay.Std())
 	if err := in.callers.Shutdown(); err != nil {
 		return errors.Wrap(err, "stop callers' listener")
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -50,8 +50,7 @@
 		req.Header.SetContentType("application/json")
 		r.upstreamHeaders(&req.Header, r.pool.in.now())
 		req.SetBodyRaw(body)
-		wait := r.pool.in.settings.Limits.AnswerTimeout.Std()
-		return upstream.Call{Request: req, FirstByte: wait}
+		return upstream.Call{Request: req, FirstByte: r.pool.answerWait(r.class.Name)}
 	}
 }
 
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/pressure"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/scheduler"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
@@ -30,11 +31,8 @@
 	leavingLifetime = 10 * time.Second
 	// maxSuspicionsPerMessage keeps a message far below the frame limit.
 	maxSuspicionsPerMessage = 512
-	// maxPressurePools is how many pools fit into the pressure of a member.
-	maxPressurePools = membership.MaxPressure / pressureSize
-	// pressureSize is the size of the pressure of one pool: a hash of its name and the
-	// highest tier that is shed.
-	pressureSize = 5
+	// domainPressure names the merged pressure of the failure domain to the schedulers.
+	domainPressure = "domain"
 )
 
 // reportValues sets what the failure detector tells others about this instance. Only
@@ -44,21 +42,19 @@
 		return
 	}
 	now := in.now()
-	var b []byte
 	for _, p := range in.poolList() {
-		if shed := p.sched.Pressure(now).HighestShed; shed > 0 && len(b) < maxPressurePools*pressureSize {
-			h := poolHash(p.name)
-			b = append(b, byte(h), byte(h>>8), byte(h>>16), byte(h>>24), byte(shed))
+		if shed := p.sched.Pressure(now).HighestShed; shed > 0 {
+			in.pressure.Set(now, poolHash(p.name), shed)
 		}
 	}
 	var revision uint64
 	if r := in.routes.Load(); r != nil {
 		revision = r.revision
 	}
-	in.peers.members.SetValues(now, revision, b)
+	in.peers.members.SetValues(now, revision, in.pressure.Encode(now, membership.MaxPressure))
 }
 
-func poolHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+func poolHash(name string) pressure.Pool { return pressure.Pool(xxhash.Sum64String(name)) }
 
 // peerReported takes the values of another instance. Pressure counts within the
 // failure domain.
@@ -69,12 +65,10 @@
 	if m.Domain != in.settings.FailureDomain {
 		return
 	}
-	shed := map[uint32]int{}
-	for b := m.Pressure; len(b) >= pressureSize; b = b[pressureSize:] {
-		shed[uint32(b[0])|uint32(b[1])<<8|uint32(b[2])<<16|uint32(b[3])<<24] = int(b[4])
-	}
+	in.pressure.Merge(now, m.Pressure, m.PressureAge)
 	for _, p := range in.poolList() {
-		p.sched.MergePressure(now, m.Name, scheduler.Pressure{HighestShed: shed[poolHash(p.name)]}, m.PressureAge)
+		tier, age := in.pressure.Highest(now, poolHash(p.name))
+		p.sched.MergePressure(now, domainPressure, scheduler.Pressure{HighestShed: tier}, age)
 	}
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -153,7 +153,20 @@
 	all := g.all()
 	g.in.setMembers(all)
 	if c.Previous == 0 && c.Member.Live() && c.Member.Domain == g.self.Domain && g.isReader() {
-		g.sendSuspicions([]membership.Member{c.Member}, g.in.quarantine.Snapshot(g.in.now()))
+		g.welcome(c.Member)
+	}
+}
+
+// welcome tells an instance that has joined what it cannot know: the suspicions, and
+// who answers for the owners that have stopped.
+func (g *peerGroup) welcome(m membership.Member) {
+	now := g.in.now()
+	g.sendSuspicions([]membership.Member{m}, g.in.quarantine.Snapshot(now))
+	to := orders.Member{Incarnation: orders.Incarnation(m.Incarnation.Process), Address: m.TCP}
+	for _, s := range g.in.orders.flow.Successions(now) {
+		if g.Send(to, s) != nil {
+			return // the instance is gone again
+		}
 	}
 }
 
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -59,11 +59,12 @@
 	// pumping serialises dispatching, so that a slot seen by Free is still there for Pick.
 	pumping sync.Mutex
 
-	mu      sync.Mutex
-	waiters map[uint64]*waiter
-	clients map[string]*upstream.Client
-	budgets map[string]*retry.Budget
-	loads   map[string]loadState // by upstream name
+	mu       sync.Mutex
+	waiters  map[uint64]*waiter
+	clients  map[string]*upstream.Client
+	budgets  map[string]*retry.Budget
+	services map[string]time.Duration // moving mean of the service time by class
+	loads    map[string]loadState     // by upstream name
 }
 
 // waiter is a request in the queue.
@@ -81,13 +82,14 @@
 
 func newPool(in *Instance, name string, kind poolKind, d *config.Deployment, seed uint64) *pool {
 	p := &pool{
-		name:    name,
-		kind:    kind,
-		in:      in,
-		waiters: map[uint64]*waiter{},
-		clients: map[string]*upstream.Client{},
-		budgets: map[string]*retry.Budget{},
-		loads:   map[string]loadState{},
+		name:     name,
+		kind:     kind,
+		in:       in,
+		waiters:  map[uint64]*waiter{},
+		clients:  map[string]*upstream.Client{},
+		budgets:  map[string]*retry.Budget{},
+		services: map[string]time.Duration{},
+		loads:    map[string]loadState{},
 	}
 	if in.settings.Policy == settings.Baseline {
 		p.sched, p.bal = baseline.NewQueue(in.settings.Limits.QueueLimit), baseline.NewRoundRobin()
@@ -329,6 +331,40 @@
 	p.pump()
 }
 
+// learnService takes the service time of a completed request.
+func (p *pool) learnService(class string, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mean, ok := p.services[class]
+	if !ok {
+		mean = took
+	}
+	p.services[class] = mean + (took-mean)/serviceWeight
+}
+
+// answerWait is how long a whole answer may take until its connection is taken for
+// silent and the request is tried elsewhere.
+func (p *pool) answerWait(class string) time.Duration {
+	limit := p.in.settings.Limits.AnswerTimeout.Std()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mean, ok := p.services[class]
+	if !ok {
+		return limit
+	}
+	return min(max(silentFactor*mean, minAnswerWait), limit)
+}
+
+const (
+	// serviceWeight makes the moving mean cover about 16 requests.
+	serviceWeight = 16
+	// silentFactor times the mean is beyond all but about one in a thousand service
+	// times of a lognormal distribution with a sigma of 0.8.
+	silentFactor = 8
+	// minAnswerWait keeps short answers from being tried twice in a burst.
+	minAnswerWait = 10 * time.Second
+)
+
 // defaultClass is the class of requests for which neither a header nor a rule names one.
 func (p *pool) defaultClass(r *routes) string {
 	for _, m := range r.deployment.Models {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -44,7 +44,7 @@
 		req.Header.Set(headerTeam, r.team.name)
 		r.upstreamHeaders(&req.Header, r.pool.in.now())
 		req.SetBodyRaw(ctx.PostBody())
-		return upstream.Call{Request: req, FirstByte: r.pool.in.settings.Limits.AnswerTimeout.Std()}
+		return upstream.Call{Request: req, FirstByte: r.pool.answerWait(r.class.Name)}
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,9 @@
 	ConfigurationFile string `yaml:"configuration_file,omitempty"`
 	// Limits protect the instance from callers.
 	Limits Limits `yaml:"limits,omitempty"`
+	// DrainDelay is how long a stopping instance accepts requests after its readiness has
+	// failed, so that the platform's load balancer notices. Default 2s.
+	DrainDelay config.Duration `yaml:"drain_delay,omitempty" validate:"min=0"`
 	// Policy is "standard", or "baseline" for the comparison in experiments. Default standard.
 	Policy Policy `yaml:"policy,omitempty" validate:"omitempty,oneof=standard baseline"`
 	// Log configures the log.
@@ -174,6 +177,7 @@
 	setDefault(&l.AnswerTimeout, config.Duration(2*time.Minute))
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.Policy, Standard)
+	setDefault(&s.DrainDelay, config.Duration(2*time.Second))
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -7,10 +7,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 // Options configures a [Client]. Zero values take the defaults.
@@ -41,14 +43,39 @@
 		o.MaxIdle = 16
 	}
 	if o.Dial == nil {
-		dialer := &net.Dialer{KeepAlive: 5 * time.Second}
-		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
+		o.Dial = dial
 	}
 	return o
 }
 
+const (
+	// silentConnection is how long sent bytes or keep-alive probes may stay without an
+	// acknowledgement until the kernel gives the connection up.
+	silentConnection = 5 * time.Second
+	// keepAlivePause is how long a connection is idle before and between probes.
+	keepAlivePause = 2 * time.Second
+	keepAliveCount = 2
+)
+
+// dial opens a connection that the kernel gives up when the other end, or something
+// between the two ends, has lost track of it.
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePause, Interval: keepAlivePause, Count: keepAliveCount},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			controlErr := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentConnection.Milliseconds()))
+			})
+			if controlErr != nil {
+				return controlErr
+			}
+			return err
+		},
+	}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Phase is the part of an exchange in which a failure happened.
 type Phase int
 
