--- a/internal/coordination/scheduler/class.go
+++ b/internal/coordination/scheduler/class.go
@@ -52,15 +52,26 @@
 }
 
 func newClass(c Class, l *learned) *class {
-	if c.MaxWait <= 0 {
-		c.MaxWait = c.Deadline
-	}
 	return &class{Class: c, learned: l, limits: fairqueue.NewHeap(
 		func(a, b *item) bool { return a.limit < b.limit },
 		func(x *item, i int) { x.limitPos = i },
 	)}
 }
 
+// agedAfter returns the wait after which a request is aged. A MaxWait of half
+// the class's limit or more, or none, would never make a request due in time, so
+// that the class could starve; a quarter of the limit takes its place.
+func (c *class) agedAfter(o Objective) time.Duration {
+	limit := c.Deadline
+	if o != Goodput {
+		limit = min(limit, c.FirstTokenTarget)
+	}
+	if c.MaxWait <= 0 || c.MaxWait >= limit/2 {
+		return limit / 4
+	}
+	return c.MaxWait
+}
+
 // limitOf returns the latest useful time of the first token.
 func (c *class) limitOf(r Request, o Objective) time.Duration {
 	limit := r.Deadline
@@ -128,3 +139,37 @@
 	}
 	return 1
 }
+
+// Estimate is what was learned about a class, for metrics and status. A value
+// is zero while it is unknown.
+type Estimate struct {
+	Service, FirstToken           time.Duration // mean, median
+	OutputTokens, OutputTokensP95 int64         // median, 95th percentile
+	// Capacity is the learned service rate of all classes, in service seconds per second.
+	Capacity float64
+}
+
+// Estimate returns what was learned about a configured class.
+func (s *Scheduler) Estimate(now time.Duration, name string) Estimate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var e Estimate
+	c := s.classes[name]
+	if c == nil {
+		return e
+	}
+	if mean, ok := c.service.Value(now); ok {
+		e.Service = seconds(mean)
+	}
+	e.FirstToken = c.firstTokenTime(now)
+	if n, ok := c.outputToken.Median(now); ok {
+		e.OutputTokens = n
+	}
+	if n, ok := c.outputToken.P95(now); ok {
+		e.OutputTokensP95 = n
+	}
+	if capacity, ok := s.capacity.Value(now); ok {
+		e.Capacity = capacity
+	}
+	return e
+}
--- a/internal/coordination/scheduler/doc.go
+++ b/internal/coordination/scheduler/doc.go
@@ -9,7 +9,9 @@
 // its expected service time.
 //
 // A request below the top tier is aged after its class's MaxWait, and its
-// dispatch is due after twice MaxWait. At most one in any AgedShare consecutive
+// dispatch is due after twice MaxWait. A MaxWait that is not set, or that is half
+// of the class's limit or more, counts as a quarter of that limit, since nothing
+// would be due in time otherwise. At most one in any AgedShare consecutive
 // dispatches goes by the aged rule, to the request that is due first:
 //
 //   - once it is due, in any case;
--- a/internal/coordination/scheduler/predict.go
+++ b/internal/coordination/scheduler/predict.go
@@ -112,12 +112,12 @@
 
 // agedTime predicts the latest time at which the aged share serves a new
 // request, whatever higher tiers do.
-func (s *Scheduler) agedTime(now time.Duration, c *class, r Request) time.Duration {
-	if c.Tier <= s.top {
+func (s *Scheduler) agedTime(now time.Duration, x *item) time.Duration {
+	if x.Tier <= s.top {
 		return now + forever
 	}
 	slots := (s.aged.Len() + 1) * s.agedShare
-	return max(now, r.Arrived+2*c.MaxWait) + time.Duration(slots)*s.gap(now)
+	return max(now, x.forcedAt) + time.Duration(slots)*s.gap(now)
 }
 
 // admits predicts whether a new request meets its limit, by its turn or by the aged share.
@@ -133,7 +133,7 @@
 	if now+x.wait <= latest {
 		return true
 	}
-	return s.agedTime(now, x.class, x.request) <= latest
+	return s.agedTime(now, x) <= latest
 }
 
 // spares predicts whether every waiting request of a tier above the given one
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -186,8 +186,8 @@
 		cost = defaultCost
 	}
 	x.limit = c.limitOf(r, s.objective)
-	x.agedAt = r.Arrived + c.MaxWait
-	x.forcedAt = r.Arrived + 2*c.MaxWait
+	x.agedAt = r.Arrived + c.agedAfter(s.objective)
+	x.forcedAt = r.Arrived + 2*c.agedAfter(s.objective)
 	x.Entry = fairqueue.Entry[*item]{
 		Tier: c.Tier, Team: r.Team, Weight: max(s.weights[r.Team], 1),
 		Cost: max(cost, leastCost), Arrived: r.Arrived, Retry: r.Retry, Value: x,
--- a/internal/coordination/scheduler/trace_test.go
+++ b/internal/coordination/scheduler/trace_test.go
@@ -139,6 +139,17 @@
 	failIf(t, len(res.shed["draft"]) > 0 || res.run["draft"] < 105, "%d drafts ran, shed %v", res.run["draft"], res.shed["draft"])
 }
 
+// TestDefaultMaxWait guards against a class without a MaxWait, or with one close
+// to its limit, that starves under an endless overload of a higher tier.
+func TestDefaultMaxWait(t *testing.T) {
+	for _, wait := range []time.Duration{0, time.Minute} {
+		o := traceOptions()
+		o.Classes[1].MaxWait = wait
+		res := trace(newTrace(o), o, 4, 100*ms, 0, 2*time.Minute, stream{"memo", "a", 12 * ms}, stream{"draft", "a", time.Second})
+		failIf(t, len(res.shed["draft"]) > 0 || res.run["draft"] < 85, "MaxWait %v: %d drafts ran, shed %v", wait, res.run["draft"], res.shed["draft"])
+	}
+}
+
 // TestBulkOverload guards against bulk requests that are admitted beyond what
 // the aged share serves in time, and against a share that is left unused.
 func TestBulkOverload(t *testing.T) {
@@ -174,6 +185,8 @@
 	o.PeerStaleness = time.Hour
 	s := newTrace(o)
 	trace(s, o, 4, 100*ms, 0, 5*time.Second, stream{"memo", "a", 20 * ms})
+	e := s.Estimate(5*time.Second, "memo")
+	failIf(t, e.Service != 100*ms || e.FirstToken != 20*ms || e.OutputTokens != 9 || e.Capacity < 3.8 || e.Capacity > 4.2, "learned %+v", e)
 	s.MergePressure(5*time.Second, "peer", Pressure{HighestShed: 1}, 0)
 	res := trace(s, o, 4, 100*ms, 5*time.Second, 50*time.Second, stream{"draft", "a", 500 * ms})
 	// Drafts age after 5 s; then one runs every 32 * 25 ms.
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -19,7 +19,8 @@
 	// Tier is the priority; 1 is the highest.
 	Tier int
 	// FirstTokenTarget, Deadline and MaxWait count from the request's arrival.
-	// A MaxWait of zero means the deadline.
+	// A MaxWait of zero, or of half the limit or more, means a quarter of the
+	// limit, which is the first-token target or with Goodput the deadline.
 	FirstTokenTarget, Deadline, MaxWait time.Duration
 }
 
