Judge retries by their deadline, and join through the platform's list

With the objective attainment a retry kept its first-token target, which a slow failure has mostly used up: the retry was shed although a late answer was still of use.

An instance whose configured seeds have all been replaced could not join. It now also tries the entry instances of the platform's list. Measured: a daemon without seeds joins two others in the new process test.

--- a/cmd/yuccabridged/region_test.go
+++ b/cmd/yuccabridged/region_test.go
@@ -211,6 +211,21 @@
 	}
 }
 
+// An instance whose seeds have all been replaced must join through the platform's list.
+func TestJoinThroughThePlatformsList(t *testing.T) {
+	g := newRegion(t, 2, 1)
+	list, err := json.Marshal([]platformapi.Instance{
+		{Name: "entry-0", Address: g.daemons[0].fields["gossip"], State: platformapi.Live, Role: platformapi.RoleEntry}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.control(g.platform, emulator.Command{Instances: list})
+	known := g.daemons
+	g.daemons = nil
+	g.daemons = append(known, g.startDaemon(2))
+	g.waitReady(2, 2)
+}
+
 // An order whose owner was killed before it was sent is "not run" through any other
 // instance, never runs, and can be placed again with the new ticket.
 func TestOrderAfterItsOwnerWasKilled(t *testing.T) {
--- a/internal/coordination/scheduler/class.go
+++ b/internal/coordination/scheduler/class.go
@@ -72,13 +72,15 @@
 	return c.MaxWait
 }
 
-// limitOf returns the latest useful time of the first token.
+// limitOf returns the latest useful time of the first token. A retry has mostly missed
+// its first-token target already; a late answer is better than none, so only its
+// deadline counts.
 func (c *class) limitOf(r Request, o Objective) time.Duration {
 	limit := r.Deadline
 	if limit == 0 {
 		limit = r.Arrived + c.Deadline
 	}
-	if o == Goodput {
+	if o == Goodput || r.Retry {
 		return limit
 	}
 	return min(limit, r.Arrived+c.FirstTokenTarget)
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -185,13 +185,17 @@
 
 // poll reads the list when this instance is a reader and passes on what leaves.
 func (r *instanceReader) poll() {
-	if r.in.peers != nil && !r.in.peers.isReader() {
+	alone := r.in.peers != nil && !r.in.peers.members.Joined()
+	if r.in.peers != nil && !alone && !r.in.peers.isReader() {
 		return
 	}
 	result := r.client.Instances()
 	if result.Outcome != platform.OK {
 		return
 	}
+	if alone {
+		r.in.peers.seedFrom(result.Instances)
+	}
 	names := []string{}
 	for _, i := range result.Instances {
 		if i.State == platformapi.Leaving {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -25,6 +25,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/orderwire"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
+	"github.com/yuccabridge/yuccabridge/internal/protocol/platformapi"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 	"github.com/yuccabridge/yuccabridge/internal/transport/peer"
 )
@@ -114,6 +115,24 @@
 	return nil
 }
 
+// seedFrom adds the entry instances of the platform's list to the seeds. The instances
+// that the settings name may all have been replaced.
+func (g *peerGroup) seedFrom(list []platformapi.Instance) {
+	seeds := seedAddresses(g.in.settings.Peers.Seeds)
+	for _, i := range list {
+		if i.Role != platformapi.RoleEntry || i.State != platformapi.Live || len(seeds) >= maxSeeds {
+			continue
+		}
+		if a, err := netip.ParseAddrPort(i.Address); err == nil && a != g.self.UDP {
+			seeds = append(seeds, a)
+		}
+	}
+	g.members.SetSeeds(seeds)
+}
+
+// maxSeeds bounds the addresses that an instance tries to join through.
+const maxSeeds = 64
+
 func seedAddresses(texts []string) []netip.AddrPort {
 	var list []netip.AddrPort
 	for _, t := range texts {
--- a/internal/protocol/platformapi/platformapi.go
+++ b/internal/protocol/platformapi/platformapi.go
@@ -107,8 +107,17 @@
 	Name    string        `json:"name"`
 	Address string        `json:"address"`
 	State   InstanceState `json:"state"`
+	// Role is RoleEntry for an entry instance, whose Address is the one that other
+	// instances join through. Empty: an upstream.
+	Role Role `json:"role,omitempty"`
 }
 
+// Role tells entry instances from upstreams.
+type Role string
+
+// RoleEntry marks an entry instance.
+const RoleEntry Role = "entry"
+
 // Validate checks the fields that readers rely on.
 func (i Instance) Validate() error {
 	switch {
