yuccabridge: add the status command

Operators could read the state of an instance only as raw JSON.

go test -race ./cmd/yuccabridge passes.

--- a/cmd/yuccabridge/main.go
+++ b/cmd/yuccabridge/main.go
@@ -1,5 +1,6 @@
 // Command yuccabridge is the operator's tool: it checks, prints and compares
-// configurations, starts stand-ins for a deployment and runs load against it.
+// configurations, shows the state of instances, starts stand-ins for a deployment
+// and runs load against it.
 //
 // Exit codes: 0 success, 1 a check failed, 2 bad input.
 package main
@@ -53,10 +54,10 @@
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "yuccabridge",
-		Short:         "Check configurations, emulate a deployment and load it",
+		Short:         "Check configurations, show the state of instances, emulate a deployment and load it",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newConfig(), newEmulate(), newLoad(), newDemo())
+	root.AddCommand(newConfig(), newEmulate(), newLoad(), newDemo(), newStatus())
 	return root
 }
