transport/upstream: report a missing answer header as a timeout

fasthttp reports a header of which no byte arrived in time with an error that has a Timeout method but is not a net.Error. The client therefore reported such a failure as a lost connection. A stream that was silent before its first event was not continued over a fresh connection, and a request on a pooled connection was sent a second time to the same upstream.

The client now accepts any error with a Timeout method.

--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -266,9 +266,11 @@
 	return time.Now().Add(wait)
 }
 
+// isTimeout accepts any error with a Timeout method: fasthttp reports a header that
+// did not arrive in time with an error that is not a [net.Error].
 func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
 }
 
 // Answer is an answer whose body is still being read.
