--- /dev/null
+++ b/internal/protocol/apierror/apierror_test.go
@@ -0,0 +1,73 @@
+package apierror
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// declaredCodes reads the constants of type Code from the source, so that a new one
+// cannot be left out of the test.
+func declaredCodes(t *testing.T) []Code {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "apierror.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var codes []Code
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if name, ok := spec.Type.(*ast.Ident); ok && name.Name == "Code" {
+			for _, value := range spec.Values {
+				text, err := strconv.Unquote(value.(*ast.BasicLit).Value)
+				if err != nil {
+					t.Fatal(err)
+				}
+				codes = append(codes, Code(text))
+			}
+		}
+		return true
+	})
+	return codes
+}
+
+// A code without a status would reach callers as a 500.
+func TestEveryCodeHasAStatus(t *testing.T) {
+	codes := declaredCodes(t)
+	if len(codes) == 0 || len(codes) != len(statuses) {
+		t.Errorf("%d codes and %d statuses", len(codes), len(statuses))
+	}
+	for _, c := range codes {
+		s, ok := statuses[c]
+		if !ok || s < 400 || http.StatusText(s) == "" || New(c, "").Status() != s {
+			t.Errorf("%s: status %d", c, s)
+		}
+	}
+	if s := New("other", "").Status(); s != http.StatusInternalServerError {
+		t.Errorf("an undeclared code has status %d", s)
+	}
+}
+
+// Clients branch on the names of the fields and on their absence.
+func TestJSON(t *testing.T) {
+	cases := []struct {
+		e    *Error
+		want string
+	}{
+		{New(MissingKey, "no key"), `{"error":{"code":"missing_key","message":"no key","run":"not_run"}}`},
+		{&Error{Code: OrderNotRun, Message: "a \"b\"\n", Run: Unknown, RetryAfter: 1500 * time.Millisecond, Ticket: "t"},
+			`{"error":{"code":"order_not_run","message":"a \"b\"\n","run":"unknown","retry_after_ms":1500,"ticket":"t"}}`},
+	}
+	for _, c := range cases {
+		if got := string(c.e.JSON()); got != c.want {
+			t.Errorf("got %s, want %s", got, c.want)
+		}
+	}
+}
