entry: close four gaps for unusual input

- A method in small letters, such as "post", was not recognised as a declared non-idempotent operation; the order ran without a ticket and could be retried.
The case of the method no longer counts.
- A request target in absolute form (GET http://host/path) passed the checks with its path but reached the upstream as "/".
Upstreams now receive the parsed path and query, in the same form that is checked.
- At level debug, the log held the first bytes of requests that could not be read, and with them bearer keys.
The server library's short error messages are used.
- The state of an order was answered to every method; other methods than GET now get method_not_allowed.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -31,6 +31,7 @@
 		CloseOnShutdown:               true,
 		NoDefaultServerHeader:         true,
 		DisableHeaderNamesNormalizing: false,
+		SecureErrorLogMessage:         true, // headers hold callers' keys
 		Logger:                        quietLogger{in},
 	}
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -122,7 +122,7 @@
 	body, err := msgpack.Marshal(orderRequest{
 		Service:     s.service.Name,
 		Method:      string(ctx.Method()),
-		URI:         string(ctx.RequestURI()),
+		URI:         upstreamURI(ctx),
 		ContentType: string(ctx.Request.Header.ContentType()),
 		Class:       class.Name,
 		Team:        t.name,
@@ -150,6 +150,9 @@
 		}
 		return writeJSON(ctx, map[string]string{"ticket": ticket})
 	}
+	if !ctx.IsGet() {
+		return apierror.New(apierror.MethodNotAllowed, "the state of an order is requested by GET")
+	}
 	ticket, apiErr := in.orders.parse(strings.TrimPrefix(path, ordersPath), t)
 	if apiErr != nil {
 		return apiErr
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -129,10 +129,11 @@
 	return serviceRoute{}, false
 }
 
-// nonIdempotent reports whether the operation must run at most once.
+// nonIdempotent reports whether the operation must run at most once. Some services
+// accept methods in small letters, so case does not count.
 func (s serviceRoute) nonIdempotent(method, path string) bool {
 	for _, op := range s.service.NonIdempotent {
-		if op.Method != method {
+		if !strings.EqualFold(op.Method, method) {
 			continue
 		}
 		if prefix, ok := strings.CutSuffix(op.Path, "*"); ok && strings.HasPrefix(path, prefix) || op.Path == path {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -22,6 +22,10 @@
 	return in.serve(ctx, r, r.serviceCall(ctx))
 }
 
+// upstreamURI is the path and query that an upstream receives. It is made from the same
+// parsed form as the path that selects the service, whatever form the caller sent.
+func upstreamURI(ctx *fasthttp.RequestCtx) string { return string(ctx.URI().RequestURI()) }
+
 // requestIdentity is the text that a resent request shares with the first: method,
 // address and body.
 func requestIdentity(ctx *fasthttp.RequestCtx) []byte {
@@ -40,7 +44,7 @@
 			}
 		}
 		req.Header.SetMethodBytes(ctx.Method())
-		req.SetRequestURI("http://" + pick.Upstream.Address + string(ctx.RequestURI()))
+		req.SetRequestURI("http://" + pick.Upstream.Address + upstreamURI(ctx))
 		req.Header.Set(headerTeam, r.team.name)
 		r.upstreamHeaders(&req.Header, r.pool.in.now())
 		req.SetBodyRaw(ctx.PostBody())
