entry: test bad input at the callers' listener

Only the simplest refusals were tested. The tests now cover oversized headers, slow and malformed requests, classes, tickets, methods and paths, and the log: text from callers and upstreams must not end a line, add a pair or show a key.

go test -race ./internal/entry passes.

--- /dev/null
+++ b/internal/entry/badinput_test.go
@@ -0,0 +1,312 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/settings"
+)
+
+// rawTimeout ends a test whose connection would hang.
+const rawTimeout = 30 * time.Second
+
+// syncBuffer is a log that several goroutines write.
+type syncBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// startLogged starts an instance with a short read timeout. Its log holds everything,
+// in the daemon's format.
+func startLogged(t *testing.T, d *config.Deployment) (*Instance, *syncBuffer) {
+	t.Helper()
+	text := "instance: entry-1\nfailure_domain: a\ncallers: {address: '127.0.0.1:0'}\noperations: {address: '127.0.0.2:0'}\n" +
+		"configuration_file: unused\nlimits: {read_timeout: 50ms}\n"
+	s, err := settings.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.ConfigurationFile = ""
+	out := new(syncBuffer)
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetLevel(logrus.DebugLevel)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	in, err := New(s, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.apply(1, d)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- in.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("run: %v", err)
+		}
+	})
+	return in, out
+}
+
+// plainDeployment has one plain service and no model.
+func plainDeployment(address string) *config.Deployment {
+	d := testDeployment()
+	d.Models = nil
+	d.Services[0].Upstreams = []config.Upstream{{Name: "orders-1", Address: address, FailureDomain: "a"}}
+	return d
+}
+
+// sendRaw writes text on a new connection and returns everything that comes back until
+// the instance closes it.
+func sendRaw(t *testing.T, address, text string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(rawTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatalf("the connection is not closed in order: %v", err)
+	}
+	return string(answer)
+}
+
+// expectError checks a raw answer.
+func expectError(t *testing.T, answer string, status int, code string) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), nil)
+	if err != nil {
+		t.Fatalf("%q: %v", answer, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, run, _ := errorOf(t, string(body)); resp.StatusCode != status || got != code || run != "not_run" {
+		t.Errorf("got %d %s, want %d %s", resp.StatusCode, body, status, code)
+	}
+}
+
+// A request that does not fit or does not arrive must not hold a connection, and its
+// sender must learn why, also while it is still sending.
+func TestRequestsThatCannotBeRead(t *testing.T) {
+	in, _ := startLogged(t, plainDeployment("127.0.0.1:1"))
+	head := "POST /orders/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + testKey + "\r\n"
+	cases := []struct {
+		name, text, code string
+		status           int
+	}{
+		{"one header too large", head + "X-Long: " + strings.Repeat("x", 20_000) + "\r\n\r\n", "headers_too_large", 431},
+		{"too many headers", head + strings.Repeat("X-A: b\r\n", 3000) + "\r\n", "headers_too_large", 431},
+		{"request line too long", "GET /orders/" + strings.Repeat("x", 20_000) + " HTTP/1.1\r\n\r\n", "headers_too_large", 431},
+		{"nothing", "", "request_timeout", 408},
+		{"part of the headers", head, "request_timeout", 408},
+		{"part of the body", head + "Content-Length: 10\r\n\r\nhalf", "request_timeout", 408},
+		{"part of a chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nha", "request_timeout", 408},
+		{"no HTTP", "hello\r\n\r\n", "malformed_request", 400},
+		{"bad length", head + "Content-Length: -5\r\n\r\n", "malformed_request", 400},
+		{"bad chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "malformed_request", 400},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			expectError(t, sendRaw(t, in.CallersAddress(), c.text), c.status, c.code)
+		})
+	}
+}
+
+// Each refusal must have its stable code, say "not run", and keep the request from the
+// upstreams.
+func TestRefusals(t *testing.T) {
+	b := newBench(t, 1, func(d *config.Deployment) { d.Teams[0].Classes = []string{"interactive"} })
+	chat := chatBody(false, 1, "")
+	cases := []struct {
+		name, method, path, header, value, body, code string
+		status                                        int
+	}{
+		{"unknown class", "POST", chatPath, headerClass, "gold", chat, "unknown_class", 400},
+		{"unknown class at a service", "GET", "/orders/x", headerClass, "gold", "", "unknown_class", 400},
+		{"class of another team", "POST", chatPath, headerClass, "bulk", chat, "class_not_allowed", 403},
+		{"class of another team at a service", "POST", "/orders/runs", headerClass, "bulk", "{}", "class_not_allowed", 403},
+		{"invalid ticket", "POST", "/orders/runs", headerTicket, "abc", "{}", "ticket_invalid", 400},
+		{"state of an invalid ticket", "GET", ordersPath + "abc", "", "", "", "ticket_invalid", 400},
+		{"no ticket", "GET", ordersPath, "", "", "", "ticket_invalid", 400},
+		{"chat by GET", "GET", chatPath, "", "", "", "method_not_allowed", 405},
+		{"ticket by GET", "GET", ticketsPath, "", "", "", "method_not_allowed", 405},
+		{"state by POST", "POST", ordersPath + "abc", "", "", "", "method_not_allowed", 405},
+		{"method in small letters", "post", "/orders/runs", "", "", "{}", "ticket_required", 428},
+		{"escaped path", "POST", "/orders/%72uns", "", "", "{}", "ticket_required", 428},
+		{"absolute form", "POST", "http://b/orders/runs", "", "", "{}", "ticket_required", 428},
+		{"path with dots", "POST", "/orders/x/../runs", "", "", "{}", "ticket_required", 428},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n", c.method, c.path, testKey, len(c.body))
+			if c.header != "" {
+				text += c.header + ": " + c.value + "\r\n"
+			}
+			expectError(t, sendRaw(t, b.in.CallersAddress(), text+"\r\n"+c.body), c.status, c.code)
+		})
+	}
+	if n := b.engines[0].Counters().Requests; n != 0 {
+		t.Errorf("%d refused requests reached the engine", n)
+	}
+	if n := b.service.Counters().Requests; n != 0 {
+		t.Errorf("%d refused requests reached the service", n)
+	}
+}
+
+// The path that an upstream receives must be the one that was checked against the
+// prefixes and the non-idempotent operations.
+func TestUpstreamGetsTheCheckedPath(t *testing.T) {
+	paths := make(chan string, 1)
+	service := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { paths <- r.RequestURI }))
+	t.Cleanup(service.Close)
+	in, _ := startLogged(t, plainDeployment(strings.TrimPrefix(service.URL, "http://")))
+	for sent, want := range map[string]string{
+		"/orders/x?a=%20b&c":      "/orders/x?a=%20b&c",
+		"http://b/orders/x?c":     "/orders/x?c",
+		"/other/../orders/x":      "/orders/x",
+		"/orders/a%2572":          "/orders/a%2572",
+		"/orders//x":              "/orders/x",
+		"/orders/x%0d%0aX:%20bad": "/orders/x%0D%0AX:%20bad",
+	} {
+		sendRaw(t, in.CallersAddress(), "GET "+sent+" HTTP/1.1\r\nHost: a\r\nConnection: close\r\nAuthorization: Bearer "+testKey+"\r\n\r\n")
+		if got := <-paths; got != want {
+			t.Errorf("%s arrives as %s, want %s", sent, got, want)
+		}
+	}
+}
+
+// logLine is one line of the log: pairs whose values are words or quoted.
+var logLine = regexp.MustCompile(`^time="[^"]+" level=\w+ msg=(\w+|"([^"\\]|\\.)*")( \w+=([^ "=]*|"([^"\\]|\\.)*"))*$`)
+
+// Text from callers and upstreams must not be able to end a log line or to add a pair
+// to it, and keys must not be logged.
+func TestForeignTextCannotForgeLogLines(t *testing.T) {
+	const forged = "x\nlevel=error event=forged y=\"z\r\nevent=forged "
+	upstream := listenHostile(t, "HTTP/1.1 200 OK\r\nevent=forged a=\"b\nlevel=error event=forged\r\n\r\n")
+	d := plainDeployment(upstream)
+	d.Classes[0].Deadline = d.Classes[0].FirstTokenTarget // ends the retries
+	in, log := startLogged(t, d)
+	auth := "Authorization: Bearer " + testKey + "\r\n"
+	for _, text := range []string{
+		"GET /orders/" + forged + " HTTP/1.1\r\n\r\n",
+		"POST /orders/x HTTP/1.1\r\n" + auth + "Broken " + forged + "\r\n\r\n",
+		"POST /orders/x HTTP/1.1\r\n" + auth + "Content-Length: " + forged + "\r\n\r\n",
+		"POST /orders/x HTTP/1.1\r\n" + auth + strings.Repeat("X-A: event=forged\r\n", 2000),
+		"POST /orders/x HTTP/1.1\r\n" + auth,
+		"POST /orders/%0aevent=forged HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + auth + "X-Request-Id: event=forged\r\nContent-Length: 0\r\n\r\n",
+	} {
+		sendRaw(t, in.CallersAddress(), text)
+	}
+	eventually(t, "a log line about the upstream", func() bool { return strings.Contains(log.String(), "event=attempt_failed") })
+	for line := range strings.Lines(log.String()) {
+		line = strings.TrimSuffix(line, "\n")
+		if !logLine.MatchString(line) {
+			t.Errorf("broken line: %s", line)
+		}
+		if bare := regexp.MustCompile(`"([^"\\]|\\.)*"`).ReplaceAllString(line, ""); strings.Contains(bare, "forged") {
+			t.Errorf("forged pair: %s", line)
+		}
+		if strings.Contains(line, testKey) {
+			t.Errorf("the line holds a key: %s", line)
+		}
+	}
+}
+
+// listenHostile answers each connection with the text and closes it.
+func listenHostile(t *testing.T, text string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				// The client's side is checked by its own test.
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, text)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// The state of a ticket must be readable with the caller's key only.
+func TestOrderStateOfAnotherTeam(t *testing.T) {
+	b := newBench(t, 0, func(d *config.Deployment) {
+		d.Models = nil
+		d.Teams = append(d.Teams, config.Team{Name: "other", KeySHA256: []string{strings.Repeat("ab", 32)}})
+	})
+	foreign, apiErr := b.in.orders.issue("other")
+	if apiErr != nil {
+		t.Fatal(apiErr)
+	}
+	own, apiErr := b.in.orders.issue("desk")
+	if apiErr != nil {
+		t.Fatal(apiErr)
+	}
+	for ticket, want := range map[string]string{foreign: "ticket_invalid", own: "issued"} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+b.in.CallersAddress()+ordersPath+ticket, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var a struct {
+			State string
+			Error struct{ Code string }
+		}
+		if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || a.State+a.Error.Code != want {
+			t.Errorf("got %+v, %v, want %s", a, err, want)
+		}
+	}
+}
