--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -129,13 +129,13 @@
 	return serviceRoute{}, false
 }
 
-// nonIdempotent reports whether the operation must run at most once. Letter case and a
-// trailing slash make no difference: an upstream may ignore them, and a spelling that
-// it accepts must not get around the ticket.
+// nonIdempotent reports whether the operation must run at most once. Letter case, of
+// the method too, and a trailing slash make no difference: an upstream may ignore them,
+// and a spelling that it accepts must not get around the ticket.
 func (s serviceRoute) nonIdempotent(method, path string) bool {
 	path = plainPath(path)
 	for _, op := range s.service.NonIdempotent {
-		if op.Method != method {
+		if !strings.EqualFold(op.Method, method) {
 			continue
 		}
 		prefix, isPrefix := strings.CutSuffix(op.Path, "*")
