--- a/cmd/yuccabridged/region_test.go
+++ b/cmd/yuccabridged/region_test.go
@@ -132,8 +132,15 @@
 
 func (g *region) waitRevision(i int, revision uint64) {
 	g.t.Helper()
+	var last entry.State
+	g.t.Cleanup(func() {
+		if g.t.Failed() {
+			g.t.Logf("daemon %d: revision %d, configuration %+v, members %+v", i, last.Revision, last.Configuration, last.Members)
+		}
+	})
 	eventually(g.t, fmt.Sprintf("revision %d at daemon %d", revision, i), func() bool {
 		s, err := g.state(i)
+		last = s
 		if err == nil && s.Revision > revision {
 			g.t.Fatalf("daemon %d has revision %d", i, s.Revision)
 		}
