peerwire: test the limits of fields

Each mechanism removed, then restored: MAC unchecked 'byte 17 was changed and not noticed'; replay window off 'replayed: <nil>'; field limits off 'hello: <nil>' (no test noticed before TestFieldLimits); frame counter off 'swapped: <nil>'. Result restored: go test passes.

--- a/internal/protocol/peerwire/frame_test.go
+++ b/internal/protocol/peerwire/frame_test.go
@@ -88,6 +88,25 @@
 	}
 }
 
+// Guards against fields and lists that are longer than their limits.
+func TestFieldLimits(t *testing.T) {
+	long := string(make([]byte, maxName+1))
+	for _, m := range []Message{
+		Hello{Nonce: make([]byte, maxNonce+1)},
+		Hello{Identity: Identity{Name: long}},
+		ConfigPull{configsync.Pull{Have: make([]configsync.Sum, maxSections+1)}},
+		ConfigPush{configsync.Push{Manifest: []configsync.SectionRef{{Name: long}}}},
+	} {
+		b, err := AppendFrame(nil, Frame{Message: m}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeFrame(b[lengthSize:], nil); errors.Cause(err) != ErrMalformed {
+			t.Errorf("%s: %v", m.Type(), err)
+		}
+	}
+}
+
 // Guards against frames that are repeated, swapped, reflected or changed on a
 // connection without TLS.
 func TestFrameMACRejectsReplay(t *testing.T) {
