--- a/internal/coordination/membership/doc.go
+++ b/internal/coordination/membership/doc.go
@@ -18,8 +18,8 @@
 // give each other the time to refute instead of removing all members at once.
 //
 // Claims that change a state are sent at once to the two neighbours in the order of
-// process identifiers and to three random members of the domain, at most once in
-// FlushInterval; further copies travel in probes, each a bounded number of times.
+// process identifiers and to three random members of the domain, twice, and at most once
+// in FlushInterval; further copies travel in probes, each a bounded number of times.
 // Members compare a digest of their view in every message and fetch the view page by
 // page where it keeps differing.
 //
--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -11,11 +11,17 @@
 	// FlushInterval is the shortest time between two rounds of urgent gossip of one
 	// member. It bounds urgent messages to 50 a second when many members change.
 	FlushInterval = 100 * time.Millisecond
+	// urgentRounds is the number of rounds in which a claim is sent, repeatInterval the
+	// time between them. With a tenth of the datagrams lost, one round misses one
+	// member in about 1,500, two rounds one in two million.
+	urgentRounds   = 2
+	repeatInterval = 200 * time.Millisecond
 	// randomGossip is the number of random members in a round of urgent gossip,
 	// beside the two neighbours.
 	randomGossip = 3
-	// retransmitFactor scales the copies of a claim with the logarithm of the domain.
-	retransmitFactor = 3
+	// extraCopies is added to the logarithm of the domain's size. Together they bound
+	// the copies of a claim in probes; what they miss, the digest finds.
+	extraCopies = 2
 	// recentPressures is the number of members whose pressure is passed on.
 	recentPressures = 4
 	// relayedPressures bounds the pressures of third members in one message.
@@ -30,7 +36,8 @@
 	if m.self != nil {
 		n = len(m.self.domain.live) + 1
 	}
-	x.transmits = retransmitFactor*bits.Len(uint(n)) + 2 + randomGossip
+	x.rounds = urgentRounds
+	x.transmits = bits.Len(uint(n)) + extraCopies
 	if !x.queued {
 		x.queued = true
 		m.queue = append(m.queue, x)
@@ -41,6 +48,20 @@
 	}
 }
 
+// repeat makes the claims of the last rounds urgent again.
+func (m *Machine) repeat(now time.Duration) {
+	if len(m.again) == 0 || now-m.lastFlush < repeatInterval {
+		return
+	}
+	for _, x := range m.again {
+		if !x.urgent {
+			x.urgent = true
+			m.urgent = append(m.urgent, x)
+		}
+	}
+	m.again = m.again[:0]
+}
+
 // flush sends the urgent claims to the neighbours and to random members.
 func (m *Machine) flush(now time.Duration, tick bool) {
 	if len(m.urgent) == 0 || !m.started || (!tick && now-m.lastFlush < FlushInterval) {
@@ -57,6 +78,9 @@
 			claims = append(claims, c)
 			n++
 			x.urgent = false
+			if x.rounds--; x.rounds > 0 {
+				m.again = append(m.again, x)
+			}
 			continue
 		}
 		break
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -40,6 +40,7 @@
 
 	queue     []*member
 	urgent    []*member
+	again     []*member // claims to be sent once more
 	lastFlush time.Duration
 	pressures [recentPressures]*member
 	nextValue int
@@ -85,6 +86,7 @@
 	m.stepSuspects(now)
 	m.stepTombstones(now)
 	m.stepSync(now)
+	m.repeat(now)
 	m.flush(now, true)
 	return m.take()
 }
--- a/internal/coordination/membership/rapid_test.go
+++ b/internal/coordination/membership/rapid_test.go
@@ -64,6 +64,7 @@
 		n.m.SetSeeds(r.s.seeds)
 	}
 	r.s.changes = r.check
+	r.s.wire = true // machines must not share memory
 	r.s.run(15 * time.Second)
 	return r
 }
@@ -234,6 +235,33 @@
 	}
 }
 
+// Guards against a storm: a member that hears of thousands of changes within a second
+// sends at most ten rounds of urgent gossip.
+func TestUrgentGossipIsBounded(t *testing.T) {
+	m := filled(20)
+	sent, now := 0, time.Duration(0)
+	count := func(actions []Action) {
+		for _, a := range actions {
+			if s, ok := a.(Send); ok && s.Message.Kind == Gossip {
+				sent++
+			}
+		}
+	}
+	count(m.Tick(now))
+	for i := range 2000 {
+		now += 500 * time.Microsecond
+		c := Member{Name: "x", Domain: "lanester", UDP: simAddr(100 + i), State: Alive}
+		c.Incarnation.Process = Process{byte(i), byte(i >> 8), 2}
+		count(m.Receive(now, c.UDP, Message{Kind: Gossip, From: c}))
+		if i%200 == 199 {
+			count(m.Tick(now))
+		}
+	}
+	if rounds := 2 + int(now/FlushInterval)*2; sent > rounds*(2+randomGossip) {
+		t.Errorf("%d urgent messages in %v", sent, now)
+	}
+}
+
 // Guards against messages whose fields the machine must not rely on.
 func TestInvalidMessagesChangeNothing(t *testing.T) {
 	s := build(8, 2, "a")
--- a/internal/coordination/membership/sim_test.go
+++ b/internal/coordination/membership/sim_test.go
@@ -34,6 +34,8 @@
 	to   netip.AddrPort
 	from netip.AddrPort
 	msg  *Message
+
+	packet []byte // the encoded message, with sim.wire
 }
 
 type simQueue []simEvent
@@ -64,7 +66,7 @@
 	jitter  time.Duration
 	cut     func(from, to netip.AddrPort) bool
 	changes func(n *simNode, c Changed)
-	copies  bool // deep-copy messages, so that machines share no memory
+	wire    bool // encode and decode each message as the transport does
 }
 
 func newSim(seed uint64) *sim {
@@ -131,6 +133,9 @@
 		}
 		return
 	}
+	if e.packet != nil {
+		*e.msg = Wire.Open(n.self.Incarnation.Process, e.packet)
+	}
 	s.perform(n, n.m.Receive(s.local(n), e.from, *e.msg))
 }
 
@@ -161,8 +166,10 @@
 
 func (s *sim) send(n *simNode, a Send) {
 	n.sent++
-	if s.copies {
-		n.bytes += 57 + messageSize(a.Message)
+	var packet []byte
+	if s.wire {
+		packet = Wire.Seal(n.self.Incarnation.Process, a.Message)
+		n.bytes += len(packet)
 	}
 	from := n.self.UDP
 	if s.cut != nil && s.cut(from, a.To) || s.loss > 0 && s.rng.Float64() < s.loss {
@@ -173,16 +180,14 @@
 		delay += time.Duration(s.rng.Int64N(int64(s.jitter)))
 	}
 	msg := a.Message
-	s.push(simEvent{at: s.now + delay, to: a.To, from: from, msg: &msg})
+	s.push(simEvent{at: s.now + delay, to: a.To, from: from, msg: &msg, packet: packet})
 }
 
-// messageSize is the size that the machine itself reckons with, at most MaxBody.
-func messageSize(m Message) int {
-	n := fixedSize + memberSize(m.From)
-	for _, u := range m.Updates {
-		n += memberSize(u)
-	}
-	return n
+// Wire encodes and decodes messages. The external test package sets it, because this
+// package must not import the protocol layer.
+var Wire struct {
+	Seal func(from Process, m Message) []byte
+	Open func(to Process, packet []byte) Message
 }
 
 // leave makes n announce that it leaves; it runs on until it is killed.
--- a/internal/coordination/membership/sync.go
+++ b/internal/coordination/membership/sync.go
@@ -223,7 +223,7 @@
 			m.remove(x)
 		}
 	}
-	m.queue, m.urgent, m.tombstones, m.suspects = nil, nil, nil, nil
+	m.queue, m.urgent, m.again, m.tombstones, m.suspects = nil, nil, nil, nil, nil
 	m.joined = false
 }
 
--- a/internal/coordination/membership/table.go
+++ b/internal/coordination/membership/table.go
@@ -29,6 +29,7 @@
 	linkSent  time.Duration
 	linkSeq   uint64
 	transmits int
+	rounds    int // rounds of urgent gossip left
 	queued    bool
 	urgent    bool
 	left      bool // it announced that it leaves: its address is not tried again
--- /dev/null
+++ b/internal/coordination/membership/wire_test.go
@@ -0,0 +1,34 @@
+package membership_test
+
+import (
+	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
+	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
+)
+
+func init() {
+	keys, err := peerwire.NewKeyList([]byte("0123456789abcdef"))
+	if err != nil {
+		panic(err)
+	}
+	codecs := map[membership.Process]*peerwire.Datagrams{}
+	codec := func(p membership.Process) *peerwire.Datagrams {
+		if codecs[p] == nil {
+			codecs[p] = peerwire.NewDatagrams(keys, p)
+		}
+		return codecs[p]
+	}
+	membership.Wire.Seal = func(from membership.Process, m membership.Message) []byte {
+		b, err := codec(from).Seal(m)
+		if err != nil {
+			panic(err)
+		}
+		return b
+	}
+	membership.Wire.Open = func(to membership.Process, packet []byte) membership.Message {
+		m, err := codec(to).Open(packet)
+		if err != nil {
+			panic(err)
+		}
+		return m
+	}
+}
