--- a/internal/coordination/configsync/machine_test.go
+++ b/internal/coordination/configsync/machine_test.go
@@ -35,11 +35,17 @@
 // against readers that call the platform too often.
 func TestChangeReachesAllInstances(t *testing.T) {
 	for _, count := range []int{8, 40, 160} {
-		for _, fault := range []string{"none", "a tenth of the messages lost", "platform returns", "readers die"} {
+		for _, fault := range []string{"none", "a tenth of the messages lost", "platform returns", "readers die", "readers cut off from the platform"} {
+			if strings.HasPrefix(fault, "readers cut") && count == 8 {
+				continue // with two members a domain all are readers
+			}
 			s := start(1, count)
 			if fault == "a tenth of the messages lost" {
 				s.loss = 0.1
 			}
+			if fault == "readers cut off from the platform" {
+				s.barred = func(n *simNode) bool { return n.m.Status().Reader }
+			}
 			worst := time.Duration(0)
 			calls, began := s.calls, s.now
 			for i := range uint64(10) {
@@ -106,8 +112,14 @@
 // or hides a later valid one.
 func TestInvalidRevisionIsRemembered(t *testing.T) {
 	s := start(3, 8)
+	calls := s.calls
 	s.publish(2, "invalid", 1)
 	s.run(20 * time.Second)
+	// A call that waits takes 3 s: 8 readers make at most 8 calls each, and one more
+	// for the refused answer.
+	if n := s.calls - calls; n > 8*9 {
+		t.Errorf("%d calls to the platform in 20 s", n)
+	}
 	if !s.allHave(1) {
 		t.Fatal("an invalid revision replaced a valid one")
 	}
--- a/internal/coordination/configsync/platform.go
+++ b/internal/coordination/configsync/platform.go
@@ -16,6 +16,9 @@
 	// minWatchGap is the shortest time between two calls of one reader. It bounds
 	// the calls when a stale replica answers at once with an old revision.
 	minWatchGap = 100 * time.Millisecond
+	// fallbackPeriod is the mean time between the reads of those members of a domain
+	// that are not its readers, all together: 19 calls a second for 19 domains.
+	fallbackPeriod = time.Second
 )
 
 // ResultStatus is the outcome of a call to the platform.
@@ -45,7 +48,10 @@
 	deadline time.Duration
 	at       time.Duration // earliest time of the next call
 	failures int
-	after    uint64 // highest revision that the platform has answered with
+	// fallbackAt is the time of the next read of an instance that is no reader; zero
+	// until the first one is planned.
+	fallbackAt time.Duration
+	after      uint64 // highest revision that the platform has answered with
 }
 
 // stepWatch starts a call when this instance is a reader, or is fresh and has heard
@@ -58,11 +64,11 @@
 	if w.running || now < w.at || !m.started {
 		return
 	}
-	if !m.reading && (m.ready || m.accepted || m.heardPlat) {
+	if !m.reading && (m.ready || m.accepted || m.heardPlat) && !m.fallbackDue(now) {
 		return
 	}
 	wait := WatchWait
-	if !m.ready && !m.heardPlat {
+	if !m.reading || !m.ready && !m.heardPlat {
 		wait = 0 // a fresh instance wants the current revision, not the next one
 	}
 	w.id++
@@ -71,6 +77,23 @@
 	m.out = append(m.out, Watch{ID: w.id, After: m.after(), Wait: wait})
 }
 
+// fallbackDue reports whether an instance that is no reader reads at the platform. The
+// readers may be cut off from the platform while others are not.
+func (m *Machine) fallbackDue(now time.Duration) bool {
+	w := &m.watch
+	if !m.ready || now < w.fallbackAt {
+		return false
+	}
+	period := time.Duration(max(len(m.members[m.opts.Self.Domain]), 1)) * fallbackPeriod
+	if w.fallbackAt == 0 {
+		// Instances that started together read evenly from the start.
+		w.fallbackAt = now + time.Duration(m.rng.Int64N(int64(period)))
+		return false
+	}
+	w.fallbackAt = now + period - period/8 + time.Duration(m.rng.Int64N(int64(period/4)))
+	return true
+}
+
 // after returns the highest revision that the platform need not send again: the one
 // in force, or a higher one of the platform that was refused.
 func (m *Machine) after() uint64 { return max(m.revision, m.watch.after) }
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -40,7 +40,8 @@
 
 	queue     []*member
 	urgent    []*member
-	pressed   bool // the own pressure waits for a round of gossip
+	pressed   bool      // the own pressure waits for a round of gossip
+	again     []*member // claims to be sent once more
 	lastFlush time.Duration
 	pressures [recentPressures]*member
 	nextValue int
@@ -86,6 +87,7 @@
 	m.stepSuspects(now)
 	m.stepTombstones(now)
 	m.stepSync(now)
+	m.repeat(now)
 	m.flush(now, true)
 	return m.take()
 }
