Read the list of leaving upstreams when the readers are silent

The list had the same fault as the configuration: with its readers cut off from the platform a domain went on sending to upstreams that leave. After 5 s without a list the other members read, about once a second all together.

--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,9 @@
 	valuesInterval = 200 * time.Millisecond
 	// instancesInterval is how often a reader asks the platform for its list.
 	instancesInterval = 500 * time.Millisecond
+	// readerSilence is how long no list may come until others than the readers read. The
+	// readers repeat an unchanged list every leavingRepeat.
+	readerSilence = 2*leavingRepeat + time.Second
 	// leavingRepeat is how often a reader repeats an unchanged list to its domain.
 	leavingRepeat = 2 * time.Second
 	// leavingLifetime is how long the list of a reader counts that is not heard again.
@@ -141,6 +145,14 @@
 type leavingLists struct {
 	mu      sync.Mutex
 	sources map[[16]byte]leavingList
+	heard   time.Duration // when the last list came
+}
+
+// lastHeard is when the last list came.
+func (l *leavingLists) lastHeard() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard
 }
 
 type leavingList struct {
@@ -157,6 +169,7 @@
 		l.sources = map[[16]byte]leavingList{}
 	}
 	l.sources[source] = leavingList{names: names, heard: now}
+	l.heard = now
 	union := map[string]bool{}
 	for id, list := range l.sources {
 		if now-list.heard > leavingLifetime {
@@ -174,19 +187,20 @@
 type instanceReader struct {
 	in       *Instance
 	client   *platform.Client
+	rng      *rand.Rand
 	sent     []string
 	sentTime time.Duration
 }
 
 func (in *Instance) readInstances(ctx context.Context) error {
-	r := &instanceReader{in: in, client: in.config.platform}
+	r := &instanceReader{in: in, client: in.config.platform, rng: in.random("instances")}
 	return every(ctx, instancesInterval, r.poll)
 }
 
 // poll reads the list when this instance is a reader and passes on what leaves.
 func (r *instanceReader) poll() {
 	alone := r.in.peers != nil && !r.in.peers.members.Joined()
-	if r.in.peers != nil && !alone && !r.in.peers.isReader() {
+	if r.in.peers != nil && !alone && !r.in.peers.isReader() && !r.standIn() {
 		return
 	}
 	result := r.client.Instances()
@@ -207,6 +221,17 @@
 	r.pass(names)
 }
 
+// standIn reports whether this instance reads although it is no reader: no reader has
+// been heard for a while, since they may be cut off from the platform. All such
+// members of a domain together read about once a second.
+func (r *instanceReader) standIn() bool {
+	if r.in.now()-r.in.leavingLists.lastHeard() < readerSilence {
+		return false
+	}
+	members := len(r.in.peers.ownDomain()) + 1
+	return r.rng.Float64() < instancesInterval.Seconds()/float64(members)
+}
+
 // pass sends the list to the domain when it has changed, and repeats it now and then.
 func (r *instanceReader) pass(names []string) {
 	now := r.in.now()
