--- a/internal/coordination/configsync/doc.go
+++ b/internal/coordination/configsync/doc.go
@@ -12,7 +12,7 @@
 // again.
 //
 // Two readers per domain, the members with the highest rendezvous hash, keep one
-// waiting call each at the platform. An instance that accepts a revision announces it
+// waiting call each at the platform. An instance that accepts a revision announces its number
 // to its two neighbours in the order of identifiers, to three random members of its
 // domain and to one member of each of four other domains; each of them pulls the
 // sections that it lacks. Once in PollInterval every instance also asks one random
--- a/internal/coordination/configsync/machine.go
+++ b/internal/coordination/configsync/machine.go
@@ -150,9 +150,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.accepted || p.Revision >= m.revision {
-		return Push{Revision: m.revision, Sum: m.sum}
+		return m.head()
 	}
-	answer := m.announcement()
+	answer := m.manifest()
 	have := make(map[Sum]bool, len(p.Have))
 	for _, s := range p.Have {
 		have[s] = true
@@ -289,7 +289,11 @@
 	return m.offer(now, revision, Split(text), text, sha256.Sum256(text))
 }
 
-func (m *Machine) announcement() Push {
+// head names the revision in force.
+func (m *Machine) head() Push { return Push{Revision: m.revision, Sum: m.sum} }
+
+// manifest names the sections of the revision in force.
+func (m *Machine) manifest() Push {
 	p := Push{Revision: m.revision, Sum: m.sum, Manifest: make([]SectionRef, len(m.sections))}
 	for i, s := range m.sections {
 		p.Manifest[i] = SectionRef{Name: s.Name, Sum: s.Sum, Size: len(s.Data)}
--- a/internal/coordination/configsync/message.go
+++ b/internal/coordination/configsync/message.go
@@ -34,9 +34,9 @@
 	Have     []Sum
 }
 
-// Push announces or carries a revision. Sections holds only what the asker lacks; an
-// announcement has a manifest and no sections. The answer to a Pull that finds
-// nothing newer has no manifest.
+// Push announces or carries a revision. Sections holds only what the asker lacks. An
+// announcement, and the answer to a Pull that finds nothing newer, has neither
+// manifest nor sections.
 type Push struct {
 	Revision uint64
 	Sum      Sum
--- a/internal/coordination/configsync/peers.go
+++ b/internal/coordination/configsync/peers.go
@@ -100,7 +100,7 @@
 	add := func(p Peer) {
 		if p.ID != m.opts.Self.ID && !slices.Contains(sent, p.ID) {
 			sent = append(sent, p.ID)
-			m.out = append(m.out, SendPush{To: p.ID, Push: m.announcement()})
+			m.out = append(m.out, SendPush{To: p.ID, Push: m.head()})
 		}
 	}
 	own := m.members[m.opts.Self.Domain]
@@ -245,7 +245,7 @@
 		m.stats.Stale++
 		if answered && p.Revision > 0 {
 			// The peer is behind: it learns so instead of waiting for its own poll.
-			m.out = append(m.out, SendPush{To: from, Push: m.announcement()})
+			m.out = append(m.out, SendPush{To: from, Push: m.head()})
 		}
 		return
 	case p.Revision == 0 || m.isRejected(p.Revision, p.Sum):
