transport/peer: compare addresses in one form

Cause: a socket may report an IPv4 address in IPv6 form, which differs from the form in settings and claims. Change: addresses of sockets and of calls are unmapped. A benchmark of datagrams.

--- a/internal/protocol/peerwire/datagram_test.go
+++ b/internal/protocol/peerwire/datagram_test.go
@@ -225,3 +225,19 @@
 		}
 	})
 }
+
+// BenchmarkDatagram measures the encoding and the MAC of a datagram with two claims, at
+// both ends.
+func BenchmarkDatagram(b *testing.B) {
+	m := testDatagram()
+	d, e := NewDatagrams(testKeys(b), m.From.Incarnation.Process), NewDatagrams(testKeys(b), membership.Process{9})
+	for b.Loop() {
+		packet, err := d.Seal(m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := e.Open(packet); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/transport/peer/gossip.go
+++ b/internal/transport/peer/gossip.go
@@ -45,7 +45,12 @@
 }
 
 // Addr returns the address of the socket.
-func (g *Gossip) Addr() netip.AddrPort { return g.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+func (g *Gossip) Addr() netip.AddrPort {
+	return unmap(g.conn.LocalAddr().(*net.UDPAddr).AddrPort())
+}
+
+// unmap turns IPv4 addresses in IPv6 form into the form that peers compare.
+func unmap(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
 
 // SetMachine sets the machine before Run, for callers that need the address of the
 // socket to construct it.
@@ -83,7 +88,7 @@
 		if err != nil {
 			continue // counted by the codec
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		from = unmap(from)
 		g.step(func(now time.Duration) []membership.Action { return g.opts.Machine.Receive(now, from, m) })
 	}
 }
--- a/internal/transport/peer/node.go
+++ b/internal/transport/peer/node.go
@@ -78,7 +78,7 @@
 }
 
 // Addr returns the address of the listener.
-func (n *Node) Addr() netip.AddrPort { return n.listener.Addr().(*net.TCPAddr).AddrPort() }
+func (n *Node) Addr() netip.AddrPort { return unmap(n.listener.Addr().(*net.TCPAddr).AddrPort()) }
 
 // Stats returns the counters.
 func (n *Node) Stats() Stats {
@@ -229,6 +229,7 @@
 	if n.certs == nil && !to.Addr().Unmap().IsLoopback() {
 		return nil, nil, errors.Wrapf(ErrUnreachable, "%s needs key files: plain TCP is allowed on loopback only", to)
 	}
+	to = unmap(to)
 	l, err := n.link(to)
 	if err != nil {
 		return nil, nil, err
@@ -291,7 +292,7 @@
 		return false
 	}
 	if c := n.links[oldest].current; c != nil {
-		go c.close()
+		c.close()
 	}
 	delete(n.links, oldest)
 	return true
