--- a/internal/coordination/configsync/doc.go
+++ b/internal/coordination/configsync/doc.go
@@ -14,7 +14,8 @@
 // Two readers per domain, the members with the highest rendezvous hash, keep one
 // waiting call each at the platform. The other members together read about once a
 // second, so that a domain whose readers are cut off from the platform still learns of
-// a revision through those that are not. An instance that accepts a revision announces it
+// a revision through those that are not. An instance that accepts a revision announces
+// its number
 // to its two neighbours in the order of identifiers, to three random members of its
 // domain and to one member of each of four other domains; each of them pulls the
 // sections that it lacks. Once in PollInterval every instance also asks one random
