experiment: count a window of the run, and place bursts in it

Cause: learning limits and filling queues take the first seconds, and answers that were still queued when sending ended counted as goodput of the run. Change: a scenario has a warm-up whose requests are not counted; window goodput counts useful tokens that arrived between its end and the end of sending; streams that met each single target are counted; a burst has an offset.

--- a/internal/experiment/arrivals.go
+++ b/internal/experiment/arrivals.go
@@ -63,10 +63,11 @@
 }
 
 func (c *ClassLoad) rateAt(t time.Duration) float64 {
-	if b := c.Burst; b != nil && t%b.Every.Std() < b.Length.Std() {
-		return c.Rate * b.Factor
+	b := c.Burst
+	if b == nil || t < b.Offset.Std() || (t-b.Offset.Std())%b.Every.Std() >= b.Length.Std() {
+		return c.Rate
 	}
-	return c.Rate
+	return c.Rate * b.Factor
 }
 
 func (c *ClassLoad) draw(rng *rand.Rand, class, number int, at time.Duration) Arrival {
--- a/internal/experiment/record.go
+++ b/internal/experiment/record.go
@@ -55,12 +55,15 @@
 	received   int // tokens of all answers
 	violations map[ViolationKind]int
 	samples    []Violation
+	window     window
+	delivered  float64 // useful tokens that arrived within the window
 	orders     []orderResult
 	notRun     []string // tags of attempts that were answered with "not run"
 }
 
 func newRecorder(s *Scenario, t func(class string) targets) *recorder {
-	r := &recorder{late: newHistogram(), violations: map[ViolationKind]int{}}
+	r := &recorder{late: newHistogram(), violations: map[ViolationKind]int{},
+		window: window{warmup: s.Warmup.Std(), duration: s.Duration.Std()}}
 	for i := range s.Classes {
 		c := &s.Classes[i]
 		r.classes = append(r.classes, &classRecord{
@@ -82,13 +85,15 @@
 }
 
 // tried records one attempt of a chat request.
-func (r *recorder) tried(class int, tag string, t attempt) {
+func (r *recorder) tried(a Arrival, tag string, t attempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.violate(t.violations...)
 	r.received += t.tokens
 	if t.ending == refused {
-		r.classes[class].counts.Refused[t.failure.Code]++
+		if r.window.counts(a) {
+			r.classes[a.Class].counts.Refused[t.failure.Code]++
+		}
 		if t.failure.Run == runNotRun {
 			r.notRun = append(r.notRun, tag)
 		}
@@ -100,14 +105,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.classes[a.Class]
+	met := t.ending == answered && c.met(a, intended, t)
+	if met {
+		r.useful += t.tokens
+		r.delivered += r.window.part(t)
+	}
+	if !r.window.counts(a) {
+		return
+	}
 	c.counts.Resends += resends
 	switch t.ending {
 	case answered:
 		c.counts.Answered++
 		c.total.record(t.last.Sub(intended))
-		if c.judge(a, intended, t) {
+		c.observe(a, intended, t)
+		if met {
 			c.counts.Met++
-			r.useful += t.tokens
 		}
 	case abandoned:
 		c.counts.Abandoned++
@@ -120,23 +133,44 @@
 	}
 }
 
-// judge records the latencies of an answer and reports whether it met the targets.
-// A JSON answer shows no first token; it meets them when it arrives by the time at
-// which a stream on target would have ended.
-func (c *classRecord) judge(a Arrival, intended time.Time, t attempt) bool {
+// met reports whether an answer met the class's targets. A JSON answer shows no first
+// token; it meets them when it arrives by the time at which a stream on target would
+// have ended.
+func (c *classRecord) met(a Arrival, intended time.Time, t attempt) bool {
 	first := t.first.Sub(intended)
 	if a.JSON {
 		limit := c.targets.firstToken + time.Duration(a.Output-1)*c.targets.interval
 		return c.targets.interval == 0 || first <= limit
 	}
+	return first <= c.targets.firstToken && c.intervalMet(t) && len(t.violations) == 0
+}
+
+func (c *classRecord) intervalMet(t attempt) bool {
+	return c.targets.interval == 0 || t.tokens < 2 || t.interval() <= c.targets.interval
+}
+
+// interval is the mean time between the tokens of a stream.
+func (t attempt) interval() time.Duration {
+	return t.last.Sub(t.first) / time.Duration(t.tokens-1)
+}
+
+// observe records the latencies of a stream.
+func (c *classRecord) observe(a Arrival, intended time.Time, t attempt) {
+	if a.JSON {
+		return
+	}
+	first := t.first.Sub(intended)
 	c.firstToken.record(first)
-	met := first <= c.targets.firstToken
+	c.counts.Streams++
+	if first <= c.targets.firstToken {
+		c.counts.FirstTokenMet++
+	}
+	if c.intervalMet(t) {
+		c.counts.IntervalMet++
+	}
 	if t.tokens > 1 {
-		interval := t.last.Sub(t.first) / time.Duration(t.tokens-1)
-		c.interval.record(interval)
-		met = met && (c.targets.interval == 0 || interval <= c.targets.interval)
+		c.interval.record(t.interval())
 	}
-	return met && len(t.violations) == 0
 }
 
 // ordered records an order with all its tries.
@@ -146,6 +180,9 @@
 	c := r.classes[a.Class]
 	r.violate(o.violations...)
 	r.orders = append(r.orders, o)
+	if !r.window.counts(a) {
+		return
+	}
 	for _, f := range o.failures {
 		c.counts.Refused[f.Code]++
 	}
@@ -166,17 +203,29 @@
 	}
 }
 
-func (r *recorder) started(class int, late time.Duration) {
+// begin sets the time from which arrivals count.
+func (r *recorder) begin(started time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.window.start = started.Add(r.window.warmup)
+	r.window.end = started.Add(r.window.duration)
+}
+
+func (r *recorder) started(a Arrival, late time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.classes[class].counts.Intended++
 	r.late.record(late)
+	if r.window.counts(a) {
+		r.classes[a.Class].counts.Intended++
+	}
 }
 
-func (r *recorder) dropped(class int) {
+func (r *recorder) dropped(a Arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.classes[class].counts.Intended++
-	r.classes[class].counts.Unanswered["not_sent"]++
 	r.notSent++
+	if r.window.counts(a) {
+		r.classes[a.Class].counts.Intended++
+		r.classes[a.Class].counts.Unanswered["not_sent"]++
+	}
 }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -24,10 +24,15 @@
 	Intended int `json:"intended"`
 	Answered int `json:"answered"`
 	// Met counts answers that met the class's targets.
-	Met       int `json:"met"`
-	Abandoned int `json:"abandoned"`
-	Orders    int `json:"orders"`
-	Resends   int `json:"resends"`
+	Met int `json:"met"`
+	// Streams counts answers that came as streams; FirstTokenMet and IntervalMet count
+	// those of them that met the one target.
+	Streams       int `json:"streams"`
+	FirstTokenMet int `json:"first_token_met"`
+	IntervalMet   int `json:"interval_met"`
+	Abandoned     int `json:"abandoned"`
+	Orders        int `json:"orders"`
+	Resends       int `json:"resends"`
 	// Refused counts error answers by code, over all attempts.
 	Refused map[string]int `json:"refused"`
 	// Unanswered counts requests by how their last attempt ended.
@@ -78,7 +83,10 @@
 	Classes []ClassReport `json:"classes"`
 	// Goodput counts the tokens of answers that met their targets per second of the
 	// scenario's duration.
-	Goodput        float64               `json:"goodput_tokens_per_s"`
+	Goodput float64 `json:"goodput_tokens_per_s"`
+	// WindowGoodput counts the tokens of such answers that arrived between the end of the
+	// warm-up and the end of sending, per second of that time.
+	WindowGoodput  float64               `json:"window_goodput_tokens_per_s"`
 	TokensReceived int                   `json:"tokens_received"`
 	Waste          WasteReport           `json:"waste"`
 	Orders         OrderReport           `json:"orders"`
@@ -97,6 +105,7 @@
 		Scenario: r.scenario.Name, RunID: r.runID, Seed: r.scenario.Seed,
 		Duration:       r.scenario.Duration.Std().Seconds(),
 		Goodput:        float64(rec.useful) / r.scenario.Duration.Std().Seconds(),
+		WindowGoodput:  rec.delivered / rec.window.seconds(),
 		TokensReceived: rec.received,
 		Waste:          waste(before, after),
 		Violations:     rec.violations, Samples: rec.samples,
--- a/internal/experiment/runner.go
+++ b/internal/experiment/runner.go
@@ -43,6 +43,7 @@
 	defer r.http.CloseIdleConnections()
 	before := r.readWork(d)
 	started := time.Now()
+	r.record.begin(started)
 	sent := r.sendAll(ctx, started)
 	elapsed := time.Since(started)
 	after := r.readWork(d)
@@ -75,10 +76,10 @@
 		select {
 		case r.open <- struct{}{}:
 		default:
-			r.record.dropped(a.Class)
+			r.record.dropped(a)
 			continue
 		}
-		r.record.started(a.Class, time.Since(intended))
+		r.record.started(a, time.Since(intended))
 		r.requests.Go(func() {
 			defer func() { <-r.open }()
 			r.request(work, a, intended)
@@ -138,7 +139,7 @@
 	defer cancel()
 	c.body = chatBody(tag, class, a)
 	t := r.chat(ctx, c, tag, a)
-	r.record.tried(a.Class, tag, t)
+	r.record.tried(a, tag, t)
 	return t
 }
 
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/yuccabridge/yuccabridge/config"
@@ -22,6 +23,8 @@
 	Seed uint64 `yaml:"seed"`
 	// Duration is the time in which requests are sent.
 	Duration config.Duration `yaml:"duration" validate:"min=1"`
+	// Warmup is the time at the start whose requests are sent but not counted.
+	Warmup config.Duration `yaml:"warmup,omitempty" validate:"min=0"`
 	// Drain is the time after it in which answers are awaited. Zero: 30 s.
 	Drain config.Duration `yaml:"drain,omitempty" validate:"min=0"`
 	// Targets are the addresses of entry instances; requests alternate between them.
@@ -66,10 +69,21 @@
 	Resend Resend `yaml:"resend,omitempty"`
 }
 
-// Burst multiplies the rate by Factor during Length at the start of each Every.
+// TokenRate is the expected number of output tokens per second, outside bursts and with
+// no regard to the longest length.
+func (s *Scenario) TokenRate() float64 {
+	sum := 0.0
+	for _, c := range s.Classes {
+		sum += c.Rate * (1 - c.OrderShare) * c.Output.Median * math.Exp(c.Output.Sigma*c.Output.Sigma/2)
+	}
+	return sum
+}
+
+// Burst multiplies the rate by Factor during Length, from Offset on in each Every.
 type Burst struct {
 	Every  config.Duration `yaml:"every" validate:"min=1"`
 	Length config.Duration `yaml:"length" validate:"min=1"`
+	Offset config.Duration `yaml:"offset,omitempty" validate:"min=0"`
 	Factor float64         `yaml:"factor" validate:"gt=0"`
 }
 
