fleet: cut a failure domain off from the others and the platform

Cause: experiments need a partition, and a fleet had no way to make one. Change: an instance takes a network with a dial and a drop function; a fleet places its addresses in domains, refuses dials over the cut, drops datagrams and silences connections that cross it. Classes of one tier share a profile of the load, and the profile follows the tier: the second of four classes got the bulk lengths before.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -42,7 +42,7 @@
 			return err
 		},
 	}, in.random("configuration"))
-	c.platform = platform.New(platform.Options{Address: in.settings.Platform.Address})
+	c.platform = platform.New(platform.Options{Address: in.settings.Platform.Address, Dial: in.network.Dial})
 	return c
 }
 
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -39,6 +39,7 @@
 // Instance is one entry instance.
 type Instance struct {
 	settings   *settings.Settings
+	network    Network
 	log        *logrus.Logger
 	metrics    *metrics
 	started    time.Time
@@ -74,8 +75,14 @@
 // New opens the instance's sockets and reads its first configuration where it comes
 // from a file.
 func New(s *settings.Settings, log *logrus.Logger) (*Instance, error) {
+	return NewIn(Network{}, s, log)
+}
+
+// NewIn is New with a network of its own.
+func NewIn(n Network, s *settings.Settings, log *logrus.Logger) (*Instance, error) {
 	in := &Instance{
 		settings: s,
+		network:  n,
 		log:      log,
 		metrics:  newMetrics(),
 		started:  time.Now(),
@@ -125,7 +132,8 @@
 // OperationsAddress is the address that operators reach.
 func (in *Instance) OperationsAddress() string { return in.listeners.operations.Addr().String() }
 
-func (in *Instance) peerAddress() string {
+// PeerAddress is the TCP address that other instances reach.
+func (in *Instance) PeerAddress() string {
 	if in.peers == nil {
 		return ""
 	}
@@ -271,7 +279,7 @@
 		return err
 	})
 	in.log.WithFields(logrus.Fields{"event": "started", "instance": in.settings.Instance, "failure_domain": in.settings.FailureDomain,
-		"callers": in.CallersAddress(), "operations": in.OperationsAddress(), "peers": in.peerAddress(), "gossip": in.GossipAddress()}).Info("instance started")
+		"callers": in.CallersAddress(), "operations": in.OperationsAddress(), "peers": in.PeerAddress(), "gossip": in.GossipAddress()}).Info("instance started")
 	return group.Wait()
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -93,6 +93,7 @@
 		Listen:  netip.MustParseAddrPort(s.Address),
 		Keys:    g.keys,
 		Handler: peer.HandlerFunc(g.handle),
+		Dialer:  g.in.network.Dial,
 	}
 	if s.TLS != nil {
 		options.TLS = &peer.TLSFiles{Certificate: s.TLS.Certificate, Key: s.TLS.Key, CA: s.TLS.CA}
@@ -105,6 +106,7 @@
 		Codec:    peerwire.NewDatagrams(g.keys, g.self.Incarnation.Process),
 		Now:      g.in.now,
 		OnAction: g.observe,
+		Drop:     g.in.network.Drop,
 	})
 	if err != nil {
 		g.node.Close()
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -171,7 +171,7 @@
 	defer p.mu.Unlock()
 	c, ok := p.clients[address]
 	if !ok {
-		c = upstream.New(address, upstream.Options{})
+		c = upstream.New(address, upstream.Options{Dial: p.in.network.dialUpstream()})
 		p.clients[address] = c
 	}
 	return c
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,6 +62,7 @@
 	Services   []*emulator.Service
 
 	options Options
+	links   *links
 	folder  string
 	mu      sync.Mutex
 	members []*Member
@@ -84,7 +85,7 @@
 	if o.Log == nil {
 		o.Log = io.Discard
 	}
-	f := &Fleet{options: o}
+	f := &Fleet{options: o, links: newLinks()}
 	if err := f.start(); err != nil {
 		f.Close()
 		return nil, err
@@ -150,6 +151,7 @@
 	}
 	f.Engines = append(f.Engines, e)
 	u.Address = e.Addr()
+	f.links.place(u.Address, u.FailureDomain)
 	return nil
 }
 
@@ -160,6 +162,7 @@
 	}
 	f.Services = append(f.Services, s)
 	u.Address = s.Addr()
+	f.links.place(u.Address, u.FailureDomain)
 	return nil
 }
 
@@ -220,9 +223,11 @@
 	log.SetOutput(f.options.Log)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	var err error
-	if m.Instance, err = entry.New(s, log); err != nil {
+	if m.Instance, err = entry.NewIn(f.links.from(m.Domain), s, log); err != nil {
 		return err
 	}
+	f.links.place(m.Instance.GossipAddress(), m.Domain)
+	f.links.place(m.Instance.PeerAddress(), m.Domain)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	go func() { m.done <- m.Instance.Run(ctx) }()
--- a/internal/fleet/scenario.go
+++ b/internal/fleet/scenario.go
@@ -44,6 +44,25 @@
 	return meanFactor * (p.output.Median*secondsPerOutputToken + p.prompt.Median*secondsPerPromptToken)
 }
 
+// profileOf returns the profile of a tier: the first for the highest, the last for the
+// lowest, the second for those between. Classes of one tier share the load of a profile.
+func profileOf(classes []config.Class, tier int) profile {
+	p, sharing := profiles[1], 0.0
+	switch tier {
+	case classes[0].Tier:
+		p = profiles[0]
+	case classes[len(classes)-1].Tier:
+		p = profiles[2]
+	}
+	for _, c := range classes {
+		if c.Tier == tier {
+			sharing++
+		}
+	}
+	p.share /= sharing
+	return p
+}
+
 // Load describes the load of an experiment.
 type Load struct {
 	// Factor is the offered load over the engines' capacity.
@@ -54,6 +73,7 @@
 	// Burst multiplies the rate of the highest class at the start. Zero: no burst.
 	Burst       float64
 	BurstLength time.Duration
+	BurstOffset time.Duration
 	// OrderShare is the share of orders among the requests of the highest class.
 	OrderShare float64
 	// Resends is how often a caller tries again.
@@ -71,7 +91,7 @@
 		return nil, errors.New("the deployment needs a model and a ready instance")
 	}
 	for i, c := range classes {
-		p := profiles[min(i, len(profiles)-1)]
+		p := profileOf(classes, c.Tier)
 		engines := float64(len(d.Models[0].Upstreams))
 		load := experiment.ClassLoad{
 			Class: c.Name, Model: d.Models[0].Name, Rate: engines * l.Factor * p.share / p.engineSeconds(),
@@ -95,7 +115,7 @@
 
 func (f *Fleet) addBurstAndOrders(s *experiment.Scenario, load *experiment.ClassLoad, l Load) {
 	if l.Burst > 0 {
-		load.Burst = &experiment.Burst{Every: config.Duration(l.Duration), Length: config.Duration(l.BurstLength), Factor: l.Burst}
+		load.Burst = &experiment.Burst{Every: config.Duration(l.Duration), Length: config.Duration(l.BurstLength), Offset: config.Duration(l.BurstOffset), Factor: l.Burst}
 	}
 	for _, service := range f.Deployment.Services {
 		if l.OrderShare > 0 && len(service.NonIdempotent) > 0 {
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -5,6 +5,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"sync"
@@ -64,11 +65,14 @@
 	Address string
 	// Timeout bounds each call; a watch may take its wait longer. Zero: 2 s.
 	Timeout time.Duration
+	// Dial replaces the dialer, so that experiments can cut links.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
 	timeout time.Duration
+	dialer  func(ctx context.Context, network, address string) (net.Conn, error)
 	http    *fasthttp.HostClient
 
 	mu     sync.Mutex
@@ -81,7 +85,10 @@
 	if o.Timeout <= 0 {
 		o.Timeout = defaultTimeout
 	}
-	c := &Client{timeout: o.Timeout, conns: map[*trackedConn]struct{}{}}
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
+	c := &Client{timeout: o.Timeout, dialer: o.Dial, conns: map[*trackedConn]struct{}{}}
 	c.http = &fasthttp.HostClient{
 		Addr:                     o.Address,
 		Dial:                     c.dial,
@@ -188,7 +195,9 @@
 
 // dial tracks connections, because the HTTP client cannot interrupt a waiting call.
 func (c *Client) dial(addr string) (net.Conn, error) {
-	inner, err := net.DialTimeout("tcp", addr, c.timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	defer cancel()
+	inner, err := c.dialer(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
