--- a/cmd/yuccabridge/main_test.go
+++ b/cmd/yuccabridge/main_test.go
@@ -66,6 +66,11 @@
 		{[]string{"dance"}, 2, "unknown command"},
 		{[]string{"emulate"}, 2, "required flag"},
 		{[]string{"emulate", "--config", file, "--instance", "i1"}, 2, "--instance i1: "},
+		{[]string{"experiment", "--condition", "rain"}, 2, "--condition: rain: "},
+		{[]string{"experiment", "--policy", "none"}, 2, "--policy none: "},
+		{[]string{"experiment", "--load", "0"}, 2, "--load 0: "},
+		{[]string{"experiment", "--deployment", "other"}, 2, "--deployment other: "},
+		{[]string{"experiment", "--config", bad}, 2, bad + ": line 12: classes[0].tier: "},
 		{[]string{"load", "--config", file, "--scenario", other}, 2, other + ": line 42: classes[2].class: "},
 	}
 	for _, c := range cases {
