entry: bound each write to a caller, not the whole answer

Cause: the server library's write timeout runs from the start of an answer, so a stream of more than 30 s was cut although its caller read it. Change: the connection sets the limit anew for each write.

matrix: report the offered share and the engines' running and waiting requests.

--- a/cmd/yuccabridge/experiment.go
+++ b/cmd/yuccabridge/experiment.go
@@ -20,7 +20,7 @@
 	policies           []string
 	loads              []float64
 	seeds              []uint
-	json, plots        string
+	json, plots, log   string
 	options            matrix.Options
 }
 
@@ -45,6 +45,7 @@
 	flags.UintSliceVar(&f.seeds, "seed", []uint{1}, "seeds of arrivals and lengths")
 	flags.StringVar(&f.json, "json", "", "file for the result as JSON")
 	flags.StringVar(&f.plots, "plots", "", "folder for plots over load as SVG and PNG")
+	flags.StringVar(&f.log, "log", "", "file for the log of the entry instances")
 	flags.DurationVar(&f.options.Warmup, "warmup", 10*time.Second, "time before the measured window")
 	flags.DurationVar(&f.options.Window, "window", 30*time.Second, "measured time")
 	flags.DurationVar(&f.options.Drain, "drain", 20*time.Second, "time in which answers are awaited after the window")
@@ -60,6 +61,14 @@
 		return err
 	}
 	f.options.Progress = c.ErrOrStderr()
+	if f.log != "" {
+		log, err := os.Create(f.log)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		defer log.Close()
+		f.options.Log = log
+	}
 	result, err := matrix.Run(c.Context(), f.options)
 	if err != nil {
 		return err
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -23,7 +23,6 @@
 		Handler:                       in.handle,
 		ErrorHandler:                  in.handleProtocolError,
 		ReadTimeout:                   l.ReadTimeout.Std(),
-		WriteTimeout:                  l.WriteTimeout.Std(),
 		IdleTimeout:                   l.IdleTimeout.Std(),
 		MaxRequestBodySize:            l.MaxBodyBytes,
 		ReadBufferSize:                l.MaxHeaderBytes,
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -62,7 +62,7 @@
 	b.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s, err := settings.Parse([]byte("instance: entry-1\nfailure_domain: a\ncallers:\n  address: 127.0.0.1:0\noperations:\n  address: 127.0.0.2:0\nconfiguration_file: unused\nlimits:\n  max_body_bytes: 65536\n  read_timeout: 1s\n"))
+	s, err := settings.Parse([]byte("instance: entry-1\nfailure_domain: a\ncallers:\n  address: 127.0.0.1:0\noperations:\n  address: 127.0.0.2:0\nconfiguration_file: unused\nlimits:\n  max_body_bytes: 65536\n  read_timeout: 1s\n  write_timeout: 1s\n"))
 	if err != nil {
 		b.t.Fatal(err)
 	}
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -299,3 +299,15 @@
 		t.Errorf("the order ran %d times", n)
 	}
 }
+
+// The time limit of a write must not cut a stream whose caller reads: this answer takes
+// one and a half times the limit.
+func TestLongStreamOutlivesTheWriteTimeout(t *testing.T) {
+	b := newBench(t, 1, nil)
+	defer b.stop()
+	resp := b.post(chatPath, testKey, `{"model":"llm","stream":true,"messages":[{"role":"user","content":"x"}],"emulate":{"output_tokens":60}}`)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.HasSuffix(string(body), "data: [DONE]\n\n") || strings.Count(string(body), "data: ") != 62 {
+		t.Errorf("%d events, %v", strings.Count(string(body), "data: "), err)
+	}
+}
--- a/internal/entry/linger.go
+++ b/internal/entry/linger.go
@@ -17,7 +17,10 @@
 )
 
 // lingerListener accepts connections that can be closed without a reset.
-type lingerListener struct{ net.Listener }
+type lingerListener struct {
+	net.Listener
+	writeTimeout time.Duration
+}
 
 // Accept implements net.Listener.
 func (l lingerListener) Accept() (net.Conn, error) {
@@ -25,13 +28,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &lingerConn{Conn: c}, nil
+	return &lingerConn{Conn: c, writeTimeout: l.writeTimeout}, nil
 }
 
 // lingerConn reads the rest of a refused request before it closes.
 type lingerConn struct {
 	net.Conn
-	refused atomic.Bool
+	writeTimeout time.Duration
+	refused      atomic.Bool
 }
 
 // SyscallConn gives access to the socket for [upstream.PeerClosed].
@@ -39,6 +43,17 @@
 	return c.Conn.(syscall.Conn).SyscallConn()
 }
 
+// Write bounds each write on its own. The server library's time limit covers the whole
+// answer, and would cut a stream that takes longer although its caller reads.
+func (c *lingerConn) Write(b []byte) (int, error) {
+	if c.writeTimeout > 0 {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(b)
+}
+
 // Close implements net.Conn.
 func (c *lingerConn) Close() error {
 	if c.refused.Load() {
--- a/internal/matrix/cell.go
+++ b/internal/matrix/cell.go
@@ -33,6 +33,9 @@
 	Load      float64         `json:"load"`
 	Seed      uint64          `json:"seed"`
 	Classes   []Class         `json:"classes"`
+	// Offered is the output tokens of the window's requests over those that the capacity
+	// gives. It differs from the load by the chance of the draw, and in a burst.
+	Offered float64 `json:"offered_share"`
 	// Goodput and Throughput are in tokens/s within the window; the shares are of the capacity.
 	Goodput         float64 `json:"goodput_tokens_per_s"`
 	GoodputShare    float64 `json:"goodput_share"`
@@ -43,6 +46,10 @@
 	Violations map[string]int         `json:"violations"`
 	Orders     experiment.OrderReport `json:"orders"`
 	SendDelay  experiment.Quantiles   `json:"send_delay"`
+	// Running and Waiting are the mean numbers of requests that an engine runs and that
+	// wait at it within the window.
+	Running float64 `json:"engine_running"`
+	Waiting float64 `json:"engine_waiting"`
 	// Cores is the processor time of the whole process per second within the window.
 	Cores float64 `json:"cores"`
 	Valid bool    `json:"valid"`
@@ -93,7 +100,20 @@
 	if report.Partial {
 		return Cell{}, ctx.Err()
 	}
-	return newCell(p, report, <-window, capacity), nil
+	cell := newCell(p, report, <-window, capacity)
+	cell.Offered = share(offered(s), capacity*o.Window.Seconds())
+	return cell, nil
+}
+
+// offered sums the output tokens of the requests that count.
+func offered(s *experiment.Scenario) float64 {
+	sum := 0
+	for _, a := range experiment.Plan(s) {
+		if a.At >= s.Warmup.Std() && !a.Order {
+			sum += a.Output
+		}
+	}
+	return float64(sum)
 }
 
 // scenario makes the load, in proportion to the capacity where it is known.
@@ -145,22 +165,46 @@
 	seconds           float64
 	generated, wasted uint64
 	cores             float64
+	running, waiting  float64 // means over engines and samples
 }
 
 // observe reads the engines' counters at both ends of the window.
 func (o Options) observe(ctx context.Context, f *fleet.Fleet) usage {
 	sleep(ctx, o.Warmup)
 	started, before, cpu := time.Now(), counters(f), processorTime()
-	sleep(ctx, o.Window)
+	running, waiting := sampleLoads(ctx, f, o.Window)
 	seconds, after := time.Since(started).Seconds(), counters(f)
 	return usage{
 		seconds:   seconds,
 		generated: after.generated - before.generated,
 		wasted:    max(after.wasted, before.wasted) - before.wasted,
+		running:   running,
+		waiting:   waiting,
 		cores:     (processorTime() - cpu).Seconds() / seconds,
 	}
 }
 
+// sampleInterval is the time between two looks at the engines' batches.
+const sampleInterval = 250 * time.Millisecond
+
+// sampleLoads returns the mean running and waiting requests of an engine over d.
+func sampleLoads(ctx context.Context, f *fleet.Fleet, d time.Duration) (running, waiting float64) {
+	until, n := time.Now().Add(d), 0
+	for {
+		left := time.Until(until)
+		if left <= 0 || !sleep(ctx, min(left, sampleInterval)) {
+			break
+		}
+		for _, e := range f.Engines {
+			l := e.Load()
+			running += float64(l.Running)
+			waiting += float64(l.Waiting)
+			n++
+		}
+	}
+	return share(running, float64(n)), share(waiting, float64(n))
+}
+
 func counters(f *fleet.Fleet) usage {
 	var u usage
 	for _, e := range f.Engines {
@@ -194,7 +238,7 @@
 		Policy: p.policy, Condition: p.condition, Load: p.load, Seed: p.seed,
 		Goodput: r.WindowGoodput, GoodputShare: share(r.WindowGoodput, capacity),
 		Waste: share(float64(u.wasted), float64(u.generated)), Violations: map[string]int{},
-		Orders: r.Orders, SendDelay: r.SendDelay, Cores: u.cores,
+		Orders: r.Orders, SendDelay: r.SendDelay, Cores: u.cores, Running: u.running, Waiting: u.waiting,
 	}
 	c.Throughput = float64(u.generated) / u.seconds
 	c.ThroughputShare = share(c.Throughput, capacity)
@@ -224,8 +268,8 @@
 // line sums the cell up.
 func (c Cell) line() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-10s %-10s load %.1f seed %d  goodput %.0f (%.3f)  throughput %.3f  waste %.4f  violations %d  send p99 %.1f ms  cores %.1f",
-		c.Policy, c.Condition, c.Load, c.Seed, c.Goodput, c.GoodputShare, c.ThroughputShare, c.Waste, c.violationCount(), c.SendDelay.P99, c.Cores)
+	fmt.Fprintf(&b, "%-10s %-10s load %.1f seed %d offered %.3f  goodput %.0f (%.3f)  throughput %.3f  waste %.4f  violations %d  send p99 %.1f ms  cores %.1f  engine %.1f+%.1f",
+		c.Policy, c.Condition, c.Load, c.Seed, c.Offered, c.Goodput, c.GoodputShare, c.ThroughputShare, c.Waste, c.violationCount(), c.SendDelay.P99, c.Cores, c.Running, c.Waiting)
 	for _, k := range c.Classes {
 		fmt.Fprintf(&b, "  %s %.3f", k.Class, k.Attainment)
 	}
--- a/internal/matrix/report.go
+++ b/internal/matrix/report.go
@@ -36,10 +36,10 @@
 func (r *Result) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "deployment %s  objective %s  capacity %.0f tokens/s  warm-up %s  window %s\n\n", r.Deployment, r.Objective, r.Capacity, r.Warmup, r.Window)
-	fmt.Fprintln(t, "condition\tload\tseed\tpolicy\tgoodput tokens/s\tof capacity\tthroughput of capacity\twasted\tbroken promises\tsend delay p99 ms\tcores\tvalid")
+	fmt.Fprintln(t, "condition\tload\tseed\tpolicy\toffered\tgoodput tokens/s\tof capacity\tthroughput of capacity\twasted\tbroken promises\tengine running\twaiting\tsend delay p99 ms\tcores\tvalid")
 	for _, c := range r.Cells {
-		fmt.Fprintf(t, "%s\t%.1f\t%d\t%s\t%.0f\t%.3f\t%.3f\t%.2f%%\t%s\t%.1f\t%.1f\t%v\n", c.Condition, c.Load, c.Seed, c.Policy,
-			c.Goodput, c.GoodputShare, c.ThroughputShare, 100*c.Waste, counts(c.Violations), c.SendDelay.P99, c.Cores, c.Valid)
+		fmt.Fprintf(t, "%s\t%.1f\t%d\t%s\t%.3f\t%.0f\t%.3f\t%.3f\t%.2f%%\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%v\n", c.Condition, c.Load, c.Seed, c.Policy,
+			c.Offered, c.Goodput, c.GoodputShare, c.ThroughputShare, 100*c.Waste, counts(c.Violations), c.Running, c.Waiting, c.SendDelay.P99, c.Cores, c.Valid)
 	}
 	fmt.Fprintln(t, "\ncondition\tload\tseed\tpolicy\tclass\ttier\tintended\tattainment\tof unloaded\tfirst token met\tinterval met\tfirst token p50/p95/p99 ms\tinterval p50/p95/p99 ms\trefused\tunanswered")
 	for _, c := range r.Cells {
