--- a/cmd/yuccabridge/main.go
+++ b/cmd/yuccabridge/main.go
@@ -58,6 +58,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newConfig(), newEmulate(), newLoad(), newDemo(), newStatus())
+	root.AddCommand(newConfig(), newEmulate(), newLoad(), newDemo(), newStatus(), newExperiment())
 	return root
 }
