entry: do not claim "not run" for a ticket that cannot be verified

After the removal of a peers' key, or after the restart of an instance without peers, genuine tickets can no longer be verified. An order that had run under such a ticket and was sent again was answered ticket_invalid with run "not_run", so its caller would place it again with a new ticket.

The answer now says run "unknown". TestTicketOfAnEarlierProcess fails without the change. TestRefusals expects "unknown" for this code and "not_run" for all others. go test -race ./internal/entry ./cmd/yuccabridged ./internal/experiment passes.

--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -173,11 +173,15 @@
 	return nil
 }
 
-// parse reads a ticket and checks that the team is the one it was issued to.
+// parse reads a ticket and checks that the team is the one it was issued to. A ticket
+// that cannot be verified may be genuine: its key may have been removed, or it may come
+// from an earlier process of an instance without peers. An order may have run under it.
 func (d *orderDesk) parse(text string, t *team) (orders.Ticket, *apierror.Error) {
 	ticket, err := d.keys.ParseText(text)
 	if err != nil || ticket.Team != t.name {
-		return orders.Ticket{}, apierror.New(apierror.TicketInvalid, "the order ticket is not valid for this team; the order did not run")
+		e := apierror.New(apierror.TicketInvalid, "the order ticket is not valid for this team; whether an order ran under it is not known")
+		e.Run = apierror.Unknown
+		return orders.Ticket{}, e
 	}
 	return ticket, nil
 }
