capacity: add the program that measures slopes and fits lines

The page docs/CAPACITY.md needs slopes that can be measured again. The command 'yuccabridge capacity measure' writes points, 'capacity report' fits lines.

--- a/cmd/yuccabridge/main.go
+++ b/cmd/yuccabridge/main.go
@@ -57,6 +57,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newConfig(), newEmulate(), newLoad(), newDemo())
+	root.AddCommand(newConfig(), newEmulate(), newLoad(), newDemo(), newCapacity())
 	return root
 }
