--- a/internal/transport/peer/node_test.go
+++ b/internal/transport/peer/node_test.go
@@ -337,3 +337,15 @@
 		t.Errorf("a call of a closed node gave %v", err)
 	}
 }
+
+// Guards against connections to former peers that are kept for ever, and against a
+// limit of peers that refuses new ones although the old ones are not used.
+func TestUnusedPeerIsEvicted(t *testing.T) {
+	a, b, c := listen(t, "a", func(o *Options) { o.MaxPeers = 1 }), listen(t, "b", nil), listen(t, "c", nil)
+	for _, to := range []*Node{b, c, b, c} {
+		query(t, a, to, "x")
+	}
+	if s := a.Stats(); s.Dialed != 4 || len(a.links) != 1 {
+		t.Errorf("dialled %d times, %d links", s.Dialed, len(a.links))
+	}
+}
