Publish before the stranger joins in the test of mutual TLS

The test failed in one of six runs under the race detector: revision 2 never came to any daemon. A daemon with a foreign certificate but the right key for membership messages counts as a member, so it can become one of the two readers of its failure domain. When the other reader cannot reach the platform either, as the second daemon of the test, nobody watches the platform.

The last step depended on that choice. That an unauthenticated member or a reader without a platform keeps its place as reader is not changed here.

--- a/cmd/yuccabridged/tls_test.go
+++ b/cmd/yuccabridged/tls_test.go
@@ -155,6 +155,11 @@
 	g.waitReady(0, 1)
 	g.waitReady(1, 1)
 	g.waitRevision(1, 1)
+	// Published before the stranger starts: it counts as a member, and when it takes the
+	// place of a reader nobody here watches the platform.
+	g.publish()
+	g.waitRevision(0, 2)
+	g.waitRevision(1, 2)
 	if !chatOnce(t, g.daemons[1].fields["callers"]) {
 		t.Error("the daemon without a platform does not serve")
 	}
@@ -176,7 +181,4 @@
 	if err != nil || s.Ready || s.Revision != 0 {
 		t.Errorf("the stranger is ready: %v, revision %d, %v", s.Ready, s.Revision, err)
 	}
-	g.publish()
-	g.waitRevision(0, 2)
-	g.waitRevision(1, 2)
 }
