entry: keep an order the same order after a change of the class rules

The body now holds the X-Class header as sent, and the owner chooses the class. TestOrderResentAfterANewConfiguration fails without the change. go test -race ./internal/entry ./cmd/yuccabridged passes.

--- a/internal/entry/badinput_test.go
+++ b/internal/entry/badinput_test.go
@@ -336,3 +336,24 @@
 	}
 	expectError(t, sendRaw(t, later.CallersAddress(), order), 400, "ticket_invalid")
 }
+
+// An order that is sent again after the class rules have changed is the same order: it
+// must get the first answer and not "this one did not run".
+func TestOrderResentAfterANewConfiguration(t *testing.T) {
+	service := emulator.NewService("orders")
+	if err := service.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(service.Stop)
+	in, _ := startLogged(t, plainDeployment(service.Addr()))
+	b := &bench{t: t, in: in, service: service}
+	_, text := b.order("", `{"order":"shaft-5"}`)
+	_, _, ticket := errorOf(t, text)
+	_, first := b.order(ticket, `{"order":"shaft-5"}`)
+	next := plainDeployment(service.Addr())
+	next.ClassRules = []config.ClassRule{{PathPrefix: "/orders/", Class: "bulk"}}
+	in.apply(2, next)
+	if resp, again := b.order(ticket, `{"order":"shaft-5"}`); resp.StatusCode != http.StatusOK || again != first {
+		t.Errorf("got %d %s, want %s", resp.StatusCode, again, first)
+	}
+}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -11,7 +11,6 @@
 	"github.com/valyala/fasthttp"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/balancer"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
@@ -83,13 +82,14 @@
 }
 
 // orderRequest is an order as its owner needs it. All of it counts as the body, so a
-// ticket cannot be used for another path or team.
+// ticket cannot be used for another path or team. It holds only what the caller sends
+// and no result of the class rules: a resend after a new configuration must match.
 type orderRequest struct {
 	Service     string
 	Method      string
 	URI         string
 	ContentType string
-	Class       string
+	ClassHeader string
 	Team        string
 	Body        []byte
 }
@@ -104,7 +104,7 @@
 }
 
 // handleOrder runs a non-idempotent operation.
-func (in *Instance) handleOrder(ctx *fasthttp.RequestCtx, s serviceRoute, class *config.Class, t *team) *apierror.Error {
+func (in *Instance) handleOrder(ctx *fasthttp.RequestCtx, s serviceRoute, t *team) *apierror.Error {
 	header := string(ctx.Request.Header.Peek(headerTicket))
 	if header == "" {
 		e := apierror.New(apierror.TicketRequired, "send the order again with the ticket in "+headerTicket+"; it did not run")
@@ -124,7 +124,7 @@
 		Method:      string(ctx.Method()),
 		URI:         upstreamURI(ctx),
 		ContentType: string(ctx.Request.Header.ContentType()),
-		Class:       class.Name,
+		ClassHeader: string(ctx.Request.Header.Peek(headerClass)),
 		Team:        t.name,
 		Body:        ctx.PostBody(),
 	})
@@ -354,9 +354,13 @@
 	if routes == nil {
 		return nil, false
 	}
-	class, ok := routes.classes[o.Class]
 	s, found := routes.service(o.URI)
-	if !ok || !found || s.service.Name != o.Service {
+	if !found || s.service.Name != o.Service {
+		return nil, false
+	}
+	path, _, _ := strings.Cut(o.URI, "?")
+	class, apiErr := routes.classFor(o.ClassHeader, path, "", s.service.Class, &team{name: o.Team})
+	if apiErr != nil {
 		return nil, false
 	}
 	r := &request{
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -15,7 +15,7 @@
 		return apiErr
 	}
 	if s.nonIdempotent(string(ctx.Method()), string(ctx.Path())) {
-		return in.handleOrder(ctx, s, class, t)
+		return in.handleOrder(ctx, s, t)
 	}
 	r := in.newRequest(ctx, s.pool, class, t, requestIdentity(ctx))
 	defer r.cancel()
