entry: parse a configuration once, not twice

The machine validates a text by parsing it, and applying it parsed it again. The last valid deployment is now kept and used.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"sync"
@@ -31,6 +32,10 @@
 	addresses map[[16]byte]membership.Member
 	applying  sync.Mutex
 	applied   uint64
+
+	parsing    sync.Mutex
+	parsedText []byte // the text of parsed
+	parsed     *config.Deployment
 }
 
 func newConfiguration(in *Instance, self configsync.Peer) *configuration {
@@ -38,7 +43,7 @@
 	c.machine = configsync.New(configsync.Options{
 		Self: self,
 		Validate: func(text []byte) error {
-			_, err := config.Parse(text)
+			_, err := c.parse(text)
 			return err
 		},
 	}, in.random("configuration"))
@@ -46,6 +51,21 @@
 	return c
 }
 
+// parse parses a text unless it is the one that was parsed last. The machine validates
+// a text just before it is applied, and parsing is most of the work of a change.
+func (c *configuration) parse(text []byte) (*config.Deployment, error) {
+	c.parsing.Lock()
+	defer c.parsing.Unlock()
+	if c.parsed != nil && bytes.Equal(text, c.parsedText) {
+		return c.parsed, nil
+	}
+	d, err := config.Parse(text)
+	if err == nil {
+		c.parsed, c.parsedText = d, bytes.Clone(text)
+	}
+	return d, err
+}
+
 // run advances the machine until ctx ends.
 func (c *configuration) run(ctx context.Context) error {
 	c.carryOut(c.machine.SetMembers(c.in.now(), []configsync.Peer{c.self}))
@@ -86,7 +106,7 @@
 // apply puts an accepted revision in force. Revisions are accepted in rising order, but
 // may arrive here out of order from two goroutines.
 func (c *configuration) apply(a configsync.Accepted) {
-	d, err := config.Parse(a.Text)
+	d, err := c.parse(a.Text)
 	if err != nil {
 		panic(err) // the machine accepts only texts that parse
 	}
