--- a/config/config.go
+++ b/config/config.go
@@ -81,7 +81,9 @@
 	TokenIntervalTarget Duration `yaml:"token_interval_target,omitempty" validate:"min=0"`
 	// Deadline is the time from arrival after which a first token is of no use.
 	Deadline Duration `yaml:"deadline" validate:"min=1"`
-	// MaxWait is the time in the queue after which a request counts as aged. Zero: the deadline.
+	// MaxWait is the time in the queue after which a request counts as aged. Zero, or half
+	// of the class's limit or more: a quarter of the limit, which is the deadline, or with
+	// the objective attainment the first-token target.
 	MaxWait Duration `yaml:"max_wait,omitempty" validate:"min=0"`
 	// RetryRatio is the share of first tries that may be retried. Zero: 0.1.
 	RetryRatio float64 `yaml:"retry_ratio,omitempty" validate:"min=0,max=1"`
