--- a/cmd/yuccabridged/faults_test.go
+++ b/cmd/yuccabridged/faults_test.go
@@ -64,15 +64,55 @@
 
 // orderRun is what one caller knows at the end.
 type orderRun struct {
-	name   string
-	notRun []string // tickets that were answered with "not run"
-	done   bool
+	name    string
+	notRun  []string // tickets that were answered with "not run"
+	unknown int      // answers that left it open
+	done    bool
 }
 
 // Orders must run at most once, and tickets that were answered with "not run" never,
 // while instances are killed, frozen and replaced and callers resend through others.
 func TestOrdersUnderKillsAndFreezes(t *testing.T) {
 	g := newRegion(t, 4, 0)
+	rng := rand.New(rand.NewPCG(20261203, 2))
+	runs := g.underOrders(func(replace func(int)) {
+		for range 4 {
+			i := rng.IntN(len(g.daemons))
+			g.daemons[i].signal(syscall.SIGSTOP)
+			time.Sleep(time.Duration(200+rng.IntN(600)) * time.Millisecond)
+			g.daemons[i].signal(syscall.SIGCONT)
+			k := rng.IntN(len(g.daemons))
+			g.daemons[k].kill()
+			replace(k)
+		}
+	})
+	g.checkRuns(runs)
+}
+
+// Planned stops must leave no order unknown: the ledger of a stopped owner is handed
+// over, and its unused tickets are "not run".
+func TestOrdersDuringARollingRestart(t *testing.T) {
+	g := newRegion(t, 4, 0)
+	runs := g.underOrders(func(replace func(int)) {
+		for i := range g.daemons {
+			g.daemons[i].signal(syscall.SIGTERM)
+			if code := g.daemons[i].wait(); code != 0 {
+				t.Errorf("daemon %d: exit code %d", i, code)
+			}
+			replace(i)
+		}
+	})
+	g.checkRuns(runs)
+	for _, run := range runs {
+		if run.unknown > 0 || !run.done {
+			t.Errorf("order %s: answered %v, %d times unknown", run.name, run.done, run.unknown)
+		}
+	}
+}
+
+// underOrders sends orders while faults runs, and returns what the callers know. The
+// function that faults receives replaces a daemon that has ended.
+func (g *region) underOrders(faults func(replace func(int))) []orderRun {
 	stop := make(chan struct{})
 	var lock sync.RWMutex
 	var callers sync.WaitGroup
@@ -94,23 +134,16 @@
 			}
 		})
 	}
-	rng := rand.New(rand.NewPCG(20261203, 2))
-	for range 4 {
-		i := rng.IntN(len(g.daemons))
-		g.daemons[i].signal(syscall.SIGSTOP)
-		time.Sleep(time.Duration(200+rng.IntN(600)) * time.Millisecond)
-		g.daemons[i].signal(syscall.SIGCONT)
-		k := rng.IntN(len(g.daemons))
-		g.daemons[k].kill()
-		fresh := g.startDaemon(k)
+	faults(func(i int) {
+		fresh := g.startDaemon(i)
 		lock.Lock()
-		g.daemons[k] = fresh
+		g.daemons[i] = fresh
 		lock.Unlock()
-		g.waitReady(k, 1)
-	}
+		g.waitReady(i, 1)
+	})
 	close(stop)
 	callers.Wait()
-	g.checkRuns(runs)
+	return runs
 }
 
 // placeOrder sends one order with resends through random instances until it has an
@@ -133,6 +166,8 @@
 		case r.code == "order_not_run":
 			run.notRun = append(run.notRun, ticket)
 			ticket = r.ticket
+		case r.code == "order_unknown":
+			run.unknown++
 		}
 	}
 	return run
