Apply retry ratio and token interval target to running pools, count refused peers

The pools now take both with each configuration; an unchanged budget keeps what it has saved. Messages and connections that the peer protocols refuse were counted but not shown; they are metrics by reason now.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -105,6 +105,20 @@
 	b.rebuild(now)
 }
 
+// SetTokenIntervalTarget replaces the longest acceptable mean time between tokens.
+func (b *Balancer) SetTokenIntervalTarget(target time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.o.TokenIntervalTarget = target
+}
+
+// TokenIntervalTarget returns the longest acceptable mean time between tokens.
+func (b *Balancer) TokenIntervalTarget() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.o.TokenIntervalTarget
+}
+
 // Free returns the number of open slots in the subset: the picks that would succeed
 // now for requests that are neither isolated nor retries. It is 0 when the subset is
 // full.
--- a/internal/coordination/baseline/baseline.go
+++ b/internal/coordination/baseline/baseline.go
@@ -151,6 +151,9 @@
 	}
 }
 
+// SetTokenIntervalTarget ignores the target.
+func (b *RoundRobin) SetTokenIntervalTarget(time.Duration) {}
+
 // SetPeers ignores the peers.
 func (b *RoundRobin) SetPeers(time.Duration, []string) {}
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -59,6 +59,28 @@
 	return c
 }
 
+// watchPeers counts what the peer protocols refused. An unauthenticated, truncated,
+// oversized or replayed message changes nothing else.
+func (m *metrics) watchPeers(g *peerGroup) {
+	for reason, read := range map[string]func() uint64{
+		"datagram_unauthenticated": func() uint64 { return g.codec.Stats().Unauthenticated },
+		"datagram_truncated":       func() uint64 { return g.codec.Stats().Truncated },
+		"datagram_oversized":       func() uint64 { return g.codec.Stats().Oversized },
+		"datagram_malformed":       func() uint64 { return g.codec.Stats().Malformed },
+		"datagram_replayed":        func() uint64 { return g.codec.Stats().Replayed },
+		"frame_unauthenticated":    func() uint64 { return g.node.Stats().Unauthenticated },
+		"frame_oversized":          func() uint64 { return g.node.Stats().Oversized },
+		"frame_malformed":          func() uint64 { return g.node.Stats().Malformed },
+		"handshake_failed":         func() uint64 { return g.node.Stats().HandshakeFailures },
+		"key_files_unusable":       func() uint64 { return g.node.Stats().ReloadFailures },
+	} {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "peer_refused_total", Help: "Messages and connections of peers that were refused.",
+			ConstLabels: prometheus.Labels{"reason": reason},
+		}, func() float64 { return float64(read()) }))
+	}
+}
+
 // served records an answered request.
 func (m *metrics) served(r *request, interval time.Duration) {
 	m.requests.WithLabelValues(r.class.Name, r.team.name).Inc()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -57,7 +57,9 @@
 // serve admits the request, tries upstreams until one answers, and answers the
 // caller. A returned error has not been written yet.
 func (in *Instance) serve(ctx *fasthttp.RequestCtx, r *request, build func(balancer.Pick) upstream.Call) *apierror.Error {
-	r.pool.budget(r.class).First(in.now())
+	if b := r.pool.budget(r.class); b != nil {
+		b.First(in.now())
+	}
 	for {
 		switch in.quarantine.Check(in.now(), r.fingerprint) {
 		case quarantine.Refuse:
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -41,6 +41,7 @@
 	keys    *peerwire.KeyList
 	members *membership.Machine
 	gossip  *peer.Gossip
+	codec   *peerwire.Datagrams
 	node    *peer.Node
 
 	mu          sync.Mutex
@@ -81,6 +82,7 @@
 	if err := g.listen(s); err != nil {
 		return nil, err
 	}
+	in.metrics.watchPeers(g)
 	g.members = membership.New(membership.Options{Self: g.self, Seeds: seedAddresses(s.Seeds)}, g.in.random("membership"))
 	g.gossip.SetMachine(g.members)
 	return g, nil
@@ -103,8 +105,9 @@
 		return err
 	}
 	g.self.TCP = g.node.Addr()
+	g.codec = peerwire.NewDatagrams(g.keys, g.self.Incarnation.Process)
 	g.gossip, err = peer.ListenGossip(netip.MustParseAddrPort(s.Gossip), peer.GossipOptions{
-		Codec:    peerwire.NewDatagrams(g.keys, g.self.Incarnation.Process),
+		Codec:    g.codec,
 		Now:      g.in.now,
 		OnAction: g.observe,
 		Drop:     g.in.network.Drop,
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -32,6 +32,7 @@
 type chooser interface {
 	Update(now time.Duration, ups []balancer.Upstream)
 	SetPeers(now time.Duration, instances []string)
+	SetTokenIntervalTarget(target time.Duration)
 	Free(now time.Duration) int
 	Pick(now time.Duration, r balancer.Request) (balancer.Pick, bool)
 	Done(now time.Duration, p balancer.Pick, r balancer.Result)
@@ -62,7 +63,7 @@
 	mu       sync.Mutex
 	waiters  map[uint64]*waiter
 	clients  map[string]*upstream.Client
-	budgets  map[string]*retry.Budget
+	budgets  map[string]classBudget
 	services map[string]time.Duration // moving mean of the service time by class
 	loads    map[string]loadState     // by upstream name
 }
@@ -87,7 +88,7 @@
 		in:       in,
 		waiters:  map[uint64]*waiter{},
 		clients:  map[string]*upstream.Client{},
-		budgets:  map[string]*retry.Budget{},
+		budgets:  map[string]classBudget{},
 		services: map[string]time.Duration{},
 		loads:    map[string]loadState{},
 	}
@@ -147,7 +148,9 @@
 	for _, u := range ups {
 		list = append(list, balancer.Upstream{Name: u.Name, Address: u.Address, Domain: u.FailureDomain, Leaving: leaving[u.Name]})
 	}
+	p.bal.SetTokenIntervalTarget(strictestInterval(d, p.kind))
 	p.bal.Update(now, list)
+	p.setBudgets(d)
 	p.dropClients(ups)
 	p.pump()
 }
@@ -179,20 +182,38 @@
 	return c
 }
 
-// budget returns the retry budget of a class.
-func (p *pool) budget(c *config.Class) *retry.Budget {
+// classBudget is the retry budget of a class and the ratio that it was made for.
+type classBudget struct {
+	ratio  float64
+	budget *retry.Budget
+}
+
+// setBudgets gives each class its budget. A budget whose ratio is unchanged is kept
+// with what it has saved.
+func (p *pool) setBudgets(d *config.Deployment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b, ok := p.budgets[c.Name]
-	if !ok {
+	next := map[string]classBudget{}
+	for _, c := range d.Classes {
 		ratio := c.RetryRatio
 		if ratio == 0 {
 			ratio = defaultRetryRatio
 		}
-		b = retry.NewBudget(ratio, retryBurst)
-		p.budgets[c.Name] = b
+		b, ok := p.budgets[c.Name]
+		if !ok || b.ratio != ratio {
+			b = classBudget{ratio: ratio, budget: retry.NewBudget(ratio, retryBurst)}
+		}
+		next[c.Name] = b
 	}
-	return b
+	p.budgets = next
+}
+
+// budget returns the retry budget of a class; it is nil for a class that a new
+// configuration has removed since the request arrived.
+func (p *pool) budget(c *config.Class) *retry.Budget {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budgets[c.Name].budget
 }
 
 const (
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -82,7 +82,8 @@
 	if r.pool.in.settings.Policy == settings.Baseline {
 		return len(r.tried) < baselineTries
 	}
-	return r.pool.budget(r.class).Allow(r.pool.in.now())
+	b := r.pool.budget(r.class)
+	return b != nil && b.Allow(r.pool.in.now())
 }
 
 // baselineTries is how many upstreams the baseline policy tries, without a budget.
