balancer: keep headroom below the token interval, and heed reported queues

Cause: the limit grew until the mean token interval reached the target, at which half of the answers miss it, and until the mean first token was three times its baseline, which is a queue at the engine that high tiers wait in as well. Change: the mean may reach 0.85 of the target; with a reported queue the first token may exceed its baseline by half.

--- a/internal/coordination/balancer/limit.go
+++ b/internal/coordination/balancer/limit.go
@@ -23,6 +23,10 @@
 	// also the load that is tolerated. Whole service times vary more than intervals.
 	intervalFactor = 1.5
 	plainFactor    = 2
+	// intervalHeadroom is the share of the token interval's target up to which a window's
+	// mean may go. Single answers vary by a fifth around the mean, the short ones most, and
+	// nearly all of them must meet the target.
+	intervalHeadroom = 0.85
 	// firstTokenMaxExcess tolerates three times the baseline, because prompts differ in
 	// length and a prefix is cached or not.
 	firstTokenMaxExcess = 2
@@ -31,6 +35,9 @@
 	// it was learned behind a queue; a multiple alone would let that queue grow.
 	firstTokenWait      = 0.5
 	firstTokenMinExcess = 0.5
+	// queuedExcess tolerates half of the baseline more when the upstream reports a queue:
+	// then the excess is a wait, which hits requests of high tiers as well.
+	queuedExcess = 0.5
 	// latencySlack keeps differences of a few milliseconds from counting as overload.
 	latencySlack = 0.005
 
@@ -232,7 +239,7 @@
 
 // lateFirst reports whether the first token comes too late.
 func (l *limiter) lateFirst(first float64, plain bool, o *limitContext) bool {
-	if o.queued && first > firstTokenWait*max(0, float64(l.service)-first) {
+	if o.queued && (first > firstTokenWait*max(0, float64(l.service)-first) || first > l.firstBase*(1+queuedExcess)+latencySlack) {
 		return true
 	}
 	return first > l.firstBase+l.firstTolerance(plain)+latencySlack
@@ -241,7 +248,7 @@
 // slowTokens reports whether the token interval is too long.
 func (l *limiter) slowTokens(interval float64, o *limitContext) bool {
 	if target := o.intervalTarget; target > 0 {
-		return interval > target
+		return interval > target*intervalHeadroom
 	}
 	return interval > l.intervalBase*intervalFactor+latencySlack
 }
