scheduler: keep slots open for higher tiers, and admit by the target

Cause 1: with full slots a request of the top tier waits for the next end of a request in its own instance, 0.3 s on average with 40 slots, and then in the engine. At load 1.5 that made 6.7% of the first tokens of the top tier late. Change: a tier leaves a tenth of the slots open for each tier above it, two at most, that was dispatched lately. Cause 2: with the objective goodput, requests were admitted up to their deadline, which is five to seven times their target, and served late: no goodput. Change: behind a backlog, admission predicts against the target; what was admitted is kept until its deadline. The margin learns from missed targets.

--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -114,6 +114,19 @@
 	return b.free(b.advance(now))
 }
 
+// Room returns what Free returns, and the number of slots that the subset has in all.
+func (b *Balancer) Room(now time.Duration) (open, total int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now = b.advance(now)
+	for _, u := range b.subset {
+		if !u.eject.ejected && !u.straggle.cut {
+			total += u.capacity(now)
+		}
+	}
+	return b.free(now), total
+}
+
 // Pick reserves a slot at an upstream. It returns false when no upstream may take the
 // request now.
 func (b *Balancer) Pick(now time.Duration, r Request) (Pick, bool) {
--- a/internal/coordination/baseline/baseline.go
+++ b/internal/coordination/baseline/baseline.go
@@ -74,6 +74,9 @@
 // Reconfigure changes nothing: the queue knows no classes.
 func (q *Queue) Reconfigure(time.Duration, scheduler.Options) {}
 
+// SetRoom changes nothing.
+func (q *Queue) SetRoom(time.Duration, int, int) {}
+
 // Tick sheds nothing.
 func (q *Queue) Tick(time.Duration) []scheduler.Shed { return nil }
 
@@ -123,6 +126,14 @@
 	return free
 }
 
+// Room returns the open connections and all of them.
+func (b *RoundRobin) Room(now time.Duration) (open, total int) {
+	open = b.Free(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return open, ConnectionsPerUpstream * len(b.ups)
+}
+
 // Pick takes the next upstream with an open connection. Affinity, isolation and
 // upstreams already tried are ignored.
 func (b *RoundRobin) Pick(time.Duration, balancer.Request) (balancer.Pick, bool) {
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -8,7 +8,7 @@
 	if !waiting {
 		return nil
 	}
-	if best > s.lowestAllowed(now) {
+	if best > min(s.lowestAllowed(now), s.lowestWithRoom(now)) {
 		return s.chooseHeld(now)
 	}
 	head := s.queue.Head(best).Value
--- a/internal/coordination/scheduler/class.go
+++ b/internal/coordination/scheduler/class.go
@@ -13,6 +13,7 @@
 	request  Request
 	class    *class
 	limit    time.Duration // latest useful first token
+	goal     time.Duration // limit for admission behind a backlog, see doc.go
 	agedAt   time.Duration
 	forcedAt time.Duration // from then on the aged share is due, see doc.go
 	wait     time.Duration // predicted at arrival; 0 when unknown
@@ -86,6 +87,16 @@
 	return min(limit, r.Arrived+c.FirstTokenTarget)
 }
 
+// goalOf returns the time by which the first token of a request that finds a backlog must
+// be predicted: a late answer adds nothing to either objective, but takes a slot from one
+// that does.
+func (c *class) goalOf(r Request, limit time.Duration) time.Duration {
+	if c.FirstTokenTarget <= 0 || r.Retry {
+		return limit
+	}
+	return min(limit, r.Arrived+c.FirstTokenTarget)
+}
+
 // firstTokenTime returns the learned time from dispatch to the first token; 0 while unknown.
 func (c *class) firstTokenTime(now time.Duration) time.Duration {
 	ms, ok := c.firstToken.Median(now)
--- a/internal/coordination/scheduler/doc.go
+++ b/internal/coordination/scheduler/doc.go
@@ -28,6 +28,14 @@
 // aged request may run every AgedShare * g, where g is the learned time between
 // two dispatches.
 //
+// # Open slots
+//
+// A tier leaves a tenth of the slots open for each tier above it that was dispatched
+// lately, for two at most, so that a request of a higher tier need not wait for the next
+// end of a request. The caller tells the slots with SetRoom before Next. Subsets of fewer
+// than ten slots leave none open. While the rest is taken, one aged request may run every
+// AgedShare * g, as while a peer sheds a higher tier.
+//
 // # Admission
 //
 // The limit of a request is its deadline, or with Attainment the first-token
@@ -36,8 +44,12 @@
 //
 //	now + wait + first <= limit
 //
-// where first is the learned median time from dispatch to first token, and wait
-// is the lesser of two predictions. The first is for its turn:
+// With Goodput, the first-token target takes the limit's place in this rule when work of
+// its own tier or above is ahead of the request, and it is not a retry: an answer that
+// misses its target is no goodput, but takes a slot from one that meets it.
+// Once admitted, a request is kept until its deadline. Here first is the learned median
+// time from dispatch to first token, and wait is the lesser of two predictions. The first
+// is for its turn:
 //
 //	wait = margin * (work / (C * max(1 - 1/AgedShare - h, 1/AgedShare)) + turn)
 //
--- a/internal/coordination/scheduler/predict.go
+++ b/internal/coordination/scheduler/predict.go
@@ -130,7 +130,11 @@
 	}
 	latest := x.limit - x.class.firstTokenTime(now)
 	x.wait = s.turnWait(now, x.class, x.Team, x.Weight)
-	if now+x.wait <= latest {
+	onTime := x.goal - x.class.firstTokenTime(now)
+	if x.wait == 0 { // nothing of its tier or above is ahead
+		onTime = latest
+	}
+	if now+x.wait <= onTime {
 		return true
 	}
 	return s.agedTime(now, x) <= latest
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 	sinceAged   int                    // dispatches since the last one by the aged rule, at most agedShare-1
 	agedTurnAt  time.Duration          // last dispatch by the aged rule
 
+	open, total int // slots of the upstreams
+
 	lastDispatch time.Duration
 	backlogged   bool             // requests have waited since the last dispatch
 	turn         *estimate.Sketch // microseconds between two dispatches while requests wait
@@ -168,13 +170,13 @@
 	if cost, ok := x.class.serviceTime(now, x.Team, &s.service); ok {
 		rate.Add(now, cost)
 	}
-	s.learnMargin(now, x, false)
+	s.learnMargin(now, x, now+x.class.firstTokenTime(now) > x.goal)
 }
 
-// learnMargin records whether x, which was admitted by prediction, expired.
-func (s *Scheduler) learnMargin(now time.Duration, x *item, expired bool) {
+// learnMargin records whether x, which was admitted by prediction, fell short of it.
+func (s *Scheduler) learnMargin(now time.Duration, x *item, short bool) {
 	if _, known := s.weights[x.Team]; known && x.wait > 0 {
-		x.class.team(x.Team).margin.Add(now, expired)
+		x.class.team(x.Team).margin.Add(now, short)
 	}
 }
 
@@ -186,6 +188,7 @@
 		cost = defaultCost
 	}
 	x.limit = c.limitOf(r, s.objective)
+	x.goal = c.goalOf(r, x.limit)
 	x.agedAt = r.Arrived + c.agedAfter(s.objective)
 	x.forcedAt = r.Arrived + 2*c.agedAfter(s.objective)
 	x.Entry = fairqueue.Entry[*item]{
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -20,6 +20,7 @@
 type queue interface {
 	Reconfigure(now time.Duration, o scheduler.Options)
 	Enqueue(now time.Duration, r scheduler.Request) []scheduler.Shed
+	SetRoom(now time.Duration, open, total int)
 	Next(now time.Duration) (scheduler.Request, bool, []scheduler.Shed)
 	Tick(now time.Duration) []scheduler.Shed
 	Cancel(now time.Duration, id uint64) bool
@@ -32,7 +33,7 @@
 type chooser interface {
 	Update(now time.Duration, ups []balancer.Upstream)
 	SetPeers(now time.Duration, instances []string)
-	Free(now time.Duration) int
+	Room(now time.Duration) (open, total int)
 	Pick(now time.Duration, r balancer.Request) (balancer.Pick, bool)
 	Done(now time.Duration, p balancer.Pick, r balancer.Result)
 	ReportLoad(now time.Duration, upstream string, l balancer.LoadReport)
@@ -255,7 +256,12 @@
 		return // a later tick dispatches
 	}
 	var parked []scheduler.Request
-	for len(parked) < maxParked && p.bal.Free(now) > 0 {
+	for len(parked) < maxParked {
+		open, total := p.bal.Room(now)
+		if open == 0 {
+			break
+		}
+		p.sched.SetRoom(now, open, total)
 		r, ok, shed := p.sched.Next(now)
 		p.refuse(shed)
 		if !ok {
