experiment: show the finished cells of an interrupted run

Cause: a run takes many minutes, and an interrupt lost all of its cells. Change: the table, the JSON and the plots are written before the error is returned.

--- a/cmd/yuccabridge/experiment.go
+++ b/cmd/yuccabridge/experiment.go
@@ -70,9 +70,24 @@
 		f.options.Log = log
 	}
 	result, err := matrix.Run(c.Context(), f.options)
+	if result == nil {
+		return err
+	}
+	// An interrupted run still shows the cells that it finished.
+	if showErr := f.show(c, result); showErr != nil {
+		return showErr
+	}
 	if err != nil {
 		return err
 	}
+	if n := result.ViolationCount(); n > 0 {
+		return checkError{errors.Errorf("the router's policy broke %d promises", n)}
+	}
+	return nil
+}
+
+// show writes the result to all its places.
+func (f *experimentFlags) show(c *cobra.Command, result *matrix.Result) error {
 	if err := result.WriteTable(c.OutOrStdout()); err != nil {
 		return err
 	}
@@ -82,12 +97,7 @@
 		}
 	}
 	if f.plots != "" {
-		if err := result.WritePlots(f.plots); err != nil {
-			return err
-		}
-	}
-	if n := result.ViolationCount(); n > 0 {
-		return checkError{errors.Errorf("the router's policy broke %d promises", n)}
+		return result.WritePlots(f.plots)
 	}
 	return nil
 }
