--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -323,7 +323,7 @@
 	}
 	a.ended = true
 	cancelled := !a.stop()
-	reusable := complete && !cancelled && !a.Response.ConnectionClose() && a.Response.Header.ContentLength() != -2
+	reusable := complete && !cancelled && !a.Response.ConnectionClose() && a.Response.Header.ContentLength() != -2 && a.atEnd()
 	if !reusable {
 		a.conn.Close()
 		return
@@ -335,6 +335,26 @@
 	a.client.putIdle(a.conn)
 }
 
+// bodyEndWait bounds the wait for the end of a body whose last part has been read. The
+// upstream sends the end right behind it.
+const bodyEndWait = 20 * time.Millisecond
+
+// atEnd reads the end of the body. A caller stops at the last event of a stream, and the
+// end of the chunked body may arrive later: left in the connection, it would be read as
+// the beginning of the next answer.
+func (a *Answer) atEnd() bool {
+	stream := a.Response.BodyStream()
+	if stream == nil {
+		return true
+	}
+	if a.conn.SetReadDeadline(deadline(bodyEndWait)) != nil {
+		return false
+	}
+	var b [1]byte
+	n, err := stream.Read(b[:])
+	return n == 0 && err == io.EOF
+}
+
 type bodyReader struct {
 	answer   *Answer
 	liveness time.Duration
--- a/internal/transport/upstream/client_test.go
+++ b/internal/transport/upstream/client_test.go
@@ -348,3 +348,24 @@
 	}
 	<-ended
 }
+
+// A caller stops reading at the last event of a stream. The end of the body must be read
+// before the connection is reused, or the next request takes it for its own answer.
+func TestBodyEndIsReadBeforeReuse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+	for text, idle := range map[string]int{head + "0\r\n\r\n": 1, head: 0, head + "2\r\nno\r\n0\r\n\r\n": 0} {
+		address, _ := listen(t, func(_ int, c *accepted) { c.serve(text) })
+		c := newClient(t, address, Options{ReuseWindow: time.Hour})
+		a, err := c.Do(t.Context(), call(address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(a.Body(longWait), make([]byte, 2)); err != nil {
+			t.Fatal(err)
+		}
+		a.Release(true)
+		if n := c.idleCount(); n != idle {
+			t.Errorf("%d idle connections after %q, want %d", n, text, idle)
+		}
+	}
+}
