entry: do not answer "not run" after a request has crashed engines

Cause: the refusal of a request that crashed two engines skipped the adjustment for requests that an upstream may have begun. Change: the refusal passes the adjustment: the answer says "unknown".

--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -311,3 +311,22 @@
 		t.Errorf("%d events, %v", strings.Count(string(body), "data: "), err)
 	}
 }
+
+// A request that was refused after it had crashed two engines has run, so its caller
+// must not be told that it did not.
+func TestRefusalAfterCrashesIsNotNotRun(t *testing.T) {
+	b := newBench(t, 5, nil)
+	defer b.stop()
+	b.waitForLoads()
+	for _, e := range b.engines {
+		e.SetSwitches(emulator.EngineSwitches{CrashMarker: "poison"})
+	}
+	resp := b.post(chatPath, testKey, chatBody(true, 5, "poison"))
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if code, run, _ := errorOf(t, string(body)); code != "request_crashes_upstreams" || run != "unknown" {
+		t.Errorf("code %s, run %s", code, run)
+	}
+}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -61,7 +61,7 @@
 	for {
 		switch in.quarantine.Check(in.now(), r.fingerprint) {
 		case quarantine.Refuse:
-			return apierror.New(apierror.RequestCrashesUpstreams, "this request crashed two upstreams; it is refused for a while")
+			return r.finalError(apierror.New(apierror.RequestCrashesUpstreams, "this request crashed two upstreams; it is refused for a while"))
 		case quarantine.Suspect:
 			r.isolate = true
 		}
