Declare versions, adapters, roles and the weight store in the configuration

Placement needs the wanted state of engines. A model may name a version and adapters, an upstream a role, the deployment the weight store's limits (defaults 60 loads a minute, 16 at a time). concurrent_loads below the number of failure domains with managed engines is refused, because each domain keeps to its part without asking the others.

--- a/config/config.go
+++ b/config/config.go
@@ -65,6 +65,8 @@
 	Models []Model `yaml:"models,omitempty" validate:"dive"`
 	// Services are plain HTTP services that are passed through by path.
 	Services []Service `yaml:"services,omitempty" validate:"dive"`
+	// WeightStore bounds how fast engines may load weights. Absent: its defaults.
+	WeightStore *WeightStore `yaml:"weight_store,omitempty"`
 	// ClassRules choose the class of a request without an X-Class header. The first match wins.
 	ClassRules []ClassRule `yaml:"class_rules,omitempty" validate:"dive"`
 }
@@ -105,6 +107,11 @@
 	Name string `yaml:"name" validate:"required,name"`
 	// Class is used when neither the header nor a rule names one.
 	Class string `yaml:"class" validate:"required"`
+	// Version is the model version that the engines must hold. Empty: any.
+	Version string `yaml:"version,omitempty" validate:"omitempty,name"`
+	// Adapters are the adapters that the engines must hold; others are unloaded where the
+	// model is managed. Empty: none.
+	Adapters []string `yaml:"adapters,omitempty" validate:"unique,dive,name"`
 	// Upstreams are the engines.
 	Upstreams []Upstream `yaml:"upstreams" validate:"required,min=1,dive"`
 }
@@ -139,6 +146,9 @@
 	Address string `yaml:"address" validate:"required,ipport"`
 	// FailureDomain is the domain that the server stands in.
 	FailureDomain string `yaml:"failure_domain" validate:"required"`
+	// Role is the part of the work that a model engine does: "prefill", "decode" or
+	// "mixed". Empty: mixed.
+	Role Role `yaml:"role,omitempty" validate:"omitempty,oneof=prefill decode mixed"`
 }
 
 // ClassRule maps a request to a class. Empty fields match anything.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -66,6 +66,16 @@
 		{"unknown failure domain", func(d *Deployment) { d.Models[0].Upstreams[0].FailureDomain = "z" }, "models[0].upstreams[0].failure_domain"},
 		{"operation outside the prefix", func(d *Deployment) { d.Services[0].NonIdempotent[0].Path = "/x" }, "services[0].non_idempotent[0].path"},
 		{"reserved prefix", func(d *Deployment) { d.Services[0].PathPrefix = "/v1/x/"; d.Services[0].NonIdempotent = nil }, "services[0].path_prefix"},
+		{"adapter named twice", func(d *Deployment) { d.Models[0].Adapters = []string{"fr", "fr"} }, "models[0].adapters"},
+		{"version with a space", func(d *Deployment) { d.Models[0].Version = "v 1" }, "models[0].version"},
+		{"unknown role", func(d *Deployment) { d.Models[0].Upstreams[0].Role = "both" }, "models[0].upstreams[0].role"},
+		{"role of a plain service", func(d *Deployment) { d.Services[0].Upstreams[0].Role = Mixed }, "services[0].upstreams[0].role"},
+		{"negative rate", func(d *Deployment) { d.WeightStore = &WeightStore{LoadsPerMinute: -1} }, "weight_store.loads_per_minute"},
+		{"fewer concurrent loads than domains", func(d *Deployment) {
+			d.WeightStore = &WeightStore{ConcurrentLoads: 1}
+			d.Models[0].Version = "v1"
+			d.Models[0].Upstreams = append(d.Models[0].Upstreams, Upstream{Name: "llm-2", Address: "127.0.0.1:9002", FailureDomain: "b"})
+		}, "weight_store.concurrent_loads"},
 		{"rule with an unknown team", func(d *Deployment) { d.ClassRules[0].Team = "x" }, "class_rules[0].team"},
 	}
 	for _, c := range cases {
@@ -80,6 +90,29 @@
 	}
 }
 
+// The fields of the placement must survive printing, and their defaults must be those
+// that the doc comments state.
+func TestPlacementIsPrintedAndRead(t *testing.T) {
+	d := sample()
+	if w := d.WeightLimits(); d.Models[0].Managed() || w.LoadsPerMinute != 60 || w.ConcurrentLoads != 16 {
+		t.Errorf("managed %v, limits %+v without any field", d.Models[0].Managed(), w)
+	}
+	d.WeightStore = &WeightStore{LoadsPerMinute: 12}
+	d.Models[0].Version, d.Models[0].Adapters, d.Models[0].Upstreams[0].Role = "v1", []string{"fr"}, Decode
+	text, err := d.YAML()
+	if err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "placement", text)
+	back, err := Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m := back.Models[0]; !m.Managed() || m.Version != "v1" || m.Upstreams[0].Role != Decode || back.WeightLimits().LoadsPerMinute != 12 {
+		t.Errorf("read back %+v and %+v", m, back.WeightLimits())
+	}
+}
+
 // Typing errors in the text must not be passed over silently.
 func TestParseIsStrict(t *testing.T) {
 	text, err := sample().YAML()
--- a/config/validate.go
+++ b/config/validate.go
@@ -48,6 +48,7 @@
 	c.teams()
 	c.upstreams()
 	c.rules()
+	c.placement()
 	return c.err
 }
 
