Let the engine stand-in take control commands

GET /placement reports version, adapters, role, load in progress, fence and incarnation; POST /placement with X-Fence replaces the placement. Switches: ignore_fence, load_time, restart_empty. Without them an engine comes up with the configured placement.

--- a/internal/emulator/chat.go
+++ b/internal/emulator/chat.go
@@ -93,6 +93,8 @@
 		writeJSON(ctx, fasthttp.StatusOK, e.Load())
 	case strings.HasPrefix(path, PathStreams) && ctx.IsGet():
 		e.resumeStream(ctx, strings.TrimPrefix(path, PathStreams))
+	case path == PathPlacement:
+		e.servePlacement(ctx)
 	case path == PathExecutions:
 		writeJSON(ctx, fasthttp.StatusOK, e.Executions())
 	case path == PathControl:
--- a/internal/emulator/doc.go
+++ b/internal/emulator/doc.go
@@ -8,5 +8,8 @@
 // token depends only on the request's identifier and the token's index, so that a
 // checker can verify each answer without a copy of it.
 //
+// The engine takes control commands at /placement: a command with a fencing number
+// replaces its version, adapters and role. It serves requests while it loads.
+//
 // Switches are set through methods or by POST to /control on the same port.
 package emulator
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -30,6 +31,8 @@
 	Seed uint64
 	// RecentStreams bounds the streams that can be resumed. Zero: 1,024.
 	RecentStreams int
+	// Placement is what the engine holds when it starts. An empty role is "mixed".
+	Placement Placement
 }
 
 // EngineCounters count an engine's work since its creation, over all incarnations.
@@ -50,6 +53,11 @@
 	PromptTokens  uint64 `json:"prompt_tokens"`
 	CachedTokens  uint64 `json:"cached_tokens"`
 	MaxConcurrent int    `json:"max_concurrent"`
+	// PlacementCommands counts executed commands, PlacementRefused those with an old
+	// fencing number, WeightLoads the weight sets read from the weight store.
+	PlacementCommands uint64 `json:"placement_commands"`
+	PlacementRefused  uint64 `json:"placement_refused"`
+	WeightLoads       uint64 `json:"weight_loads"`
 }
 
 // Engine is a stand-in for a model engine. It is safe for concurrent use.
@@ -72,6 +80,7 @@
 	switches    EngineSwitches
 	counters    EngineCounters
 	loads       loadHistory
+	placement   placementState
 	runs        map[string]int // starts by the request's echo
 }
 
@@ -79,6 +88,7 @@
 func NewEngine(o EngineOptions) *Engine {
 	o.Model, o.Lengths = o.Model.withDefaults(), o.Lengths.withDefaults()
 	setDefault(&o.RecentStreams, defaultRecentStreams)
+	o.Placement.Role = cmp.Or(o.Placement.Role, roleMixed)
 	e := &Engine{
 		options: o, started: time.Now(),
 		wake: make(chan struct{}, 1), quit: make(chan struct{}),
@@ -88,6 +98,7 @@
 		switches: EngineSwitches{Straggle: 1},
 		runs:     map[string]int{},
 	}
+	e.placement.held = o.Placement
 	e.server.handler = e.handle
 	return e
 }
@@ -106,6 +117,7 @@
 	e.mu.Lock()
 	e.incarnation++
 	e.down = false
+	e.restartPlacement()
 	e.loads.record(e.now(), LoadReport{Incarnation: e.incarnationName()})
 	e.mu.Unlock()
 	return e.server.start(addr)
--- a/internal/emulator/engine_control.go
+++ b/internal/emulator/engine_control.go
@@ -19,6 +19,13 @@
 	WrongIDEvery int `json:"wrong_id_every"`
 	// NoResume refuses to resume streams.
 	NoResume bool `json:"no_resume"`
+	// IgnoreFence executes control commands whatever their fencing number.
+	IgnoreFence bool `json:"ignore_fence"`
+	// LoadTime is the time to load one weight set. Zero: none.
+	LoadTime Duration `json:"load_time"`
+	// RestartEmpty brings the engine up with nothing loaded and fence 0 after a crash.
+	// Otherwise it comes up with what it held.
+	RestartEmpty bool `json:"restart_empty"`
 }
 
 // Switches returns the lasting faults.
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -45,7 +45,8 @@
 func (f *Fleet) start(d *config.Deployment, o FleetOptions) error {
 	for _, m := range d.Models {
 		for _, u := range m.Upstreams {
-			e := NewEngine(EngineOptions{Name: u.Name, Model: o.Model, Lengths: o.Lengths, Seed: o.Seed ^ nameSeed(u.Name)})
+			e := NewEngine(EngineOptions{Name: u.Name, Model: o.Model, Lengths: o.Lengths, Seed: o.Seed ^ nameSeed(u.Name),
+				Placement: Placement{Version: m.Version, Adapters: m.Adapters, Role: string(u.Role)}})
 			if err := e.Start(u.Address); err != nil {
 				return errors.Wrap(err, u.Name)
 			}
