--- a/internal/coordination/placement/doc.go
+++ b/internal/coordination/placement/doc.go
@@ -12,7 +12,7 @@
 // send the same idempotent command.
 //
 // Comparison. A command leaves only in answer to the engine's own report, which must be
-// younger than [maxReportAge]. An engine that already has the wanted placement, is
+// younger than [MaxReportAge]. An engine that already has the wanted placement, is
 // loading, or reports a fence above the revision gets none. While the caller's view is
 // not fresh, nothing leaves and all reports are forgotten.
 //
@@ -25,13 +25,13 @@
 //
 // Weight store. Each failure domain with managed engines has an equal part of the rate
 // and of the concurrent loads, whatever its instances know of other domains; each giver
-// has an equal part of that, counted over the live givers of its own domain. A giver
-// spaces its loads evenly and starts after one such space. With d domains and g givers
-// in each, any minute has at most d * g * ceil(rate / (d * g)) loads, which is the rate
-// when d * g divides it and below rate + d * g otherwise, plus for each giver the weight
-// sets of one command beyond the first. A giver that is replaced within a minute adds
-// its part once more. While views of a domain differ, each instance that counts itself
-// as a giver adds its part, computed from the givers that it sees.
+// has an equal part of that, counted over the live givers of its own domain and rounded
+// down. A giver spaces its loads evenly and starts after one such space. While views of
+// the domain agree and no giver is replaced, any minute has at most the rate, or one load
+// for each domain where the rate is lower than their number, plus the weight sets of one
+// command beyond its first for each giver. A giver that is replaced adds its part once
+// more in that minute, and its part of the concurrent loads until they end. An instance
+// that wrongly counts itself as a giver adds at most the part of its domain.
 //
 // A long campaign of the property tests:
 //
--- a/internal/coordination/placement/machine.go
+++ b/internal/coordination/placement/machine.go
@@ -16,9 +16,9 @@
 	settledInterval = 5 * time.Second
 	// queryTimeout is the time after which a query without an answer is repeated.
 	queryTimeout = 3 * time.Second
-	// maxReportAge bounds the time from the query to the command that its answer
+	// MaxReportAge bounds the time from the query to the command that its answer
 	// leads to. It equals the lease of the membership view.
-	maxReportAge = 2 * time.Second
+	MaxReportAge = 2 * time.Second
 	// commandTimeout is the time after which a command without an outcome has failed.
 	commandTimeout = 10 * time.Second
 	// unreachableAfter is the time without an answer after which an engine is passed
@@ -142,7 +142,7 @@
 	givers := Givers(m.plan, m.self.Domain, m.members)
 	m.givers = len(givers)
 	was := m.giver
-	m.giver = slices.Contains(givers, m.self)
+	m.giver = slices.Contains(givers, m.self) && slices.ContainsFunc(m.plan.Engines, func(e Engine) bool { return e.Domain == m.self.Domain })
 	if m.giver && !was {
 		m.nextAt = max(m.nextAt, now+m.jittered(m.space()))
 	}
@@ -287,7 +287,7 @@
 		e.attempts, e.retryAt, e.nextQuery = 0, 0, now+settledInterval
 	}
 	var out []Action
-	if e.own && now-e.askedAt <= maxReportAge && m.mayCommand(now, e) {
+	if e.own && now-e.askedAt <= MaxReportAge && m.mayCommand(now, e) {
 		out = append(out, m.give(now, e))
 	}
 	return append(out, m.statuses(now)...)
@@ -356,11 +356,12 @@
 	return busy
 }
 
-// ownLoads counts the engines of this giver that are loading or may be.
+// ownLoads counts the engines of this giver that are loading or may be: a command without
+// a later report counts as a load.
 func (m *Machine) ownLoads(now time.Duration) int {
 	n := 0
 	for _, e := range m.engines {
-		if e.own && !m.isUnreachable(now, e) && (!e.known || e.report.Loading || e.command != 0 || e.sentAt > e.reportedAt) {
+		if e.own && !m.isUnreachable(now, e) && (!e.known || e.report.Loading || e.command != 0 || e.attempts > 0 && e.sentAt >= e.reportedAt) {
 			n++
 		}
 	}
--- a/internal/coordination/placement/types.go
+++ b/internal/coordination/placement/types.go
@@ -18,10 +18,10 @@
 // Placement is what an engine holds or is to hold.
 type Placement struct {
 	// Version is the model's version. Empty in a wanted placement: any.
-	Version string
+	Version string `json:"version"`
 	// Adapters are sorted by name.
-	Adapters []string
-	Role     Role
+	Adapters []string `json:"adapters"`
+	Role     Role     `json:"role"`
 }
 
 // Satisfies reports whether an engine that holds p needs no command to hold wanted.
@@ -123,6 +123,9 @@
 	return [...]string{"unknown", "settled", "waiting", "commanded", "loading", "superseded", "unreachable"}[s]
 }
 
+// MarshalText writes the status by its name.
+func (s Status) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
 // Action is what the caller has to do.
 type Action interface{ action() }
 
@@ -157,14 +160,14 @@
 
 // EngineState is a row of [Machine.Snapshot].
 type EngineState struct {
-	Engine   string
-	Model    string
-	Status   Status
-	Wanted   Placement
-	Reported Placement
-	Fence    uint64
+	Engine   string    `json:"engine"`
+	Model    string    `json:"model"`
+	Status   Status    `json:"status"`
+	Wanted   Placement `json:"wanted"`
+	Reported Placement `json:"reported"`
+	Fence    uint64    `json:"fence"`
 	// Attempts is the number of commands since the engine last had its wanted placement.
-	Attempts int
+	Attempts int `json:"attempts"`
 	// Age is the age of the report.
-	Age time.Duration
+	Age time.Duration `json:"age_ns"`
 }
