Hold the weight store's limits by value

A pointer printed as an address-like value in the difference of two configurations. The golden files stay as they are; tests of config and of the command-line tool pass.

--- a/config/config.go
+++ b/config/config.go
@@ -66,7 +66,7 @@
 	// Services are plain HTTP services that are passed through by path.
 	Services []Service `yaml:"services,omitempty" validate:"dive"`
 	// WeightStore bounds how fast engines may load weights. Absent: its defaults.
-	WeightStore *WeightStore `yaml:"weight_store,omitempty"`
+	WeightStore WeightStore `yaml:"weight_store,omitempty"`
 	// ClassRules choose the class of a request without an X-Class header. The first match wins.
 	ClassRules []ClassRule `yaml:"class_rules,omitempty" validate:"dive"`
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -70,9 +70,9 @@
 		{"version with a space", func(d *Deployment) { d.Models[0].Version = "v 1" }, "models[0].version"},
 		{"unknown role", func(d *Deployment) { d.Models[0].Upstreams[0].Role = "both" }, "models[0].upstreams[0].role"},
 		{"role of a plain service", func(d *Deployment) { d.Services[0].Upstreams[0].Role = Mixed }, "services[0].upstreams[0].role"},
-		{"negative rate", func(d *Deployment) { d.WeightStore = &WeightStore{LoadsPerMinute: -1} }, "weight_store.loads_per_minute"},
+		{"negative rate", func(d *Deployment) { d.WeightStore = WeightStore{LoadsPerMinute: -1} }, "weight_store.loads_per_minute"},
 		{"fewer concurrent loads than domains", func(d *Deployment) {
-			d.WeightStore = &WeightStore{ConcurrentLoads: 1}
+			d.WeightStore = WeightStore{ConcurrentLoads: 1}
 			d.Models[0].Version = "v1"
 			d.Models[0].Upstreams = append(d.Models[0].Upstreams, Upstream{Name: "llm-2", Address: "127.0.0.1:9002", FailureDomain: "b"})
 		}, "weight_store.concurrent_loads"},
@@ -97,7 +97,7 @@
 	if w := d.WeightLimits(); d.Models[0].Managed() || w.LoadsPerMinute != 60 || w.ConcurrentLoads != 16 {
 		t.Errorf("managed %v, limits %+v without any field", d.Models[0].Managed(), w)
 	}
-	d.WeightStore = &WeightStore{LoadsPerMinute: 12}
+	d.WeightStore = WeightStore{LoadsPerMinute: 12}
 	d.Models[0].Version, d.Models[0].Adapters, d.Models[0].Upstreams[0].Role = "v1", []string{"fr"}, Decode
 	text, err := d.YAML()
 	if err != nil {
--- a/config/placement.go
+++ b/config/placement.go
@@ -37,13 +37,9 @@
 
 // WeightLimits returns the weight store's limits with the defaults.
 func (d *Deployment) WeightLimits() WeightStore {
-	var w WeightStore
-	if d.WeightStore != nil {
-		w = *d.WeightStore
-	}
 	return WeightStore{
-		LoadsPerMinute:  cmp.Or(w.LoadsPerMinute, DefaultLoadsPerMinute),
-		ConcurrentLoads: cmp.Or(w.ConcurrentLoads, DefaultConcurrentLoads),
+		LoadsPerMinute:  cmp.Or(d.WeightStore.LoadsPerMinute, DefaultLoadsPerMinute),
+		ConcurrentLoads: cmp.Or(d.WeightStore.ConcurrentLoads, DefaultConcurrentLoads),
 	}
 }
 
