--- a/internal/coordination/placement/machine_test.go
+++ b/internal/coordination/placement/machine_test.go
@@ -117,7 +117,7 @@
 }
 
 // Guards against a second load between the acceptance of a command and the first report
-// that shows its load. A wrong version of the count failed with rapid seed 28518 only.
+// that shows its load. The generated tests found it in a long campaign (rapid seed 28518).
 func TestAcceptedCommandCountsAsLoad(t *testing.T) {
 	for seed := range uint64(20) {
 		s := newSim(seed)
