--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -62,7 +62,7 @@
 	b.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s, err := settings.Parse([]byte("instance: entry-1\nfailure_domain: a\ncallers:\n  address: 127.0.0.1:0\noperations:\n  address: 127.0.0.2:0\nconfiguration_file: unused\nlimits:\n  max_body_bytes: 65536\n  read_timeout: 1s\n"))
+	s, err := settings.Parse([]byte("instance: entry-1\nfailure_domain: a\ncallers:\n  address: 127.0.0.1:0\noperations:\n  address: 127.0.0.2:0\nconfiguration_file: unused\nlimits:\n  max_body_bytes: 65536\n  read_timeout: 1s\n  write_timeout: 1s\n"))
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -208,3 +208,14 @@
 		t.Errorf("%d bad requests reached the engine", n)
 	}
 }
+
+// The write timeout bounds one write, not a whole stream: streams that lasted longer than
+// it used to be cut off without an error event.
+func TestStreamOutlivesTheWriteTimeout(t *testing.T) {
+	b := newBench(t, 1, nil)
+	const tokens = 100 // 2.5 s; the write timeout of the bench is 1 s
+	resp := b.post("/v1/chat/completions", testKey, chatBody(true, tokens, "long"))
+	if got, done := readStream(t, resp, "long"); got != tokens || !done {
+		t.Errorf("got %d of %d tokens, end %t", got, tokens, done)
+	}
+}
