--- a/internal/capacity/load.go
+++ b/internal/capacity/load.go
@@ -17,11 +17,11 @@
 
 // load is a closed loop of callers that each send one request after the other.
 type load struct {
-	Target   string `json:"target"`
-	Callers  int    `json:"callers"`
-	Requests int    `json:"requests"` // of each caller
-	Tokens   int    `json:"tokens"`   // of each answer
-	Teams    int    `json:"teams"`    // the callers use the keys of these teams in turn
+	Targets  []string `json:"targets"` // the callers use them in turn
+	Callers  int      `json:"callers"`
+	Requests int      `json:"requests"` // of each caller
+	Tokens   int      `json:"tokens"`   // of each answer
+	Teams    int      `json:"teams"`    // the callers use the keys of these teams in turn
 	// FirstTeam is the team of the first caller.
 	FirstTeam int  `json:"first_team"`
 	Whole     bool `json:"whole"` // answers are not streamed
@@ -93,7 +93,7 @@
 // caller sends the requests of one connection.
 func (r *runningLoad) caller(ctx context.Context, i int) error {
 	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", r.load.Target)
+	c, err := d.DialContext(ctx, "tcp", r.load.Targets[i%len(r.load.Targets)])
 	if err != nil {
 		return err
 	}
--- a/internal/capacity/measure_instance.go
+++ b/internal/capacity/measure_instance.go
@@ -45,7 +45,7 @@
 	for _, teams := range []int{10, 100, 600, 2400} {
 		s := shape{upstreams: measuredEngines, teams: teams, models: 1}
 		err := r.withInstance(ctx, time.Millisecond, s, settings.Standard, func(second *standIn, in *runningInstance) error {
-			l := load{Target: in.CallersAddress(), Callers: 10, Requests: 1, Tokens: 1}
+			l := load{Targets: []string{in.CallersAddress()}, Callers: 10, Requests: 1, Tokens: 1}
 			for first := 0; first < teams; first += l.Callers {
 				l.Teams, l.FirstTeam = teams, first
 				answer, err := second.do(command{Op: opLoad, Load: l})
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // Report derives all tables from the points.
@@ -12,6 +14,7 @@
 		{"assumptions", assumptions()},
 		{"instance", budgetTable(m.control(), true)},
 		{"peak", m.peak()},
+		{"latency", m.latency()},
 		{"reader", budgetTable(m.reader(), false)},
 		{"platform", m.platform()},
 		{"engine", m.engine()},
@@ -121,6 +124,31 @@
 	})
 }
 
+// latency compares the router with a direct call, point by point.
+func (m *model) latency() string {
+	var rows [][]string
+	direct, _ := m.points.Get("latency.direct_p50")
+	for i, p := range direct.Points {
+		row := []string{number(p.Size)}
+		for _, q := range []string{"p50", "p99"} {
+			d, r := m.value("latency.direct_"+q, i), m.value("latency.router_"+q, i)
+			row = append(row, number(d), number(r), number(r-d), number(r/d))
+		}
+		rows = append(rows, row)
+	}
+	return markdown([]string{"callers", "direct p50, µs", "router p50, µs", "added", "ratio", "direct p99, µs", "router p99, µs", "added", "ratio"}, rows)
+}
+
+// value is a point of a series as it was measured.
+func (m *model) value(series string, i int) float64 {
+	s, ok := m.points.Get(series)
+	if !ok || i >= len(s.Points) {
+		m.err = errors.Errorf("series %q has not been measured", series)
+		return 0
+	}
+	return s.Points[i].Value
+}
+
 // platform is the load of all readers on the platform's service.
 func (m *model) platform() string {
 	readers := float64(targetDomains * readersPerDomain)
@@ -187,6 +215,9 @@
 		row("parse of one change", func(_, servers, _ float64) string {
 			return number(m.text("parse", servers, targetTeams)/1e6) + " ms"
 		}),
+		row("allocated by one parse, not in the memory above", func(_, servers, _ float64) string {
+			return number(m.text("allocated", servers, targetTeams)/1e6) + " MB"
+		}),
 		row("core for all changes", func(_, servers, _ float64) string {
 			return number(100*changeRate*m.text("parse", servers, targetTeams)/1e9) + "%"
 		}),
