--- a/cmd/yuccabridge/main_test.go
+++ b/cmd/yuccabridge/main_test.go
@@ -65,6 +65,8 @@
 		{[]string{"config", "check"}, 2, "accepts 1 arg"},
 		{[]string{"dance"}, 2, "unknown command"},
 		{[]string{"emulate"}, 2, "required flag"},
+		{[]string{"capacity", "measure", "nothing"}, 2, "there is no measurement"},
+		{[]string{"capacity", "report"}, 0, ""},
 		{[]string{"emulate", "--config", file, "--instance", "i1"}, 2, "--instance i1: "},
 		{[]string{"experiment", "--condition", "rain"}, 2, "--condition: rain: "},
 		{[]string{"experiment", "--policy", "none"}, 2, "--policy none: "},
--- a/internal/capacity/load.go
+++ b/internal/capacity/load.go
@@ -17,11 +17,11 @@
 
 // load is a closed loop of callers that each send one request after the other.
 type load struct {
-	Target   string `json:"target"`
-	Callers  int    `json:"callers"`
-	Requests int    `json:"requests"` // of each caller
-	Tokens   int    `json:"tokens"`   // of each answer
-	Teams    int    `json:"teams"`    // the callers use the keys of these teams in turn
+	Targets  []string `json:"targets"` // the callers use them in turn
+	Callers  int      `json:"callers"`
+	Requests int      `json:"requests"` // of each caller
+	Tokens   int      `json:"tokens"`   // of each answer
+	Teams    int      `json:"teams"`    // the callers use the keys of these teams in turn
 	// FirstTeam is the team of the first caller.
 	FirstTeam int  `json:"first_team"`
 	Whole     bool `json:"whole"` // answers are not streamed
@@ -31,8 +31,8 @@
 type loadResult struct {
 	Requests int64         `json:"requests"`
 	Failed   int64         `json:"failed"`
-	Tokens   int64         `json:"tokens"`
-	P50      time.Duration `json:"p50"` // to the first event
+	Events   int64         `json:"events"` // one for each token and one that ends the answer
+	P50      time.Duration `json:"p50"`    // to the first event
 	P99      time.Duration `json:"p99"`
 	Error    string        `json:"error,omitempty"` // one of the failures
 }
@@ -40,7 +40,7 @@
 type runningLoad struct {
 	load   load
 	group  sync.WaitGroup
-	tokens atomic.Int64
+	events atomic.Int64
 	done   atomic.Int64
 	failed atomic.Int64
 	opened atomic.Int64
@@ -72,7 +72,7 @@
 	r.group.Wait()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return loadResult{Requests: r.done.Load(), Failed: r.failed.Load(), Tokens: r.tokens.Load(), Error: r.failure,
+	return loadResult{Requests: r.done.Load(), Failed: r.failed.Load(), Events: r.events.Load(), Error: r.failure,
 		P50: time.Duration(r.first.ValueAtQuantile(50)) * time.Microsecond, P99: time.Duration(r.first.ValueAtQuantile(99)) * time.Microsecond}
 }
 
@@ -93,7 +93,7 @@
 // caller sends the requests of one connection.
 func (r *runningLoad) caller(ctx context.Context, i int) error {
 	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", r.load.Target)
+	c, err := d.DialContext(ctx, "tcp", r.load.Targets[i%len(r.load.Targets)])
 	if err != nil {
 		return err
 	}
@@ -148,7 +148,7 @@
 			if events++; events == 1 {
 				r.observe(sent)
 			}
-			r.tokens.Add(1)
+			r.events.Add(1)
 		}
 	}
 }
