--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -59,13 +59,13 @@
 	Deployment *config.Deployment
 	Platform   *emulator.Platform
 	Engines    []*emulator.Engine // in the order of the models' upstreams
-	Services   []*emulator.Service
 
-	options Options
-	links   *links
-	folder  string
-	mu      sync.Mutex
-	members []*Member
+	options  Options
+	standIns *emulator.Fleet
+	links    *links
+	folder   string
+	mu       sync.Mutex
+	members  []*Member
 }
 
 // Member is one entry instance of a fleet.
@@ -108,26 +108,27 @@
 	return f.waitReady()
 }
 
-// startStandIns starts the platform and a stand-in for each upstream.
+// startStandIns starts a stand-in for each upstream and the platform.
 func (f *Fleet) startStandIns() error {
 	d, err := copyDeployment(f.options.Deployment)
 	if err != nil {
 		return err
 	}
 	f.Deployment = d
-	for i := range d.Models {
-		for j := range d.Models[i].Upstreams {
-			if err := f.startEngine(&d.Models[i].Upstreams[j]); err != nil {
-				return err
-			}
-		}
+	upstreams := allUpstreams(d)
+	for _, u := range upstreams {
+		u.Address = "127.0.0.1:0"
 	}
-	for i := range d.Services {
-		for j := range d.Services[i].Upstreams {
-			if err := f.startService(&d.Services[i].Upstreams[j]); err != nil {
-				return err
-			}
+	if f.standIns, err = emulator.StartFleet(d, emulator.FleetOptions{Model: f.options.Model, Seed: f.options.Seed}); err != nil {
+		return errors.Wrap(err, "start stand-ins")
+	}
+	for _, u := range upstreams {
+		if e, ok := f.standIns.Engines[u.Name]; ok {
+			f.Engines = append(f.Engines, e)
+			u.Address = e.Addr()
+			continue
 		}
+		u.Address = f.standIns.Services[u.Name].Addr()
 	}
 	f.Platform = emulator.NewPlatform(emulator.PlatformOptions{})
 	if err := f.Platform.Start("127.0.0.1:0"); err != nil {
@@ -136,6 +137,22 @@
 	return f.Publish()
 }
 
+// allUpstreams returns the engines and then the servers of the plain services.
+func allUpstreams(d *config.Deployment) []*config.Upstream {
+	var list []*config.Upstream
+	for i := range d.Models {
+		for j := range d.Models[i].Upstreams {
+			list = append(list, &d.Models[i].Upstreams[j])
+		}
+	}
+	for i := range d.Services {
+		for j := range d.Services[i].Upstreams {
+			list = append(list, &d.Services[i].Upstreams[j])
+		}
+	}
+	return list
+}
+
 func copyDeployment(d *config.Deployment) (*config.Deployment, error) {
 	text, err := d.YAML()
 	if err != nil {
@@ -144,28 +161,6 @@
 	return config.Parse(text)
 }
 
-func (f *Fleet) startEngine(u *config.Upstream) error {
-	e := emulator.NewEngine(emulator.EngineOptions{Name: u.Name, Model: f.options.Model, Seed: f.options.Seed + uint64(len(f.Engines))})
-	if err := e.Start("127.0.0.1:0"); err != nil {
-		return errors.Wrap(err, "start engine")
-	}
-	f.Engines = append(f.Engines, e)
-	u.Address = e.Addr()
-	f.links.place(u.Address, u.FailureDomain)
-	return nil
-}
-
-func (f *Fleet) startService(u *config.Upstream) error {
-	s := emulator.NewService(u.Name)
-	if err := s.Start("127.0.0.1:0"); err != nil {
-		return errors.Wrap(err, "start service")
-	}
-	f.Services = append(f.Services, s)
-	u.Address = s.Addr()
-	f.links.place(u.Address, u.FailureDomain)
-	return nil
-}
-
 // Publish publishes the deployment at the platform.
 func (f *Fleet) Publish() error {
 	text, err := f.Deployment.YAML()
@@ -306,11 +301,8 @@
 		group.Go(func() error { return <-f.Stop(m) })
 	}
 	err := group.Wait()
-	for _, e := range f.Engines {
-		e.Stop()
-	}
-	for _, s := range f.Services {
-		s.Stop()
+	if f.standIns != nil {
+		f.standIns.Stop()
 	}
 	if f.Platform != nil {
 		f.Platform.Stop()
