capacity: count one announcement to every other domain

An accepted revision is announced to one member of each of up to four other domains; the table of the link between two domains counted half of that. The size is now named, and marked as an estimate.

--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -193,11 +193,14 @@
 	bytes := (m.at("membership.bytes_over_domains", regionDomains) - m.at("membership.bytes_over_domains", 1)) / other
 	polls := 0.5 / peerPollInterval / other
 	pollBytes := m.at("configsync.idle_bytes", regionServers) / 2 / other
-	announced := changeRate / 2
+	// The size of an announcement, a number and a hash with its confirmation, is an
+	// estimate. Each accepted change is announced to one member of every other domain.
+	const announcementBytes = 250
+	announced := changeRate
 	return markdown([]string{"traffic in one direction", "working", "messages/s", "kB/s"}, [][]string{
 		{"failure detector", fmt.Sprintf("%d members × %s/s", instancesPerDomain, number(messages)), number(instancesPerDomain * messages), number(instancesPerDomain * bytes / 1e3)},
 		{"questions for revisions", fmt.Sprintf("%d members × %s/s", instancesPerDomain, number(polls)), number(instancesPerDomain * polls), number(instancesPerDomain * pollBytes / 1e3)},
-		{"announcements", fmt.Sprintf("%d members × %s changes/s × 1/2", instancesPerDomain, number(changeRate)), number(instancesPerDomain * announced), number(instancesPerDomain * announced * 250 / 1e3)},
+		{"announcements", fmt.Sprintf("%d members × %s changes/s, 250 B estimated", instancesPerDomain, number(changeRate)), number(instancesPerDomain * announced), number(instancesPerDomain * announced * announcementBytes / 1e3)},
 		{"suspicions", "average of a day", number(suspicionRate() * instancesPerDomain / regionDomains), number(suspicionRate() * instancesPerDomain / regionDomains * m.at("peers.suspicions_bytes", 5) / 1e3)},
 		{"spilled requests and orders", string(NotMeasured), "?", "?"},
 	})
