entry: bound writes to callers in one place

The connection's bound covers both; the relay's is removed. The connection type now has the name of what it is.

--- a/internal/entry/linger.go
+++ b/internal/entry/callerconn.go
@@ -16,36 +16,37 @@
 	lingerBytes = 8 << 20
 )
 
-// lingerListener accepts connections that can be closed without a reset.
-type lingerListener struct {
+// callerListener accepts callers' connections.
+type callerListener struct {
 	net.Listener
 	writeTimeout time.Duration
 }
 
 // Accept implements net.Listener.
-func (l lingerListener) Accept() (net.Conn, error) {
+func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &lingerConn{Conn: c, writeTimeout: l.writeTimeout}, nil
+	return &callerConn{Conn: c, writeTimeout: l.writeTimeout}, nil
 }
 
-// lingerConn reads the rest of a refused request before it closes.
-type lingerConn struct {
+// callerConn bounds each write on its own, and reads the rest of a refused request before
+// it closes.
+type callerConn struct {
 	net.Conn
 	writeTimeout time.Duration
 	refused      atomic.Bool
 }
 
 // SyscallConn gives access to the socket for [upstream.PeerClosed].
-func (c *lingerConn) SyscallConn() (syscall.RawConn, error) {
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
 }
 
 // Write bounds each write on its own. The server library's time limit covers the whole
 // answer, and would cut a stream that takes longer although its caller reads.
-func (c *lingerConn) Write(b []byte) (int, error) {
+func (c *callerConn) Write(b []byte) (int, error) {
 	if c.writeTimeout > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 			return 0, err
@@ -55,14 +56,14 @@
 }
 
 // Close implements net.Conn.
-func (c *lingerConn) Close() error {
+func (c *callerConn) Close() error {
 	if c.refused.Load() {
 		c.drain()
 	}
 	return c.Conn.Close()
 }
 
-func (c *lingerConn) drain() {
+func (c *callerConn) drain() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() != nil {
 		return
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -49,7 +49,7 @@
 	in.metrics.refused.WithLabelValues(string(e.Code)).Inc()
 	writeError(ctx, e)
 	ctx.SetConnectionClose()
-	if c, ok := ctx.Conn().(*lingerConn); ok {
+	if c, ok := ctx.Conn().(*callerConn); ok {
 		c.refused.Store(true)
 	}
 }
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	in.listeners.callers = lingerListener{Listener: callers, writeTimeout: in.settings.Limits.WriteTimeout.Std()}
+	in.listeners.callers = callerListener{Listener: callers, writeTimeout: in.settings.Limits.WriteTimeout.Std()}
 	if in.listeners.operations, err = net.Listen("tcp", in.settings.Operations.Address); err != nil {
 		in.listeners.callers.Close()
 		return errors.Wrap(err, "listen for operations")
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"sync"
 	"time"
 
@@ -28,8 +27,7 @@
 // startStream reads the first event, so that a failure before it can still be
 // retried, and hands the rest to a reader that the server drains.
 func (a *attempt) startStream(ctx *fasthttp.RequestCtx) error {
-	limits := a.r.pool.in.settings.Limits
-	s := &stream{a: a, liveness: limits.Liveness.Std(), caller: ctx.Conn(), writeTimeout: limits.WriteTimeout.Std()}
+	s := &stream{a: a, liveness: a.r.pool.in.settings.Limits.Liveness.Std()}
 	s.open()
 	first, err := s.next()
 	if err != nil {
@@ -53,9 +51,6 @@
 	pending  []byte
 	complete bool
 	once     sync.Once
-
-	caller       net.Conn
-	writeTimeout time.Duration
 }
 
 func (s *stream) open() {
@@ -75,11 +70,6 @@
 			s.complete = true
 		}
 		s.pending = append(s.pending[:0], raw...)
-		// The server sets one deadline for the whole answer, which would cut off every
-		// stream that lasts longer than one write may take.
-		if s.caller.SetWriteDeadline(time.Now().Add(s.writeTimeout)) != nil {
-			return 0, net.ErrClosed
-		}
 	}
 	n := copy(p, s.pending)
 	s.pending = s.pending[n:]
