Let an instance without peers use all upstreams in full

A small site with one instance could use only a quarter of the limit of the upstreams in other failure domains, although no other instance was there to keep the rest for. It now takes all upstreams as its own.

--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -147,7 +147,7 @@
 	p.sched.Reconfigure(now, schedulerOptions(d, p.in.settings.Limits.QueueLimit))
 	list := make([]balancer.Upstream, 0, len(ups))
 	for _, u := range ups {
-		list = append(list, balancer.Upstream{Name: u.Name, Address: u.Address, Domain: u.FailureDomain, Leaving: leaving[u.Name]})
+		list = append(list, balancer.Upstream{Name: u.Name, Address: u.Address, Domain: p.domainOf(u), Leaving: leaving[u.Name]})
 	}
 	p.bal.SetTokenIntervalTarget(strictestInterval(d, p.kind))
 	p.bal.Update(now, list)
@@ -156,6 +156,16 @@
 	p.pump()
 }
 
+// domainOf returns the failure domain of an upstream as the balancer sees it. An
+// instance that works alone serves all domains: there is no other instance for which
+// three quarters of a domain's upstreams would be kept.
+func (p *pool) domainOf(u config.Upstream) string {
+	if p.in.peers == nil {
+		return p.in.settings.FailureDomain
+	}
+	return u.FailureDomain
+}
+
 // dropClients closes the idle connections to upstreams that are no longer declared.
 func (p *pool) dropClients(ups []config.Upstream) {
 	keep := map[string]bool{}
