scheduler: put late requests behind the others of their tier with goodput

Cause: with the objective goodput, requests that had missed their first-token target in the queue were dispatched before requests of the same tier that could still meet theirs (docs/measurements.md, nilegate at load 3). Change: such a request is deferred once, behind all of its tier that are on time. It still comes before every lower tier and is kept until its deadline. Proof: TestLateRequestsGoBehindOthersOfTheirTier fails without it (goodput: 1 2 3 4 5, want 3 4 1 2 5); the state machine test of the queue defers heads and passes 3,000 cases, that of the scheduler 5,000.

--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -11,7 +11,7 @@
 	if best > min(s.lowestAllowed(now), s.lowestWithRoom(now)) {
 		return s.chooseHeld(now)
 	}
-	head := s.queue.Head(best).Value
+	head := s.headOf(now, best)
 	if s.passed != nil && s.passed.Tier == best {
 		head = s.passed
 	}
@@ -28,6 +28,24 @@
 	return head
 }
 
+// headOf returns the request of a tier whose turn it is. With Goodput, a request that
+// can no longer meet its first-token target adds nothing to goodput: it is put behind
+// those of its tier that can, once.
+func (s *Scheduler) headOf(now time.Duration, tier int) *item {
+	head := s.queue.Head(tier)
+	for s.objective == Goodput && !head.Retry && !head.Deferred() && s.missesGoal(now, head.Value) {
+		s.queue.Defer(head)
+		head = s.queue.Head(tier)
+	}
+	return head.Value
+}
+
+// missesGoal reports whether x would get its first token after its target if it were
+// dispatched now.
+func (s *Scheduler) missesGoal(now time.Duration, x *item) bool {
+	return now+x.class.firstTokenTime(now) > x.goal
+}
+
 // chooseAged returns the request that takes an aged dispatch now, or nil.
 func (s *Scheduler) chooseAged(now time.Duration, best int) *item {
 	if s.sinceAged < s.agedShare-1 || s.aged.Len() == 0 {
--- a/internal/coordination/scheduler/doc.go
+++ b/internal/coordination/scheduler/doc.go
@@ -47,7 +47,8 @@
 // With Goodput, the first-token target takes the limit's place in this rule when work of
 // its own tier or above is ahead of the request, and it is not a retry: an answer that
 // misses its target is no goodput, but takes a slot from one that meets it.
-// Once admitted, a request is kept until its deadline. Here first is the learned median
+// Once admitted, a request is kept until its deadline; when it can no longer meet its
+// target, it is put behind the requests of its tier that can. Here first is the learned median
 // time from dispatch to first token, and wait is the lesser of two predictions. The first
 // is for its turn:
 //
--- a/internal/state/fairqueue/doc.go
+++ b/internal/state/fairqueue/doc.go
@@ -14,7 +14,9 @@
 //	| cost(a)/weight(a) - cost(b)/weight(b) | <= max cost/weight(a) + max cost/weight(b)
 //
 // Within a team retries go first, in the order of arrival, then new requests in
-// the order in which they were pushed.
+// the order in which they were pushed. A deferred request comes after all requests of
+// its tier that are not deferred; the bound above holds between teams that both have
+// others.
 //
 // # Limit, reserve and victim
 //
--- a/internal/state/fairqueue/queue.go
+++ b/internal/state/fairqueue/queue.go
@@ -29,6 +29,7 @@
 	flow     *flow[T]
 	place    place
 	fresh    *list.Element // in the flow's list of new requests
+	late     *list.Element // in the flow's list of deferred requests
 	open     *list.Element // in the tier's list of requests outside the reserve
 	retryPos int
 }
@@ -123,6 +124,22 @@
 	return t.turns.Min().head()
 }
 
+// Defer puts e behind all entries of its tier that are not deferred. Among deferred
+// entries the teams take turns as before. Retries are not deferred.
+func (q *Queue[T]) Defer(e *Entry[T]) {
+	if e.Retry || e.late != nil {
+		return
+	}
+	f := e.flow
+	f.fresh.Remove(e.fresh)
+	e.fresh = nil
+	e.late = f.late.PushBack(e)
+	q.find(e.Tier).settle(f)
+}
+
+// Deferred reports whether e is deferred.
+func (e *Entry[T]) Deferred() bool { return e.late != nil }
+
 // Take removes e and charges its cost to its team. An entry other than the
 // head may be taken out of turn.
 func (q *Queue[T]) Take(e *Entry[T]) {
--- a/internal/state/fairqueue/tier.go
+++ b/internal/state/fairqueue/tier.go
@@ -10,7 +10,8 @@
 	since   uint64  // sequence of the activation, breaks ties between equal tags
 	retries *Heap[*Entry[T]]
 	fresh   list.List
-	open    int // entries outside the reserve
+	late    list.List // deferred entries, served when the tier has no others
+	open    int       // entries outside the reserve
 
 	turnPos, burstPos, idlePos int
 }
@@ -27,7 +28,10 @@
 	}
 }
 
-func (f *flow[T]) length() int { return f.retries.Len() + f.fresh.Len() }
+func (f *flow[T]) length() int { return f.retries.Len() + f.fresh.Len() + f.late.Len() }
+
+// onlyLate reports whether all entries are deferred.
+func (f *flow[T]) onlyLate() bool { return f.retries.Len()+f.fresh.Len() == 0 }
 
 func (f *flow[T]) add(e *Entry[T]) {
 	if e.Retry {
@@ -38,9 +42,13 @@
 }
 
 func (f *flow[T]) drop(e *Entry[T]) {
-	if e.Retry {
+	switch {
+	case e.Retry:
 		f.retries.Remove(e.retryPos)
-	} else {
+	case e.late != nil:
+		f.late.Remove(e.late)
+		e.late = nil
+	default:
 		f.fresh.Remove(e.fresh)
 		e.fresh = nil
 	}
@@ -50,16 +58,28 @@
 	if f.retries.Len() > 0 {
 		return f.retries.Min()
 	}
-	return f.fresh.Front().Value.(*Entry[T])
+	if f.fresh.Len() > 0 {
+		return f.fresh.Front().Value.(*Entry[T])
+	}
+	return f.late.Front().Value.(*Entry[T])
 }
 
 // newest returns the newest entry outside the reserve; there must be one.
 func (f *flow[T]) newest() *Entry[T] {
-	x := f.fresh.Back()
-	for x.Value.(*Entry[T]).place != placeOpen {
-		x = x.Prev() // a protected entry
+	if e := lastOpen[T](&f.fresh); e != nil {
+		return e
 	}
-	return x.Value.(*Entry[T])
+	return lastOpen[T](&f.late)
+}
+
+// lastOpen returns the last entry of a list outside the reserve, or nil.
+func lastOpen[T any](l *list.List) *Entry[T] {
+	for x := l.Back(); x != nil; x = x.Prev() {
+		if e := x.Value.(*Entry[T]); e.place == placeOpen {
+			return e
+		}
+	}
+	return nil
 }
 
 // tier shares its service between flows.
@@ -71,18 +91,24 @@
 	now               float64 // virtual time
 	flows             map[string]*flow[T]
 	open              list.List       // entries outside the reserve, oldest first
-	turns             *Heap[*flow[T]] // flows with entries, by tag
+	turns             *Heap[*flow[T]] // flows with entries, by tag, those with deferred ones only last
 	bursts            *Heap[*flow[T]] // flows with entries outside the reserve, most per weight first
 	idle              *Heap[*flow[T]] // flows without entries whose tag is ahead of now, by tag
 }
 
 func newTier[T any](number, reserve int) *tier[T] {
-	byTag := func(a, b *flow[T]) bool {
+	byDebt := func(a, b *flow[T]) bool {
 		if a.tag != b.tag {
 			return a.tag < b.tag
 		}
 		return a.since < b.since
 	}
+	byTag := func(a, b *flow[T]) bool {
+		if x, y := a.onlyLate(), b.onlyLate(); x != y {
+			return y
+		}
+		return byDebt(a, b)
+	}
 	byBurst := func(a, b *flow[T]) bool {
 		if x, y := a.open*b.weight, b.open*a.weight; x != y {
 			return x > y
@@ -93,7 +119,7 @@
 		number: number, reserve: reserve, flows: map[string]*flow[T]{},
 		turns:  NewHeap(byTag, func(f *flow[T], i int) { f.turnPos = i }),
 		bursts: NewHeap(byBurst, func(f *flow[T], i int) { f.burstPos = i }),
-		idle:   NewHeap(byTag, func(f *flow[T], i int) { f.idlePos = i }),
+		idle:   NewHeap(byDebt, func(f *flow[T], i int) { f.idlePos = i }),
 	}
 }
 
