Fix the seeds of generated tests in one place

Seeds and counts are unchanged, and the tests of these packages pass. The skips in state machines have their reason beside them: rapid draws another action, no test is skipped.

--- a/internal/coordination/balancer/machine_test.go
+++ b/internal/coordination/balancer/machine_test.go
@@ -1,30 +1,19 @@
 package balancer
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"reflect"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// TestMain fixes the seed and count of the generated tests unless flags set them.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 1, Checks: 300}) }
 
 // held is an outstanding pick in the oracle.
 type held struct {
@@ -152,7 +141,7 @@
 
 func (m *machine) Done(t *rapid.T) {
 	if len(m.held) == 0 {
-		t.Skip("nothing in flight")
+		t.Skip("nothing in flight") // rapid draws another action
 	}
 	i := rapid.IntRange(0, len(m.held)-1).Draw(t, "which")
 	r := Result{
@@ -189,7 +178,7 @@
 
 func (m *machine) DoneAgain(t *rapid.T) {
 	if len(m.used) == 0 {
-		t.Skip("nothing released")
+		t.Skip("nothing released") // rapid draws another action
 	}
 	before := m.b.Snapshot(m.now)
 	m.b.Done(m.now, rapid.SampledFrom(m.used).Draw(t, "token"), Result{Status: Crashed})
--- a/internal/coordination/orders/orders_test.go
+++ b/internal/coordination/orders/orders_test.go
@@ -1,31 +1,18 @@
 package orders
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// TestMain fixes seed, count and steps of the model tests unless flags say otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{
-		"rapid.seed": "20260301", "rapid.checks": "2000", "rapid.steps": "150", "rapid.nofailfile": "true",
-	} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 20260301, Checks: 2000, Steps: 150}) }
 
 // machine drives a world with generated events. rapid generates the actions and the seed;
 // the seed decides what each action applies to.
--- a/internal/coordination/placement/rapid_test.go
+++ b/internal/coordination/placement/rapid_test.go
@@ -2,31 +2,17 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// TestMain fixes the seed and the number of checks of rapid, unless the command line
-// names them.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "100", "rapid.steps": "40", "rapid.nofailfile": "true"} {
-		given := false
-		flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
-		if !given {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 1, Checks: 100, Steps: 40}) }
 
 // model drives a sim by generated events.
 type model struct {
--- a/internal/coordination/pressure/table_test.go
+++ b/internal/coordination/pressure/table_test.go
@@ -1,23 +1,17 @@
 package pressure
 
 import (
-	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// init fixes the seed and the count of the generated cases; flags override them.
 // Long campaign: go test ./internal/coordination/pressure -rapid.seed=0 -rapid.checks=100000
-func init() {
-	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.checks": "200", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 20261203, Checks: 200}) }
 
 const pool Pool = 7
 
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -1,31 +1,18 @@
 package quarantine
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// TestMain fixes seed and count of the rapid tests unless flags say otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{
-		"rapid.seed": "20260302", "rapid.checks": "2000", "rapid.steps": "60", "rapid.nofailfile": "true",
-	} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 20260302, Checks: 2000, Steps: 60}) }
 
 // TestMergeIsAUnion guards against results that depend on the order, the grouping or the
 // repetition of suspicions, and against a stale clearing that hides a later crash.
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -1,22 +1,16 @@
 package retry
 
 import (
-	"errors"
-	"flag"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// init fixes the seed and the count of the generated cases; flags override them.
 // Long campaign: go test ./internal/coordination/retry -run Test -rapid.seed=0 -rapid.checks=100000
-func init() {
-	if err := errors.Join(flag.Set("rapid.seed", "20261203"), flag.Set("rapid.checks", "500"),
-		flag.Set("rapid.steps", "100"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		panic(err)
-	}
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 20261203, Checks: 500, Steps: 100}) }
 
 // TestBudgetBound guards against retries that exceed burst + ratio * first
 // tries over any window of calls, and against a budget that never refills.
--- a/internal/coordination/scheduler/machine_test.go
+++ b/internal/coordination/scheduler/machine_test.go
@@ -1,24 +1,18 @@
 package scheduler
 
 import (
-	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// init fixes the seed and the count of the generated cases; flags override them.
 // Long campaign: go test ./internal/coordination/scheduler -run TestScheduler -rapid.seed=0 -rapid.checks=100000
-func init() {
-	if err := errors.Join(flag.Set("rapid.seed", "20261203"), flag.Set("rapid.checks", "800"),
-		flag.Set("rapid.steps", "100"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		panic(err)
-	}
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 20261203, Checks: 800, Steps: 100}) }
 
 const ms = time.Millisecond
 
@@ -268,7 +262,7 @@
 
 func (w *world) finish(t *rapid.T) {
 	if len(w.running) == 0 {
-		t.Skip("nothing runs")
+		t.Skip("nothing runs") // rapid draws another action
 	}
 	i := rapid.IntRange(0, len(w.running)-1).Draw(t, "finished")
 	x := w.running[i]
--- a/internal/state/estimate/estimate_test.go
+++ b/internal/state/estimate/estimate_test.go
@@ -1,24 +1,18 @@
 package estimate
 
 import (
-	"errors"
-	"flag"
 	"math"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// init fixes the seed and the count of the generated cases; flags override them.
 // Long campaign: go test ./internal/state/estimate -run Test -rapid.seed=0 -rapid.checks=100000
-func init() {
-	if err := errors.Join(flag.Set("rapid.seed", "20261203"), flag.Set("rapid.checks", "300"),
-		flag.Set("rapid.steps", "100"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		panic(err)
-	}
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 20261203, Checks: 300, Steps: 100}) }
 
 // TestMeanForgets guards against a mean that leaves the range of its samples,
 // ignores a lasting change, or stays known for ever without new samples.
--- a/internal/state/expiring/map_test.go
+++ b/internal/state/expiring/map_test.go
@@ -1,27 +1,16 @@
 package expiring
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// TestMain fixes seed and count of the rapid tests unless flags say otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20260304", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 20260304, Checks: 1000}) }
 
 // item is an entry of the oracle: a slice in the order of use, oldest first.
 type item struct {
--- a/internal/state/fairqueue/queue_test.go
+++ b/internal/state/fairqueue/queue_test.go
@@ -1,24 +1,18 @@
 package fairqueue
 
 import (
-	"errors"
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/rapidflags"
 )
 
-// init fixes the seed and the count of the generated cases; flags override them.
 // Long campaign: go test ./internal/state/fairqueue -run TestQueue -rapid.seed=0 -rapid.checks=100000
-func init() {
-	if err := errors.Join(flag.Set("rapid.seed", "20261203"), flag.Set("rapid.checks", "150"),
-		flag.Set("rapid.steps", "100"), flag.Set("rapid.nofailfile", "true")); err != nil {
-		panic(err)
-	}
-}
+func init() { rapidflags.Set(rapidflags.Defaults{Seed: 20261203, Checks: 150, Steps: 100}) }
 
 const maxCost = 9
 
@@ -107,7 +101,7 @@
 func (o *oracle) take(t *rapid.T) {
 	tier, ok := o.q.Best()
 	if !ok {
-		t.Skip("empty")
+		t.Skip("empty") // rapid draws another action
 	}
 	e := o.q.Head(tier)
 	if want := o.head(tier, e.Team); e != want {
@@ -128,7 +122,7 @@
 func (o *oracle) deferHead(t *rapid.T) {
 	tier, ok := o.q.Best()
 	if !ok {
-		t.Skip("empty")
+		t.Skip("empty") // rapid draws another action
 	}
 	e := o.q.Head(tier)
 	o.q.Defer(e)
@@ -141,7 +135,7 @@
 // disturb takes, protects or removes an entry out of turn.
 func (o *oracle) disturb(t *rapid.T) {
 	if len(o.waiting) == 0 {
-		t.Skip("empty")
+		t.Skip("empty") // rapid draws another action
 	}
 	e := rapid.SampledFrom(o.waiting).Draw(t, "entry")
 	switch rapid.IntRange(0, 2).Draw(t, "how") {
