balancer: derive the bands for few slots from the limits' own steps

Two bands of TestLimitConvergence (six instances on 8 and on 4 slots, 3.5 and 6) had been widened after the figures were seen. They are now 1.3, the band of the others, plus two requests for each instance: the one that MinLimit grants and the one more by which it tries for room. That is 2.8 and 4.3, stricter than before.

--- a/internal/coordination/balancer/sim_test.go
+++ b/internal/coordination/balancer/sim_test.go
@@ -175,17 +175,22 @@
 	}
 }
 
+// smallShare is the upper end of the band for instances that have fewer than two slots
+// each: the band of the others, and for each instance the request that MinLimit grants and
+// the one more by which it tries whether there is room.
+func smallShare(instances, slots int) float64 {
+	return 1.3 + 2*float64(instances)/float64(slots)
+}
+
 // The limits must find the hidden capacity without a configured count, and neither
-// creep up with their own latency nor lock up. One slot per instance is the least that
-// independent limits can use, and increases come in steps of one, so the upper bound
-// is weaker with fewer than about two slots per instance.
+// creep up with their own latency nor lock up.
 func TestLimitConvergence(t *testing.T) {
 	for _, c := range []struct {
 		instances, slots int
 		high             float64
 	}{
 		{1, 4, 1.3}, {1, 16, 1.3}, {1, 64, 1.3},
-		{6, 16, 1.3}, {6, 32, 1.3}, {6, 64, 1.3}, {6, 8, 3.5}, {6, 4, 6},
+		{6, 16, 1.3}, {6, 32, 1.3}, {6, 64, 1.3}, {6, 8, smallShare(6, 8)}, {6, 4, smallShare(6, 4)},
 	} {
 		for _, v := range []struct {
 			target  time.Duration
