--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -356,20 +356,10 @@
 // tick sheds what can no longer meet its deadline and uses slots that have opened
 // with time, such as those of probes.
 func (p *pool) tick() {
-	if !p.hasWaiters() {
-		return
-	}
 	p.refuse(p.sched.Tick(p.in.now()))
 	p.pump()
 }
 
-// hasWaiters reports whether a request is queued. An idle pool needs no ticks.
-func (p *pool) hasWaiters() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.waiters) > 0
-}
-
 // done gives the slot back, teaches the scheduler and dispatches the next request.
 func (p *pool) done(pick balancer.Pick, r balancer.Result, sample scheduler.Sample) {
 	now := p.in.now()
