matrix: list counters by the experiment package's function

The reports of the load tool and of the matrix had the same function to list counters; the matrix now calls the other one. Output and behaviour are unchanged.

--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -195,14 +195,14 @@
 	}
 	fmt.Fprintln(t)
 	for _, c := range r.Classes {
-		fmt.Fprintf(t, "%s\trefused: %s\tunanswered: %s\n", c.Class, counts(c.Refused), counts(c.Unanswered))
+		fmt.Fprintf(t, "%s\trefused: %s\tunanswered: %s\n", c.Class, Counts(c.Refused), Counts(c.Unanswered))
 	}
 	fmt.Fprintf(t, "\ngoodput\t%.1f tokens/s\n", r.Goodput)
 	fmt.Fprintf(t, "wasted work\t%.2f%% of %d tokens\t%.2f%% of %.1f service seconds\n",
 		100*r.Waste.TokenShare, r.Waste.Tokens, 100*r.Waste.SecondsShare, r.Waste.ServiceSeconds)
 	fmt.Fprintf(t, "prompt tokens cached\t%.1f%%\n", 100*r.Waste.CachedShare)
 	fmt.Fprintf(t, "orders\tanswered %d\tnot run %d\tunknown %d\n", r.Orders.Answered, r.Orders.NotRun, r.Orders.Unknown)
-	fmt.Fprintf(t, "violations\t%s\n", counts(r.Violations))
+	fmt.Fprintf(t, "violations\t%s\n", Counts(r.Violations))
 	fmt.Fprintf(t, "send delay p50/p95/p99 ms\t%s\tnot sent %d\n", r.SendDelay, r.NotSent)
 	if len(r.Waste.Unreachable) > 0 {
 		fmt.Fprintf(t, "unreachable\t%s\n", strings.Join(r.Waste.Unreachable, " "))
@@ -221,8 +221,8 @@
 	return fmt.Sprintf("%.1f/%.1f/%.1f", q.P50, q.P95, q.P99)
 }
 
-// counts lists a map in the order of its keys.
-func counts[K ~string](m map[K]int) string {
+// Counts lists a map of counters in the order of its keys, for a table.
+func Counts[K ~string](m map[K]int) string {
 	if len(m) == 0 {
 		return "none"
 	}
--- a/internal/matrix/report.go
+++ b/internal/matrix/report.go
@@ -4,11 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"slices"
-	"strings"
 	"text/tabwriter"
 
+	"github.com/yuccabridge/yuccabridge/internal/experiment"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 )
 
@@ -39,14 +38,14 @@
 	fmt.Fprintln(t, "condition\tload\tseed\tpolicy\toffered\tgoodput tokens/s\tof capacity\tthroughput of capacity\twasted\tbroken promises\tengine running\twaiting\tsend delay p99 ms\tcores\tvalid")
 	for _, c := range r.Cells {
 		fmt.Fprintf(t, "%s\t%.1f\t%d\t%s\t%.3f\t%.0f\t%.3f\t%.3f\t%.2f%%\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%v\n", c.Condition, c.Load, c.Seed, c.Policy,
-			c.Offered, c.Goodput, c.GoodputShare, c.ThroughputShare, 100*c.Waste, counts(c.Violations), c.Running, c.Waiting, c.SendDelay.P99, c.Cores, c.Valid)
+			c.Offered, c.Goodput, c.GoodputShare, c.ThroughputShare, 100*c.Waste, experiment.Counts(c.Violations), c.Running, c.Waiting, c.SendDelay.P99, c.Cores, c.Valid)
 	}
 	fmt.Fprintln(t, "\ncondition\tload\tseed\tpolicy\tclass\ttier\tintended\tattainment\tof unloaded\tfirst token met\tinterval met\tfirst token p50/p95/p99 ms\tinterval p50/p95/p99 ms\trefused\tunanswered")
 	for _, c := range r.Cells {
 		for _, k := range c.Classes {
 			fmt.Fprintf(t, "%s\t%.1f\t%d\t%s\t%s\t%d\t%d\t%.3f\t%s\t%.3f\t%.3f\t%s\t%s\t%s\t%s\n", c.Condition, c.Load, c.Seed, c.Policy,
 				k.Class, k.Tier, k.Intended, k.Attainment, r.relative(c, k), k.FirstToken, k.Interval,
-				k.FirstTokenQuantiles, k.IntervalQuantiles, counts(k.Refused), counts(k.Unanswered))
+				k.FirstTokenQuantiles, k.IntervalQuantiles, experiment.Counts(k.Refused), experiment.Counts(k.Unanswered))
 		}
 	}
 	return t.Flush()
@@ -65,15 +64,3 @@
 	}
 	return "-"
 }
-
-// counts lists a map in the order of its keys.
-func counts(m map[string]int) string {
-	if len(m) == 0 {
-		return "none"
-	}
-	var list []string
-	for _, k := range slices.Sorted(maps.Keys(m)) {
-		list = append(list, fmt.Sprintf("%s %d", k, m[k]))
-	}
-	return strings.Join(list, ", ")
-}
