Prepare the forwarding path: replica, dispatch, event log, shared caller connections

Cause: the daemon speaks only its own protocols; the prepared machines need a path that forwards requests of other protocols by published routes and upstreams. Change: add coordination/replica (copy of what the platform publishes, with a grace for entries that lapsed in an outage), coordination/dispatch (placement by predicted prompt work and cached prefixes, waiting, rejection) and eventlog (bounded log that never blocks). Move the callers' connections to transport/caller and the event splitter to protocol/sse, so that both paths use one copy. transport/upstream drops answers to other requests, heeds the announced idle time and does not reuse a connection that holds unread bytes. Measured: unit tests only; the path is not yet assembled.

--- /dev/null
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -0,0 +1,357 @@
+package dispatch
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/state/fairqueue"
+)
+
+const (
+	defaultTokensPerMS = 40
+	defaultQueueLimit  = 512
+	// holdShare is the share of what is left until its target that a long prompt may
+	// wait at an upstream; beyond, it waits here.
+	holdShare = 0.3
+	// minHold keeps requests that are already late from waiting for an idle upstream.
+	minHold = 100 * time.Millisecond
+	// rateWeight is the weight of a new sample of the reading rate.
+	rateWeight = 0.02
+	// maxRetryAfter bounds the time to come back.
+	maxRetryAfter = 5 * time.Second
+	// minRetryAfter keeps rejected callers from returning into the same backlog.
+	minRetryAfter = 100 * time.Millisecond
+	// plainWeight is the weight of a new answer time of a plain service.
+	plainWeight = 0.1
+	// maxPriority bounds the tiers of the queue.
+	maxPriority = 15
+	// peerKeep is how many reports to peers are kept until they are collected.
+	peerKeep = 1024
+)
+
+// Dispatcher decides for one service. It is safe for concurrent use. Methods take the
+// monotonic time since process start.
+type Dispatcher struct {
+	mu      sync.Mutex
+	options Options
+	rng     *rand.Rand
+
+	servers map[string]*server
+	order   []*server // by position, the same at all instances
+	aside   int       // upstreams that could not be reached lately
+
+	rate         float64 // prompt tokens read in a millisecond
+	plainLatency float64 // mean answer time of the service in seconds
+	demand       demand
+	leastUrgent  leastUrgent
+
+	queue   *fairqueue.Queue[*item]
+	waiting map[uint64]*item
+	grants  map[uint64]*grant
+	next    uint64
+	told    []Work // for the peers
+	values  []float64
+}
+
+// item is a waiting request.
+type item struct {
+	fairqueue.Entry[*item]
+	request Request
+}
+
+// grant is a request at an upstream.
+type grant struct {
+	s       *server
+	class   string
+	prompt  int
+	cached  int
+	sent    time.Duration
+	wait    time.Duration
+	work    time.Duration
+	first   bool
+	probe   bool
+	retried bool
+}
+
+// New returns a dispatcher without upstreams. rng must not be shared.
+func New(o Options, rng *rand.Rand) *Dispatcher {
+	if o.TokensPerMS <= 0 {
+		o.TokensPerMS = defaultTokensPerMS
+	}
+	if o.QueueLimit <= 0 {
+		o.QueueLimit = defaultQueueLimit
+	}
+	return &Dispatcher{
+		options: o, rng: rng, rate: o.TokensPerMS,
+		servers: map[string]*server{}, waiting: map[uint64]*item{}, grants: map[uint64]*grant{},
+		queue: fairqueue.New[*item](o.QueueLimit, 0, 1),
+	}
+}
+
+// Update replaces the list of upstreams. Those that remain keep their learned state.
+func (d *Dispatcher) Update(now time.Duration, list []Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := make(map[string]*server, len(list))
+	for _, s := range list {
+		x := d.servers[s.ID]
+		if x == nil || x.Address != s.Address || x.Memory != s.Memory {
+			x = newServer(s)
+		}
+		x.Server = s
+		next[s.ID] = x
+	}
+	d.servers = next
+	d.order = d.order[:0]
+	d.aside = 0
+	for _, s := range next {
+		d.order = append(d.order, s)
+		if s.aside() {
+			d.aside++
+		}
+	}
+	slices.SortFunc(d.order, comparePosition)
+	d.setBorder(now)
+}
+
+// Submit decides about a new request. The decision is empty when the request waits;
+// Advance decides about the waiting requests: in the order of the queue while they can be
+// placed, then those behind whose own upstream has room or whose time has run out.
+func (d *Dispatcher) Advance(now time.Duration) []Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setBorder(now)
+	var out []Decision
+	for len(d.waiting) > 0 {
+		decision, ok := d.advanceHead(now)
+		if !ok {
+			break
+		}
+		out = append(out, decision)
+	}
+	for _, x := range d.byUrgency() {
+		if decision, ok := d.settle(now, x); ok {
+			out = append(out, decision)
+		}
+	}
+	return out
+}
+
+// advanceHead decides about the next request in the order of the queue.
+func (d *Dispatcher) advanceHead(now time.Duration) (Decision, bool) {
+	best, ok := d.queue.Best()
+	if !ok {
+		return Decision{}, false
+	}
+	e := d.queue.Head(best)
+	if e == nil {
+		return Decision{}, false
+	}
+	return d.settle(now, e.Value)
+}
+
+// settle takes the request out of the queue when it is decided.
+func (d *Dispatcher) settle(now time.Duration, x *item) (Decision, bool) {
+	decision := d.decide(now, &x.request, 0)
+	switch {
+	case decision.Grant != nil:
+		d.queue.Take(&x.Entry)
+		delete(d.waiting, x.request.ID)
+	case decision.Rejection != nil:
+		d.drop(x)
+	default:
+		return decision, false
+	}
+	return decision, true
+}
+
+// byUrgency returns the waiting requests by priority and arrival.
+func (d *Dispatcher) byUrgency() []*item {
+	if len(d.waiting) == 0 {
+		return nil
+	}
+	list := make([]*item, 0, len(d.waiting))
+	for _, x := range d.waiting {
+		list = append(list, x)
+	}
+	slices.SortFunc(list, func(a, b *item) int {
+		return cmp.Or(a.Tier-b.Tier, cmp.Compare(a.request.Arrived, b.request.Arrived), cmp.Compare(a.request.ID, b.request.ID))
+	})
+	return list
+}
+
+func (d *Dispatcher) drop(x *item) {
+	d.queue.Remove(&x.Entry)
+	delete(d.waiting, x.request.ID)
+}
+
+// decide places the request, keeps it waiting or rejects it. queued is the predicted
+// delay by requests that wait ahead of it.
+func (d *Dispatcher) decide(now time.Duration, r *Request, queued time.Duration) Decision {
+	c, ok := d.choose(now, r)
+	if !ok {
+		return d.reject(now, r, ReasonNoServer, 0)
+	}
+	predicted := queued + c.firstOutput()
+	if now+c.work+stepTime > r.Deadline || now+predicted > r.Deadline {
+		return d.reject(now, r, ReasonDeadline, predicted)
+	}
+	if now+predicted > r.Target && c.wait+queued > c.work && !r.Returning && d.leastUrgent.is(now, r.Priority) {
+		return d.reject(now, r, ReasonTarget, predicted)
+	}
+	if d.mustHold(now, r, &c, queued) {
+		return Decision{ID: r.ID}
+	}
+	return d.grantTo(now, r, c)
+}
+
+// mustHold reports whether the request waits here.
+func (d *Dispatcher) mustHold(now time.Duration, r *Request, c *candidate, queued time.Duration) bool {
+	if c.s.Memory == 0 {
+		return c.s.inFlight >= c.s.Slots
+	}
+	if c.work < longReading {
+		return false
+	}
+	limit := max(time.Duration(holdShare*float64(r.Target-now)), minHold)
+	return queued > 0 || c.wait > limit
+}
+
+// queuedAhead is the predicted delay by the requests that wait and are as urgent or more.
+func (d *Dispatcher) queuedAhead(priority int) time.Duration {
+	if len(d.waiting) == 0 || len(d.order) == 0 {
+		return 0
+	}
+	var work float64
+	for _, x := range d.waiting {
+		if x.request.Priority <= priority {
+			work += x.Cost
+		}
+	}
+	return time.Duration(work / float64(len(d.order)) * float64(time.Second))
+}
+
+func (d *Dispatcher) grantTo(now time.Duration, r *Request, c candidate) Decision {
+	s := c.s
+	d.next++
+	g := &grant{
+		s: s, class: r.Class, prompt: r.Prompt, cached: c.cached, sent: now, wait: c.wait, work: c.work,
+		probe: s.aside(), retried: len(r.Exclude) > 0,
+	}
+	d.grants[d.next] = g
+	s.inFlight++
+	if g.probe {
+		s.probing = true
+	}
+	if s.Memory > 0 {
+		d.demand.add(now, c.work)
+		s.free = max(s.free, now) + c.work
+		s.keep(now, r.Prefix)
+		d.tell(Work{Server: s.ID, Reading: c.work, Parts: r.Prefix})
+	}
+	return Decision{ID: r.ID, Grant: &Grant{Server: s.Server, Token: d.next, Wait: c.wait, Work: c.work, Cached: c.cached, Probe: g.probe}}
+}
+
+func (d *Dispatcher) tell(w Work) {
+	if len(d.told) < peerKeep {
+		d.told = append(d.told, w)
+	}
+}
+
+// reject refuses the request with a time to come back.
+func (d *Dispatcher) reject(now time.Duration, r *Request, reason Reason, predicted time.Duration) Decision {
+	return Decision{ID: r.ID, Rejection: &Rejection{Reason: reason, Predicted: predicted, RetryAfter: d.retryAfter(now)}}
+}
+
+// retryAfter is the predicted time until the backlog is gone, spread over as much again,
+// so that rejected callers do not return together.
+func (d *Dispatcher) retryAfter(now time.Duration) time.Duration {
+	drain := d.queuedAhead(maxPriority)
+	var least time.Duration = -1
+	for _, s := range d.order {
+		if w := s.wait(now); least < 0 || w < least {
+			least = w
+		}
+	}
+	drain = max(drain+max(least, 0), minRetryAfter)
+	return min(drain+time.Duration(d.rng.Float64()*float64(drain)), maxRetryAfter)
+}
+
+// RetryAfter returns a time to come back for a request that is rejected for another
+// reason than the load.
+func (d *Dispatcher) RetryAfter(now time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retryAfter(now)
+}
+
+// Cancel removes a waiting request. It reports false when the request does not wait.
+func (d *Dispatcher) Cancel(id uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := d.waiting[id]
+	if x == nil {
+		return false
+	}
+	d.drop(x)
+	return true
+}
+
+// Waiting is the number of requests that wait.
+func (d *Dispatcher) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiting)
+}
+
+// Collect returns the work that was placed since the last call, for the peers.
+func (d *Dispatcher) Collect() []Work {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := d.told
+	d.told = nil
+	return out
+}
+
+// Merge takes the work that a peer has placed.
+func (d *Dispatcher) Merge(now time.Duration, list []Work) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, w := range list {
+		s := d.servers[w.Server]
+		if s == nil || s.Memory == 0 || w.Reading < 0 {
+			continue
+		}
+		s.free = max(s.free, now) + min(w.Reading, maxBackoff)
+		s.keep(now, w.Parts)
+		d.demand.add(now, w.Reading)
+	}
+}
+
+func tier(priority int) int { return min(max(priority, 0), maxPriority) + 1 }
+
+// leastUrgent remembers which priorities have been asked for lately.
+type leastUrgent struct {
+	seen [maxPriority + 1]time.Duration
+}
+
+// urgencyWindow is how long a priority counts after its last request.
+const urgencyWindow = 3 * time.Second
+
+func (l *leastUrgent) add(now time.Duration, priority int) {
+	l.seen[tier(priority)-1] = now + urgencyWindow
+}
+
+// is reports whether no less urgent priority, and some more urgent one, was seen lately.
+func (l *leastUrgent) is(now time.Duration, priority int) bool {
+	p := tier(priority) - 1
+	for _, until := range l.seen[p+1:] {
+		if until > now {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/coordination/dispatch/doc.go
@@ -0,0 +1,49 @@
+// Package dispatch decides where each request of one service runs, which requests wait,
+// and which are rejected. It predicts the work of every upstream from what this instance
+// sends there, what its peers say they send, and how the answers compare with the
+// prediction.
+//
+// # Placement
+//
+// An upstream that reads prompts has a predicted time at which it will have read all
+// prompts sent so far. A request's predicted start is that time; its own work is the part
+// of its prompt that the upstream has not cached, read at the learned rate, plus the
+// attention over what precedes. The request goes to the upstream with the least sum of
+// start, work and penalties:
+//
+//   - Sessions stay where their prompt is cached, as long as the queue there costs less
+//     than reading the prompt again elsewhere. Where nothing is cached, a hash of the
+//     session breaks ties, so that instances choose alike without talking.
+//     Load pattern: bursts of long prompts that share their first parts.
+//   - Long prompts and streams with short pauses keep apart: a chunk of a long prompt
+//     delays the next token of every stream beside it. The upstreams are ordered by a hash
+//     of their name; the first of them are for long prompts, as many as their share of the
+//     recent work asks for. The border is a penalty, not a wall: either kind crosses it
+//     where its own side is busier by more than the penalty.
+//   - Upstreams that answer slower than predicted, or fail more often than the median,
+//     cost more. Nothing is excluded for being slow, so a service whose every upstream is
+//     slow or fails a part of its requests is still used. Upstreams that cannot be reached
+//     are set aside and tried again with one request after a back-off.
+//
+// A plain service has no prompts: its upstreams are compared by requests in flight per
+// slot and mean answer time.
+//
+// # Waiting
+//
+// Short prompts leave at once: the upstream's own priorities order them better than a
+// queue elsewhere could. Long prompts wait here while every upstream is predicted to need
+// more than a share of their target for what is ahead, so that a burst of them neither
+// fills the upstreams' queues ahead of more urgent requests nor is lost with an upstream
+// that crashes. The waiting requests are ordered by priority, then fairly between teams
+// (package fairqueue).
+// Load pattern: a burst of the least urgent class; one team with eight times its usual.
+//
+// # Rejection
+//
+// A request is rejected on arrival, or when its prediction changes, if it cannot begin
+// within its deadline. A request of the least urgent priority is also rejected when it
+// would miss its target behind a backlog: it would run late and make those behind it late,
+// too. Requests that come back after a rejection are judged by their deadline. The time to
+// come back is the predicted time until the backlog is gone, spread over as much again.
+// Load pattern: more work than the upstreams can do, for seconds.
+package dispatch
--- /dev/null
+++ b/internal/coordination/dispatch/server.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccabridge/yuccabridge/internal/state/expiring"
+)
+
+const (
+	// cacheShare is the part of an upstream's memory that is taken to hold cached
+	// prompts; the rest holds requests that run.
+	cacheShare = 0.6
+	// cacheEntries bounds the parts remembered for an upstream.
+	cacheEntries = 4096
+	// cacheLifetime forgets parts that nobody has asked for; the upstream has most
+	// likely evicted them.
+	cacheLifetime = 2 * time.Minute
+	// attentionMS is the time for a million pairs of tokens, on top of the linear
+	// reading rate. Typical of a 70-billion-parameter model on two accelerators.
+	attentionMS = 0.7
+	// memoryHalfLife is the time after which a slow or failing upstream is half forgiven.
+	memoryHalfLife = 4 * time.Second
+	// slownessWeight is the weight of a new comparison of answer and prediction.
+	slownessWeight = 0.2
+	// maxSlowness bounds how much slower than predicted an upstream is taken to be.
+	maxSlowness = 12
+	// failureWeight is the weight of one more outcome in the failure share.
+	failureWeight = 0.15
+	// firstBackoff and maxBackoff bound the time until an upstream that could not be
+	// reached is tried again.
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// stepTime is the time from a prompt that has been read to the first output.
+	stepTime = 20 * time.Millisecond
+)
+
+// server is the learned state of one upstream.
+type server struct {
+	Server
+	position uint64 // order for the border between long prompts and streams
+	forLong  bool   // on the side of the border for long prompts
+	inFlight int
+	free     time.Duration // predicted time at which all prompts sent so far are read
+	slowness fading        // answer time over prediction, less 1
+	failures fading        // share of failed requests
+	latency  float64       // mean answer time in seconds; plain services
+	cache    *expiring.Map[uint64, struct{}]
+
+	unreachable int           // failures to reach it in a row
+	retryAt     time.Duration // of the next probe
+	probing     bool
+}
+
+func newServer(s Server) *server {
+	x := &server{Server: s, position: xxhash.Sum64String(s.ID)}
+	if s.Memory > 0 {
+		x.cache = expiring.New(expiring.Options[uint64, struct{}]{
+			TTL: cacheLifetime, MaxEntries: cacheEntries, MaxCost: int64(cacheShare * float64(s.Memory)),
+		})
+	}
+	return x
+}
+
+// fading is a mean that goes back to zero while nothing is observed.
+type fading struct {
+	value float64
+	at    time.Duration
+}
+
+func (f *fading) get(now time.Duration) float64 {
+	if f.value == 0 {
+		return 0
+	}
+	return f.value * math.Exp2(-float64(max(0, now-f.at))/float64(memoryHalfLife))
+}
+
+func (f *fading) add(now time.Duration, x, weight float64) {
+	v := f.get(now)
+	f.value, f.at = v+(x-v)*weight, now
+}
+
+// cached returns how many tokens of the prompt's beginning the upstream is thought to
+// keep. A part counts only if all parts before it do.
+func (s *server) cached(now time.Duration, prefix []Part) int {
+	if s.cache == nil {
+		return 0
+	}
+	n := 0
+	for _, p := range prefix {
+		if _, ok := s.cache.Peek(now, p.ID); !ok {
+			break
+		}
+		n += p.Tokens
+	}
+	return n
+}
+
+func (s *server) keep(now time.Duration, prefix []Part) {
+	if s.cache == nil {
+		return
+	}
+	for _, p := range prefix {
+		s.cache.Put(now, p.ID, struct{}{}, int64(p.Tokens))
+	}
+}
+
+// reading is the time to read the rest of a prompt of which cached tokens are kept.
+func reading(tokensPerMS float64, prompt, cached int) time.Duration {
+	fresh := float64(max(prompt-cached, 1))
+	pairs := fresh * (float64(cached) + fresh/2) / 1e6
+	return time.Duration((fresh/tokensPerMS + pairs*attentionMS) * float64(time.Millisecond))
+}
+
+// slow is the factor by which the upstream is slower than predicted.
+func (s *server) slow(now time.Duration) float64 { return 1 + s.slowness.get(now) }
+
+// wait is the predicted time until the upstream begins with a new prompt.
+func (s *server) wait(now time.Duration) time.Duration { return max(0, s.free-now) }
+
+// aside reports whether the upstream could not be reached lately.
+func (s *server) aside() bool { return s.unreachable > 0 }
+
+func (s *server) probeDue(now time.Duration) bool { return !s.probing && now >= s.retryAt }
+
+func (s *server) failedToReach(now time.Duration) {
+	backoff := firstBackoff << min(s.unreachable, 8)
+	s.unreachable++
+	s.retryAt = now + min(backoff, maxBackoff)
+}
+
+func (s *server) reached() { s.unreachable, s.retryAt = 0, 0 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -1,18 +1,15 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"strings"
-	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
-	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
+	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
 
 // newCallersServer builds the callers' HTTP server.
@@ -49,8 +46,8 @@
 	in.metrics.refused.WithLabelValues(string(e.Code)).Inc()
 	writeError(ctx, e)
 	ctx.SetConnectionClose()
-	if c, ok := ctx.Conn().(*callerConn); ok {
-		c.refused.Store(true)
+	if c, ok := ctx.Conn().(*caller.Conn); ok {
+		c.Refuse()
 	}
 }
 
@@ -110,65 +107,6 @@
 		arrived:     in.now(),
 		fingerprint: in.fingerprint(t.name, body),
 	}
-	r.ctx, r.cancel = in.watcher.watch(ctx.Conn())
+	r.ctx, r.cancel = in.watcher.Watch(ctx.Conn())
 	return r
 }
-
-// watchInterval is how often the connections of callers with requests in progress
-// are checked. One check is one system call.
-const watchInterval = 250 * time.Millisecond
-
-// callerWatcher notices callers that close their connection while their request is
-// in progress: the server does not read the connection in that time.
-type callerWatcher struct {
-	mu      sync.Mutex
-	next    uint64
-	watched map[uint64]watchedCaller
-}
-
-type watchedCaller struct {
-	conn   net.Conn
-	cancel context.CancelFunc
-}
-
-func newCallerWatcher() *callerWatcher {
-	return &callerWatcher{watched: map[uint64]watchedCaller{}}
-}
-
-// watch returns a context that ends when the caller is gone.
-func (w *callerWatcher) watch(conn net.Conn) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.next++
-	key := w.next
-	w.watched[key] = watchedCaller{conn: conn, cancel: cancel}
-	return ctx, func() {
-		cancel()
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		delete(w.watched, key)
-	}
-}
-
-// inProgress is the number of requests in progress.
-func (w *callerWatcher) inProgress() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.watched)
-}
-
-// check cancels the requests of callers that are gone.
-func (w *callerWatcher) check() {
-	w.mu.Lock()
-	list := make([]watchedCaller, 0, len(w.watched))
-	for _, c := range w.watched {
-		list = append(list, c)
-	}
-	w.mu.Unlock()
-	for _, c := range list {
-		if upstream.PeerClosed(c.conn) {
-			c.cancel()
-		}
-	}
-}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -24,6 +24,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/pressure"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
+	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
 
 const (
@@ -45,7 +46,7 @@
 	sequence   atomic.Uint64
 	routes     atomic.Pointer[routes]
 	draining   atomic.Bool
-	watcher    *callerWatcher
+	watcher    *caller.Watcher
 	quarantine *quarantine.Quarantine
 	orders     *orderDesk
 	peers      *peerGroup     // nil without peers
@@ -87,7 +88,7 @@
 		metrics:  newMetrics(),
 		started:  time.Now(),
 		seed:     mathrand.Uint64(),
-		watcher:  newCallerWatcher(),
+		watcher:  caller.NewWatcher(),
 		pools:    map[string]*pool{},
 		leaving:  map[string]bool{},
 		serving:  make(chan struct{}),
@@ -120,7 +121,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	in.listeners.callers = callerListener{Listener: callers, writeTimeout: in.settings.Limits.WriteTimeout.Std()}
+	in.listeners.callers = caller.Listener{Listener: callers, WriteTimeout: in.settings.Limits.WriteTimeout.Std()}
 	if in.listeners.operations, err = net.Listen("tcp", in.settings.Operations.Address); err != nil {
 		in.listeners.callers.Close()
 		return errors.Wrap(err, "listen for operations")
@@ -261,7 +262,7 @@
 	group.Go(func() error { return errors.Wrap(in.callers.Serve(in.listeners.callers), "serve callers") })
 	group.Go(func() error { return errors.Wrap(in.operations.Serve(in.listeners.operations), "serve operations") })
 	group.Go(func() error { return every(work, tickInterval, in.tickPools) })
-	group.Go(func() error { return every(work, watchInterval, in.watcher.check) })
+	group.Go(func() error { return every(work, caller.WatchInterval, in.watcher.Check) })
 	group.Go(func() error { return every(work, loadInterval, func() { in.pollLoads(work) }) })
 	group.Go(func() error { return every(work, placementTick, func() { in.placement.tick(work) }) })
 	if in.peers != nil {
@@ -292,12 +293,12 @@
 	if in.peers != nil {
 		in.peers.gossip.Leave()
 	}
-	in.log.WithFields(logrus.Fields{"event": "draining", "in_progress": in.watcher.inProgress()}).Info("draining")
+	in.log.WithFields(logrus.Fields{"event": "draining", "in_progress": in.watcher.InProgress()}).Info("draining")
 	time.Sleep(in.settings.DrainDelay.Std())
 	if err := in.callers.Shutdown(); err != nil {
 		return errors.Wrap(err, "stop callers' listener")
 	}
-	for in.watcher.inProgress() > 0 {
+	for in.watcher.InProgress() > 0 {
 		time.Sleep(stopPoll)
 	}
 	in.orders.drain()
--- a/internal/entry/operations.go
+++ b/internal/entry/operations.go
@@ -87,7 +87,7 @@
 		FailureDomain: in.settings.FailureDomain,
 		Ready:         in.ready(),
 		Draining:      in.draining.Load(),
-		InProgress:    in.watcher.inProgress(),
+		InProgress:    in.watcher.InProgress(),
 	}
 	if r := in.routes.Load(); r != nil {
 		s.Revision = r.revision
--- a/internal/protocol/chat/chat_test.go
+++ b/internal/protocol/chat/chat_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/yuccabridge/yuccabridge/internal/protocol/sse"
 )
 
 // A body that is not a chat request must not reach an engine.
@@ -51,9 +53,9 @@
 
 // One endless event must not take memory without bound.
 func TestEventSizeIsBounded(t *testing.T) {
-	r := NewEventReader(strings.NewReader("data: " + strings.Repeat("x", 2*MaxEventBytes)))
-	if _, err := r.Next(); err != ErrEventTooLarge {
-		t.Errorf("got %v, want ErrEventTooLarge", err)
+	r := NewEventReader(strings.NewReader("data: " + strings.Repeat("x", 2*sse.MaxEventBytes)))
+	if _, err := r.Next(); err != sse.ErrTooLarge {
+		t.Errorf("got %v, want sse.ErrTooLarge", err)
 	}
 }
 
--- a/internal/protocol/chat/events.go
+++ b/internal/protocol/chat/events.go
@@ -1,19 +1,14 @@
 package chat
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
 
 	"github.com/pkg/errors"
-)
-
-// MaxEventBytes bounds one server-sent event.
-const MaxEventBytes = 256 << 10
 
-// ErrEventTooLarge reports an event above [MaxEventBytes].
-var ErrEventTooLarge = errors.New("server-sent event is too large")
+	"github.com/yuccabridge/yuccabridge/internal/protocol/sse"
+)
 
 // Kind classifies an event.
 type Kind int
@@ -38,14 +33,13 @@
 
 // EventReader splits a stream into events.
 type EventReader struct {
-	r   *bufio.Reader
-	buf []byte
-	id  string // of the last Data event; all events of an answer share it
+	r  *sse.Reader
+	id string // of the last Data event; all events of an answer share it
 }
 
 // NewEventReader reads events from r.
 func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, 4<<10)}
+	return &EventReader{r: sse.NewReader(r)}
 }
 
 var (
@@ -56,32 +50,11 @@
 // Next returns the next event. A stream that ends inside an event gives
 // io.ErrUnexpectedEOF, so that a partial event is never forwarded.
 func (e *EventReader) Next() (Event, error) {
-	e.buf = e.buf[:0]
-	lineStart := 0
-	for {
-		part, err := e.r.ReadSlice('\n')
-		e.buf = append(e.buf, part...)
-		if len(e.buf) > MaxEventBytes {
-			return Event{}, ErrEventTooLarge
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err == io.EOF && len(e.buf) > 0 {
-			return Event{}, io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return Event{}, err
-		}
-		if isBlank(e.buf[lineStart:]) {
-			return e.parseEvent(e.buf)
-		}
-		lineStart = len(e.buf)
+	raw, err := e.r.Next()
+	if err != nil {
+		return Event{}, err
 	}
-}
-
-func isBlank(line []byte) bool {
-	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
+	return e.parseEvent(raw)
 }
 
 type chunk struct {
--- a/internal/entry/callerconn.go
+++ b/internal/transport/caller/conn.go
@@ -1,4 +1,4 @@
-package entry
+package caller
 
 import (
 	"io"
@@ -16,37 +16,38 @@
 	lingerBytes = 8 << 20
 )
 
-// callerListener accepts callers' connections.
-type callerListener struct {
+// Listener accepts callers' connections.
+type Listener struct {
 	net.Listener
-	writeTimeout time.Duration
+	// WriteTimeout bounds each write; 0: no bound.
+	WriteTimeout time.Duration
 }
 
 // Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
+func (l Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, writeTimeout: l.writeTimeout}, nil
+	return &Conn{Conn: c, writeTimeout: l.WriteTimeout}, nil
 }
 
-// callerConn bounds each write on its own, and reads the rest of a refused request before
+// Conn is a connection of a caller. It bounds each write on its own, and reads the rest of a refused request before
 // it closes.
-type callerConn struct {
+type Conn struct {
 	net.Conn
 	writeTimeout time.Duration
 	refused      atomic.Bool
 }
 
 // SyscallConn gives access to the socket for [upstream.PeerClosed].
-func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
 }
 
 // Write bounds each write on its own. The server library's time limit covers the whole
 // answer, and would cut a stream that takes longer although its caller reads.
-func (c *callerConn) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (int, error) {
 	if c.writeTimeout > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 			return 0, err
@@ -55,15 +56,19 @@
 	return c.Conn.Write(b)
 }
 
+// Refuse marks the connection as one whose request was answered before it was read to the
+// end.
+func (c *Conn) Refuse() { c.refused.Store(true) }
+
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
+func (c *Conn) Close() error {
 	if c.refused.Load() {
 		c.drain()
 	}
 	return c.Conn.Close()
 }
 
-func (c *callerConn) drain() {
+func (c *Conn) drain() {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() != nil {
 		return
 	}
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,6 +27,14 @@
 	ReuseWindow time.Duration
 	// MaxIdle is the number of idle connections kept. Default 16.
 	MaxIdle int
+	// SilentConnection is how long sent bytes may stay without an acknowledgement until
+	// the kernel gives the connection up. Default 5s.
+	SilentConnection time.Duration
+	// KeepAlivePause is how long a connection is idle before and between keep-alive
+	// probes, of which two may stay unanswered. Default 2s.
+	KeepAlivePause time.Duration
+	// KeepHeaderNames passes the names of headers on as they were sent.
+	KeepHeaderNames bool
 	// Dial replaces the dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -42,30 +52,30 @@
 	if o.MaxIdle == 0 {
 		o.MaxIdle = 16
 	}
+	if o.SilentConnection == 0 {
+		o.SilentConnection = 5 * time.Second
+	}
+	if o.KeepAlivePause == 0 {
+		o.KeepAlivePause = 2 * time.Second
+	}
 	if o.Dial == nil {
-		o.Dial = dial
+		o.Dial = Dialer(o.SilentConnection, o.KeepAlivePause)
 	}
 	return o
 }
 
-const (
-	// silentConnection is how long sent bytes or keep-alive probes may stay without an
-	// acknowledgement until the kernel gives the connection up.
-	silentConnection = 5 * time.Second
-	// keepAlivePause is how long a connection is idle before and between probes.
-	keepAlivePause = 2 * time.Second
-	keepAliveCount = 2
-)
+// keepAliveCount is how many keep-alive probes may stay unanswered.
+const keepAliveCount = 2
 
-// dial opens a connection that the kernel gives up when the other end, or something
-// between the two ends, has lost track of it.
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// Dialer returns a function that opens connections which the kernel gives up when the
+// other end, or something between the two ends, has lost track of them.
+func Dialer(silent, pause time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
 	dialer := &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePause, Interval: keepAlivePause, Count: keepAliveCount},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: pause, Interval: pause, Count: keepAliveCount},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var err error
 			controlErr := c.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentConnection.Milliseconds()))
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silent.Milliseconds()))
 			})
 			if controlErr != nil {
 				return controlErr
@@ -73,7 +83,9 @@
 			return err
 		},
 	}
-	return dialer.DialContext(ctx, "tcp", address)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
 }
 
 // Phase is the part of an exchange in which a failure happened.
@@ -144,6 +156,7 @@
 	w        *bufio.Writer
 	written  atomic.Bool
 	lastUsed time.Time
+	window   time.Duration // the upstream keeps the connection open that long; 0: not known
 	reused   bool
 }
 
@@ -160,6 +173,9 @@
 	Fresh bool
 	// FirstByte bounds the wait for the answer's header. Zero: no bound.
 	FirstByte time.Duration
+	// Foreign, when set, tells whether an answer belongs to another request. Such answers
+	// are read and dropped, up to maxForeign, and the next one is awaited.
+	Foreign func(*fasthttp.ResponseHeader) bool
 	// BeforeSend, when set, runs after the dial and before the first byte leaves.
 	// When it returns false the call fails with Phase Dial and nothing is sent.
 	BeforeSend func() bool
@@ -227,11 +243,11 @@
 func (c *Client) takeIdle() *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	limit := time.Now().Add(-c.opts.ReuseWindow)
+	now := time.Now()
 	for len(c.idle) > 0 {
 		cn := c.idle[len(c.idle)-1]
 		c.idle = c.idle[:len(c.idle)-1]
-		if cn.lastUsed.After(limit) && !PeerClosed(cn.Conn) {
+		if now.Sub(cn.lastUsed) < c.window(cn) && quiet(cn.Conn) {
 			cn.reused = true
 			return cn
 		}
@@ -240,6 +256,18 @@
 	return nil
 }
 
+// reuseMargin is kept from the idle time that the upstream announces: a request that
+// crosses the upstream's close may or may not have run.
+const reuseMargin = 500 * time.Millisecond
+
+// window is how long after its last use the connection is reused.
+func (c *Client) window(cn *conn) time.Duration {
+	if cn.window > 0 {
+		return min(c.opts.ReuseWindow, cn.window-reuseMargin)
+	}
+	return c.opts.ReuseWindow
+}
+
 func (c *Client) putIdle(cn *conn) {
 	cn.lastUsed = time.Now()
 	cn.written.Store(false)
@@ -271,12 +299,60 @@
 	if err := cn.SetReadDeadline(deadline(call.FirstByte)); err != nil {
 		return fail(Header, errors.Wrap(err, "read answer"))
 	}
-	answer := &Answer{client: c, conn: cn, stop: stop}
-	answer.Response.StreamBody = true
-	if err := answer.Response.Read(cn.r); err != nil {
-		return fail(Header, errors.Wrap(err, "read answer"))
+	for foreign := 0; ; foreign++ {
+		answer := &Answer{client: c, conn: cn, stop: stop}
+		answer.Response.StreamBody = true
+		answer.Response.SkipBody = call.Request.Header.IsHead()
+		if c.opts.KeepHeaderNames {
+			answer.Response.Header.DisableNormalizing()
+		}
+		if err := answer.Response.Read(cn.r); err != nil {
+			return fail(Header, errors.Wrap(err, "read answer"))
+		}
+		if call.Foreign == nil || !call.Foreign(&answer.Response.Header) {
+			cn.window = keepAliveWindow(&answer.Response.Header)
+			return answer, nil
+		}
+		if foreign == maxForeign {
+			return fail(Header, errForeignAnswers)
+		}
+		if err := answer.discard(); err != nil {
+			return fail(Header, errors.Wrap(err, "drop an answer to another request"))
+		}
 	}
-	return answer, nil
+}
+
+// maxForeign bounds the answers to other requests that are dropped while the right one is
+// awaited.
+const maxForeign = 3
+
+// errForeignAnswers reports a connection with too many answers to other requests.
+var errForeignAnswers = errors.New("the connection carries answers to other requests")
+
+// discard reads the body to its end. A body that ends with the connection has none.
+func (a *Answer) discard() error {
+	if a.Response.Header.ContentLength() == -2 {
+		return errForeignAnswers
+	}
+	if stream := a.Response.BodyStream(); stream != nil {
+		if _, err := io.Copy(io.Discard, stream); err != nil {
+			return err
+		}
+	}
+	return a.Response.CloseBodyStream()
+}
+
+// keepAliveWindow reads how long the upstream keeps an idle connection open; 0 when it
+// does not say.
+func keepAliveWindow(h *fasthttp.ResponseHeader) time.Duration {
+	for _, field := range strings.Split(string(h.Peek(fasthttp.HeaderKeepAlive)), ",") {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout="); ok {
+			if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+				return time.Duration(seconds) * time.Second
+			}
+		}
+	}
+	return 0
 }
 
 func writeRequest(cn *conn, r *fasthttp.Request) error {
@@ -328,7 +404,8 @@
 		a.conn.Close()
 		return
 	}
-	if err := a.Response.CloseBodyStream(); err != nil {
+	if err := a.Response.CloseBodyStream(); err != nil || a.conn.r.Buffered() > 0 {
+		// Bytes behind the answer belong to no request.
 		a.conn.Close()
 		return
 	}
