--- a/cmd/yuccabridged/main.go
+++ b/cmd/yuccabridged/main.go
@@ -45,6 +45,7 @@
 	if err := cmd.MarkFlagRequired("settings"); err != nil {
 		panic(err)
 	}
+	cmd.AddCommand(gatewayCommand())
 	return cmd
 }
 
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -117,7 +117,40 @@
 	d.setBorder(now)
 }
 
-// Submit decides about a new request. The decision is empty when the request waits;
+// Submit decides about a new request. The decision is empty when the request waits; a
+// later Advance decides about it.
+func (d *Dispatcher) Submit(now time.Duration, r Request) Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leastUrgent.add(now, r.Priority)
+	decision := d.decide(now, &r, d.queuedAhead(r.Priority))
+	if decision.Grant != nil || decision.Rejection != nil {
+		return decision
+	}
+	x := &item{request: r}
+	x.Entry = fairqueue.Entry[*item]{
+		Tier: tier(r.Priority), Team: r.Team, Weight: 1, Cost: reading(d.rate, r.Prompt, 0).Seconds(),
+		Arrived: r.Arrived, Retry: len(r.Exclude) > 0, Value: x,
+	}
+	d.queue.Push(&x.Entry)
+	d.waiting[r.ID] = x
+	if v := d.queue.Victim(); v != nil {
+		return d.displace(now, v.Value, r.ID)
+	}
+	return decision
+}
+
+// displace rejects the victim of a full queue. Another request than the arriving one is
+// rejected in the next Advance.
+func (d *Dispatcher) displace(now time.Duration, v *item, arriving uint64) Decision {
+	if v.request.ID != arriving {
+		v.request.Deadline = now
+		return Decision{ID: arriving}
+	}
+	d.drop(v)
+	return d.reject(now, &v.request, ReasonQueueFull, 0)
+}
+
 // Advance decides about the waiting requests: in the order of the queue while they can be
 // placed, then those behind whose own upstream has room or whose time has run out.
 func (d *Dispatcher) Advance(now time.Duration) []Decision {
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/retry"
+	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
+)
+
+const (
+	// advanceInterval is how often waiting requests are decided about.
+	advanceInterval = 10 * time.Millisecond
+	// maxIdleConnections bounds the idle connections to one upstream.
+	maxIdleConnections = 32
+	// reuseWindow is how long an idle connection is kept when the upstream does not say.
+	reuseWindow = 8 * time.Second
+	// dialTimeout bounds a fresh dial: many round trips in one region.
+	dialTimeout = 700 * time.Millisecond
+	// silentConnection is how long sent bytes may stay without an acknowledgement: several
+	// retransmissions in one region.
+	silentConnection = 1200 * time.Millisecond
+	// keepAlivePause is the pause before and between probes of an idle connection.
+	keepAlivePause = time.Second
+)
+
+// service is one group of upstreams: its dispatcher, its connections and its retry budget.
+type service struct {
+	name       string
+	dispatcher *dispatch.Dispatcher
+	budget     *retry.Budget
+
+	mu      sync.Mutex
+	clients map[string]*upstream.Client
+	waiters map[uint64]chan dispatch.Decision
+}
+
+func (g *Gateway) newService(name string) *service {
+	return &service{
+		name: name,
+		dispatcher: dispatch.New(dispatch.Options{Domain: g.settings.FailureDomain, TokensPerMS: g.settings.PromptTokensPerMS},
+			rand.New(rand.NewPCG(g.seed, xxhash.Sum64String(name)))),
+		budget:  retry.NewEmptyBudget(g.settings.Retries.Ratio*retryMargin, g.retryBurst()),
+		clients: map[string]*upstream.Client{},
+		waiters: map[uint64]chan dispatch.Decision{},
+	}
+}
+
+const (
+	// retryMargin is the part of the published retry ratio that an instance uses: counts
+	// of requests at different instances and windows differ.
+	retryMargin = 0.8
+	// slackInstances is the least number of instances among which the retry slack is
+	// divided, so that it holds also while few of them are known.
+	slackInstances = 8
+)
+
+// retryBurst is this instance's share of the retries that are free.
+func (g *Gateway) retryBurst() int {
+	return max(1, int(retryMargin*float64(g.settings.Retries.Slack))/max(slackInstances, g.instanceCount()))
+}
+
+// acquire asks for an upstream and waits while the dispatcher holds the request.
+func (s *service) acquire(x *exchange, r dispatch.Request) dispatch.Decision {
+	w := make(chan dispatch.Decision, 1)
+	s.mu.Lock()
+	s.waiters[r.ID] = w
+	s.mu.Unlock()
+	decision := s.dispatcher.Submit(x.g.now(), r)
+	if decision.Grant == nil && decision.Rejection == nil {
+		x.logQueued(r)
+		select {
+		case decision = <-w:
+		case <-x.life.Done():
+			s.dispatcher.Cancel(r.ID)
+			decision = s.forget(r.ID, w)
+			return decision
+		}
+	}
+	s.forget(r.ID, w)
+	return decision
+}
+
+// forget removes the waiter and returns the decision that may just have been made.
+func (s *service) forget(id uint64, w chan dispatch.Decision) dispatch.Decision {
+	s.mu.Lock()
+	delete(s.waiters, id)
+	s.mu.Unlock()
+	select {
+	case decision := <-w:
+		return decision
+	default:
+		return dispatch.Decision{ID: id}
+	}
+}
+
+// advance delivers decisions about waiting requests.
+func (s *service) advance(now time.Duration) {
+	for _, decision := range s.dispatcher.Advance(now) {
+		s.mu.Lock()
+		w := s.waiters[decision.ID]
+		delete(s.waiters, decision.ID)
+		if w != nil {
+			w <- decision
+		}
+		s.mu.Unlock()
+		if w == nil && decision.Grant != nil {
+			s.dispatcher.Done(now, decision.Grant.Token, dispatch.Cancelled)
+		}
+	}
+}
+
+// client returns the connections to an upstream. They are kept by name and address, since
+// an address may be given to another upstream.
+func (s *service) client(to dispatch.Server) *upstream.Client {
+	key := to.ID + "@" + to.Address
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clients[key]
+	if c == nil {
+		c = upstream.New(to.Address, upstream.Options{
+			DialTimeout: dialTimeout, ReuseWindow: reuseWindow, MaxIdle: maxIdleConnections,
+			SilentConnection: silentConnection, KeepAlivePause: keepAlivePause, KeepHeaderNames: true,
+		})
+		s.clients[key] = c
+	}
+	return c
+}
+
+// update replaces the upstreams and closes the idle connections to those that are gone.
+func (s *service) update(now time.Duration, list []dispatch.Server) {
+	s.dispatcher.Update(now, list)
+	keep := map[string]bool{}
+	for _, u := range list {
+		keep[u.ID+"@"+u.Address] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, c := range s.clients {
+		if !keep[key] {
+			c.Close()
+			delete(s.clients, key)
+		}
+	}
+}
--- a/internal/protocol/apierror/apierror.go
+++ b/internal/protocol/apierror/apierror.go
@@ -30,6 +30,7 @@
 	Overloaded              Code = "overloaded"
 	Deadline                Code = "deadline"
 	UpstreamFailed          Code = "upstream_failed"
+	UpstreamTimeout         Code = "upstream_timeout"
 	RequestCrashesUpstreams Code = "request_crashes_upstreams"
 	Draining                Code = "draining"
 	NotReady                Code = "not_ready"
@@ -66,6 +67,7 @@
 	Overloaded:              429,
 	Deadline:                503,
 	UpstreamFailed:          502,
+	UpstreamTimeout:         504,
 	RequestCrashesUpstreams: 422,
 	Draining:                503,
 	NotReady:                503,
--- a/internal/protocol/peerwire/body.go
+++ b/internal/protocol/peerwire/body.go
@@ -48,6 +48,12 @@
 		w.bytes(m.Payload)
 	case LedgerHandover:
 		w.bytes(m.Payload)
+	case ReplicaPull:
+		w.bytes(m.Payload)
+	case ReplicaPush:
+		w.bytes(m.Payload)
+	case Placed:
+		w.bytes(m.Payload)
 	case Failure:
 		w.string(m.Reason[:min(len(m.Reason), maxReason)])
 	case KeepAlive, Done:
@@ -75,6 +81,12 @@
 		m = OrderForward{Payload: r.bytes(MaxFrame)}
 	case TypeOrderAnswer:
 		m = OrderAnswer{Payload: r.bytes(MaxFrame)}
+	case TypeReplicaPull:
+		m = ReplicaPull{Payload: r.bytes(MaxFrame)}
+	case TypeReplicaPush:
+		m = ReplicaPush{Payload: r.bytes(MaxFrame)}
+	case TypePlaced:
+		m = Placed{Payload: r.bytes(MaxFrame)}
 	case TypeIntent:
 		m = Intent{Payload: r.bytes(MaxFrame)}
 	case TypeIntentAck:
--- a/internal/protocol/peerwire/message.go
+++ b/internal/protocol/peerwire/message.go
@@ -30,11 +30,14 @@
 	TypeDone
 	// TypeFailure answers a request that the peer could not handle.
 	TypeFailure
+	TypeReplicaPull
+	TypeReplicaPush
+	TypePlaced
 )
 
 var typeNames = [...]string{"unknown", "hello", "config_pull", "config_push", "suspicions",
 	"pressure", "order_forward", "order_answer", "intent", "intent_ack", "outcome", "query",
-	"ledger_handover", "keep_alive", "done", "failure"}
+	"ledger_handover", "keep_alive", "done", "failure", "replica_pull", "replica_push", "placed"}
 
 // String returns the name of t, for log lines and metrics.
 func (t Type) String() string {
@@ -85,6 +88,13 @@
 	Query struct{ Payload []byte }
 	// LedgerHandover passes a ledger on when its owner stops.
 	LedgerHandover struct{ Payload []byte }
+	// ReplicaPull asks for copies of what the platform publishes; it is answered with a
+	// ReplicaPush.
+	ReplicaPull struct{ Payload []byte }
+	// ReplicaPush carries copies of what the platform publishes.
+	ReplicaPush struct{ Payload []byte }
+	// Placed tells which work an instance has placed at upstreams.
+	Placed struct{ Payload []byte }
 	// KeepAlive shows that a connection still works.
 	KeepAlive struct{}
 	// Done answers a request that has no other answer.
@@ -106,6 +116,9 @@
 func (Outcome) Type() Type        { return TypeOutcome }
 func (Query) Type() Type          { return TypeQuery }
 func (LedgerHandover) Type() Type { return TypeLedgerHandover }
+func (ReplicaPull) Type() Type    { return TypeReplicaPull }
+func (ReplicaPush) Type() Type    { return TypeReplicaPush }
+func (Placed) Type() Type         { return TypePlaced }
 func (KeepAlive) Type() Type      { return TypeKeepAlive }
 func (Done) Type() Type           { return TypeDone }
 func (Failure) Type() Type        { return TypeFailure }
--- a/internal/transport/peer/node.go
+++ b/internal/transport/peer/node.go
@@ -152,7 +152,7 @@
 func (n *Node) admit(c net.Conn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.closed || n.inbound >= n.opts.MaxInbound || n.certs == nil && !isLoopback(c.RemoteAddr()) {
+	if n.closed || n.inbound >= n.opts.MaxInbound || n.certs == nil && !n.opts.PrivateNetwork && !isLoopback(c.RemoteAddr()) {
 		n.stats.Refused++
 		return false
 	}
@@ -218,7 +218,7 @@
 func isRepeatable(t peerwire.Type) bool {
 	switch t {
 	case peerwire.TypeConfigPull, peerwire.TypeConfigPush, peerwire.TypeSuspicions,
-		peerwire.TypeInstances, peerwire.TypeIntent, peerwire.TypeOutcome, peerwire.TypeQuery:
+		peerwire.TypeInstances, peerwire.TypeIntent, peerwire.TypeOutcome, peerwire.TypeQuery, peerwire.TypeReplicaPull:
 		return true
 	}
 	return false
@@ -226,7 +226,7 @@
 
 // connect returns the connection to a peer and dials it when there is none.
 func (n *Node) connect(ctx context.Context, to netip.AddrPort) (*connection, func(), error) {
-	if n.certs == nil && !to.Addr().Unmap().IsLoopback() {
+	if n.certs == nil && !n.opts.PrivateNetwork && !to.Addr().Unmap().IsLoopback() {
 		return nil, nil, errors.Wrapf(ErrUnreachable, "%s needs key files: plain TCP is allowed on loopback only", to)
 	}
 	to = unmap(to)
--- a/internal/transport/peer/options.go
+++ b/internal/transport/peer/options.go
@@ -52,6 +52,9 @@
 	Keys *peerwire.KeyList
 	// TLS names the key files. Without them only loopback addresses are allowed.
 	TLS *TLSFiles
+	// PrivateNetwork allows connections without TLS beyond loopback addresses: the
+	// network itself keeps others out, and keys only tell deployments apart.
+	PrivateNetwork bool
 	// Handler handles the requests of peers.
 	Handler Handler
 	// Dialer replaces the dialer, so that tests can cut links.
@@ -102,7 +105,7 @@
 	if o.Keys == nil {
 		return errors.New("peer node has neither key files nor shared keys")
 	}
-	if !o.Listen.Addr().IsLoopback() {
+	if !o.PrivateNetwork && !o.Listen.Addr().IsLoopback() {
 		return errors.Errorf("listen address %s needs key files: plain TCP is allowed on loopback only", o.Listen)
 	}
 	return nil
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -69,6 +69,11 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// WithoutNetwork adapts a dialer that knows only TCP.
+func WithoutNetwork(dial func(ctx context.Context, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
+}
+
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
 	timeout time.Duration
@@ -162,11 +167,8 @@
 }
 
 func (c *Client) get(uri string, timeout time.Duration, res *fasthttp.Response) (Outcome, error) {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI("http://" + c.http.Addr + uri)
-	if err := c.http.DoTimeout(req, res, timeout); err != nil {
-		return Unavailable, errors.Wrap(err, "platform")
+	if err := c.do(uri, timeout, res); err != nil {
+		return Unavailable, err
 	}
 	switch code := res.StatusCode(); code {
 	case fasthttp.StatusOK:
@@ -180,6 +182,39 @@
 	}
 }
 
+// Get calls the platform and returns the status and the body of its answer. When ctx ends,
+// the connections of all calls are closed.
+func (c *Client) Get(ctx context.Context, uri string, timeout time.Duration) (int, []byte, error) {
+	stop := context.AfterFunc(ctx, c.interrupt)
+	defer stop()
+	res := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(res)
+	if err := c.do(uri, timeout, res); err != nil {
+		return 0, nil, err
+	}
+	return res.StatusCode(), append([]byte(nil), res.Body()...), nil
+}
+
+// interrupt closes the connections of all calls in progress.
+func (c *Client) interrupt() {
+	c.mu.Lock()
+	open := make([]*trackedConn, 0, len(c.conns))
+	for conn := range c.conns {
+		open = append(open, conn)
+	}
+	c.mu.Unlock()
+	for _, conn := range open {
+		_ = conn.Conn.Close() // the call in progress reports the error
+	}
+}
+
+func (c *Client) do(uri string, timeout time.Duration, res *fasthttp.Response) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + c.http.Addr + uri)
+	return errors.Wrap(c.http.DoTimeout(req, res, timeout), "platform")
+}
+
 // Close ends all calls in progress, also a waiting watch, and refuses new ones.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -181,6 +181,9 @@
 	BeforeSend func() bool
 }
 
+// ErrCancelled reports an exchange that was given up because nobody waits for its answer.
+var ErrCancelled = errors.New("the exchange was cancelled")
+
 // errRefused reports that BeforeSend refused the call.
 var errRefused = errors.New("the call was refused before it was sent")
 
