gateway: one short watch for everything that is published

The platform had dropped its history and cut the waiting watches without an answer; the connection stayed open, keep-alive probes were answered, and the client waited until its own limit of 12 s. Ruled out: a read that was stale (reads are linearizable).

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -13,13 +13,16 @@
 )
 
 const (
-	// watchWait is how long one watch waits for changes. Each watch is a call that counts
-	// against the platform's rate.
-	watchWait = 10 * time.Second
+	// watchWait is how long one watch waits for changes. A watch that was cut hears
+	// nothing and gets no answer: with the client's own limit it must end within the two
+	// seconds in which a configuration is to be in force.
+	watchWait = 1200 * time.Millisecond
+	// watchPause lets changes that come one after the other share a call.
+	watchPause = 100 * time.Millisecond
 	// readTimeout bounds a full read, also of a platform that is slow.
 	readTimeout = 4 * time.Second
 	// firstPause and maxPause bound the pause before a call that failed is repeated.
-	firstPause = 100 * time.Millisecond
+	firstPause = 30 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
 	// lapseGrace is how long entries that lapsed in an outage are kept after the
 	// platform's return: live upstreams write them again within two seconds.
@@ -28,38 +31,27 @@
 	feedTick = 100 * time.Millisecond
 )
 
-// feed keeps the copy of one published prefix.
+// feed keeps the copy of what the platform publishes. One watch covers all of it: each call
+// counts against the platform's rate.
 type feed struct {
 	g       *Gateway
 	prefix  string
 	replica *replica.Replica
-	apply   func(changes []replica.Change, source string)
 }
 
-// feeds are the copies that an instance keeps.
-type feeds struct{ configuration, upstreams *feed }
-
-func newFeeds(g *Gateway) feeds {
-	d := g.protocols.Decoder
-	return feeds{
-		configuration: &feed{g: g, prefix: d.ConfigurationPrefix(), replica: replica.New(replica.Options{}), apply: g.applyConfigurationChanges},
-		upstreams:     &feed{g: g, prefix: d.UpstreamPrefix(), replica: replica.New(replica.Options{Grace: lapseGrace}), apply: g.applyUpstreamChanges},
-	}
+func newFeed(g *Gateway) *feed {
+	return &feed{g: g, prefix: g.protocols.Decoder.Prefix(), replica: replica.New(replica.Options{Grace: lapseGrace})}
 }
 
-func (f feeds) run(ctx context.Context) error {
+func (f *feed) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, x := range f.list() {
-		group.Go(func() error { return x.follow(ctx) })
-		group.Go(func() error {
-			return every(ctx, feedTick, func() { x.deliver(x.replica.Tick(x.g.now()), "grace") })
-		})
-	}
+	group.Go(func() error { return f.follow(ctx) })
+	group.Go(func() error {
+		return every(ctx, feedTick, func() { f.deliver(f.replica.Tick(f.g.now()), "grace") })
+	})
 	return group.Wait()
 }
 
-func (f feeds) list() []*feed { return []*feed{f.configuration, f.upstreams} }
-
 func (f *feed) loaded() bool {
 	_, ok := f.replica.Revision()
 	return ok
@@ -67,7 +59,7 @@
 
 func (f *feed) deliver(changes []replica.Change, source string) {
 	if len(changes) > 0 {
-		f.apply(changes, source)
+		f.g.applyChanges(changes, source)
 	}
 }
 
@@ -122,6 +114,12 @@
 	}
 	f.regained()
 	f.deliver(f.replica.Apply(f.g.now(), changes, revision), "platform")
+	if len(changes) > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchPause):
+		}
+	}
 	return nil
 }
 
@@ -145,26 +143,28 @@
 	f.deliver(f.replica.Load(f.g.now(), s), peer)
 }
 
-func (g *Gateway) applyConfigurationChanges(changes []replica.Change, source string) {
+// applyChanges takes changed entries over: the configuration first, since it says which
+// services there are.
+func (g *Gateway) applyChanges(changes []replica.Change, source string) {
+	var upstreams []replica.Change
 	for _, c := range changes {
+		if !g.protocols.Decoder.IsConfiguration(c.Key) {
+			upstreams = append(upstreams, c)
+			continue
+		}
 		if c.Deleted {
 			continue // the last configuration stays in force
 		}
-		configuration, ok, err := g.protocols.Decoder.Configuration(c.Item)
+		configuration, err := g.protocols.Decoder.Configuration(c.Item)
 		if err != nil {
 			g.log.WithFields(logrus.Fields{"event": "configuration_refused", "revision": c.Revision, "source": source, "error": err.Error()}).Error("configuration cannot be read; the last one stays in force")
 			continue
 		}
-		if ok {
-			g.applyConfiguration(configuration, source)
-		}
+		g.applyConfiguration(configuration, source)
 	}
-}
-
-func (g *Gateway) applyUpstreamChanges(changes []replica.Change, source string) {
 	g.configuring.Lock()
 	defer g.configuring.Unlock()
-	for _, c := range changes {
+	for _, c := range upstreams {
 		g.applyUpstream(c, source)
 	}
 	g.distribute()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,7 @@
 	table     atomic.Pointer[table]
 
 	quarantine *quarantine.Quarantine
-	feeds      feeds
+	feed       *feed
 	peers      *peers
 
 	configuring sync.Mutex
@@ -64,7 +64,7 @@
 		watcher: caller.NewWatcher(), quarantine: quarantine.New(quarantine.Options{}),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
 	}
-	g.feeds = newFeeds(g)
+	g.feed = newFeed(g)
 	g.callers = g.newCallersServer()
 	g.operations = g.newOperationsServer()
 	if err := g.listen(); err != nil {
@@ -187,7 +187,7 @@
 	group.Go(func() error { return errors.Wrap(g.operations.Serve(g.listeners.operations), "serve operations") })
 	group.Go(func() error { return every(work, advanceInterval, g.advance) })
 	group.Go(func() error { return every(work, caller.WatchInterval, g.watcher.Check) })
-	group.Go(func() error { return g.feeds.run(work) })
+	group.Go(func() error { return g.feed.run(work) })
 	if g.peers != nil {
 		group.Go(func() error { return g.peers.run(work) })
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -48,11 +48,11 @@
 	node    *peer.Node
 }
 
-// pullMessage asks for the copies that are newer than these revisions.
-type pullMessage struct{ Configuration, Upstreams uint64 }
+// pullMessage asks for a copy that is newer than a revision.
+type pullMessage struct{ Revision uint64 }
 
 // pushMessage answers a pullMessage. Nil: the peer has nothing newer.
-type pushMessage struct{ Configuration, Upstreams *replica.Snapshot }
+type pushMessage struct{ Snapshot *replica.Snapshot }
 
 // placedMessage tells which work an instance has placed, by service.
 type placedMessage map[string][]dispatch.Work
@@ -151,12 +151,7 @@
 }
 
 func (p *peers) needsPeers() bool {
-	for _, f := range p.g.feeds.list() {
-		if f.replica.IsAway() || !f.loaded() {
-			return true
-		}
-	}
-	return false
+	return p.g.feed.replica.IsAway() || !p.g.feed.loaded()
 }
 
 func (p *peers) pull(ctx context.Context) {
@@ -166,8 +161,7 @@
 	}
 	to := live[mathrand.IntN(len(live))]
 	var have pullMessage
-	have.Configuration, _ = p.g.feeds.configuration.replica.Revision()
-	have.Upstreams, _ = p.g.feeds.upstreams.replica.Revision()
+	have.Revision, _ = p.g.feed.replica.Revision()
 	payload, err := msgpack.Marshal(have)
 	if err != nil {
 		p.failed("pull", to.Name, err)
@@ -190,15 +184,8 @@
 		p.failed("pull", to.Name, err)
 		return
 	}
-	p.merge(got, to.Name)
-}
-
-func (p *peers) merge(m pushMessage, from string) {
-	if m.Configuration != nil {
-		p.g.feeds.configuration.merge(*m.Configuration, from)
-	}
-	if m.Upstreams != nil {
-		p.g.feeds.upstreams.merge(*m.Upstreams, from)
+	if got.Snapshot != nil {
+		p.g.feed.merge(*got.Snapshot, to.Name)
 	}
 }
 
@@ -286,14 +273,7 @@
 	if err := msgpack.Unmarshal(m.Payload, &have); err != nil {
 		return nil, errors.Wrap(err, "pull")
 	}
-	var out pushMessage
-	if s := p.g.feeds.configuration.newer(have.Configuration); s != nil {
-		out.Configuration = s
-	}
-	if s := p.g.feeds.upstreams.newer(have.Upstreams); s != nil {
-		out.Upstreams = s
-	}
-	payload, err := msgpack.Marshal(out)
+	payload, err := msgpack.Marshal(pushMessage{Snapshot: p.g.feed.newer(have.Revision)})
 	if err != nil {
 		return nil, errors.Wrap(err, "push")
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -103,12 +103,12 @@
 // Decoder translates what the platform publishes. Implementations are safe for concurrent
 // use.
 type Decoder interface {
-	// ConfigurationPrefix and UpstreamPrefix are where the entries are published.
-	ConfigurationPrefix() string
-	UpstreamPrefix() string
-	// Configuration decodes an entry under the configuration's prefix; ok is false for
-	// an entry that is not the configuration.
-	Configuration(i replica.Item) (c *Configuration, ok bool, err error)
+	// Prefix is where everything is published.
+	Prefix() string
+	// IsConfiguration tells the configuration's entry from those of upstreams.
+	IsConfiguration(key string) bool
+	// Configuration decodes the configuration.
+	Configuration(i replica.Item) (*Configuration, error)
 	// Upstream decodes the entry of an upstream.
 	Upstream(i replica.Item) (Upstream, error)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -168,7 +168,7 @@
 
 // ready reports whether the instance should receive requests.
 func (g *Gateway) ready() bool {
-	return g.table.Load() != nil && g.feeds.upstreams.loaded() && !g.draining.Load()
+	return g.table.Load() != nil && g.feed.loaded() && !g.draining.Load()
 }
 
 func (g *Gateway) handleReady(ctx *fasthttp.RequestCtx) {
