--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,14 @@
 // OperationsAddress is the address for readiness and metrics.
 func (g *Gateway) OperationsAddress() string { return g.listeners.operations.Addr().String() }
 
+// GossipAddress is the address that other instances join through; empty without peers.
+func (g *Gateway) GossipAddress() string {
+	if g.peers == nil {
+		return ""
+	}
+	return g.peers.self.UDP.String()
+}
+
 // now is the monotonic time since the start.
 func (g *Gateway) now() time.Duration { return time.Since(g.started) }
 
@@ -245,10 +253,21 @@
 	if g.peers != nil {
 		g.peers.close()
 	}
+	g.stopOperations()
 	g.log.WithFields(logrus.Fields{"event": "stopped", "in_progress": g.watcher.InProgress(), "after_ms": time.Since(began).Milliseconds()}).Info("stopped")
 	return nil
 }
 
+// stopOperations ends the operators' server. Connections of probes that stay open are not
+// waited for.
+func (g *Gateway) stopOperations() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopPoll)
+	defer cancel()
+	if err := g.operations.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		g.log.WithFields(logrus.Fields{"event": "operations_listener_failed", "error": err.Error()}).Warn("operations listener could not be closed")
+	}
+}
+
 // every runs fn at the interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, fn func()) error {
 	ticker := time.NewTicker(interval)
