dispatch: keep long prompts away from streams, count the requests of all instances

Change: upstreams are divided by the absolute demand of both kinds (reading time and streams in flight), which grows at once for streams and shrinks slowly; long prompts go where streams run only with a penalty above what they may wait; instances tell each other their requests in flight; waits are predicted by priority; shared parts read again weigh 2.5 times; only long prompts are held back.

--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -8,15 +8,33 @@
 )
 
 const (
-	// longReading is the reading time from which a prompt counts as long: about the
-	// chunk that upstreams read between two tokens.
-	longReading = 60 * time.Millisecond
+	// longReading is the reading time, with nothing cached, from which a prompt counts as
+	// long: upstreams read it in two chunks or more, with tokens of other requests in
+	// between, and its attention makes these chunks slower.
+	longReading = 110 * time.Millisecond
+	// fullCost and slotDelay are added at an upstream without a free slot: a further
+	// request waits, or takes the place of one that runs.
+	fullCost  = 2 * time.Second
+	slotDelay = 60 * time.Millisecond
+	// fillShare is the share of the slots up to which streams are to fill their
+	// upstreams, so that a burst finds free ones.
+	fillShare = 0.7
+	// shrinkPause is the pause between two upstreams that the part for streams gives up.
+	shrinkPause = 700 * time.Millisecond
 	// shortPause is the pause target up to which a stream suffers from long prompts
 	// beside it: a few tokens, each behind a chunk, fill an event.
 	shortPause = 250 * time.Millisecond
-	// crossing is the penalty for a long prompt among streams and for a stream with
-	// short pauses among long prompts.
-	crossing = 250 * time.Millisecond
+	// crossing is the penalty for a stream with short pauses among long prompts.
+	crossing = time.Second
+	// stalling is the penalty for a long prompt among such streams. It is above what long
+	// prompts may wait, so that they are rejected before all streams are late.
+	stalling = 3 * time.Second
+	// rereadFactor times the reading time of shared parts is added to the cost.
+	rereadFactor = 1.5
+	// prior is the penalty for a long prompt beyond the border where no stream runs yet.
+	prior = 100 * time.Millisecond
+	// manyStreams is the number of streams from which the whole penalty applies.
+	manyStreams = 4
 	// sessionSpread is the most that the hash of a session adds to the cost, so that
 	// instances without knowledge choose the same upstream for it.
 	sessionSpread = 25 * time.Millisecond
@@ -25,11 +43,13 @@
 	// remoteCost is the penalty for an upstream of another failure domain: the extra
 	// round trip.
 	remoteCost = 3 * time.Millisecond
-	// minLongShare and maxLongShare bound the share of upstreams for long prompts.
-	minLongShare = 0.3
-	maxLongShare = 0.75
-	// demandHalfLife is the time over which the work of both kinds is compared.
-	demandHalfLife = 3 * time.Second
+	// demandHalfLife is the time over which the work of both kinds is measured.
+	demandHalfLife = 2500 * time.Millisecond
+	// streamUse and longUse are the shares of their time that upstreams may read prompts:
+	// those for streams need room for bursts, and a long prompt's own answer takes a chunk
+	// of reading for each token while others are read.
+	streamUse = 0.7
+	longUse   = 0.6
 )
 
 // candidate is an upstream with its predicted figures for one request.
@@ -107,16 +127,16 @@
 func (d *Dispatcher) evaluatePrompt(now time.Duration, c *candidate, r *Request) {
 	s := c.s
 	c.cached = min(s.cached(now, r.Prefix), r.Prompt)
-	c.wait = s.wait(now)
+	c.wait = s.wait(now, r.Priority)
 	c.work = time.Duration(float64(reading(d.rate, r.Prompt, c.cached)) * s.slow(now))
-	c.cost = c.wait + c.work
-	if s.inFlight >= s.Slots {
-		c.cost += time.Duration(s.inFlight-s.Slots+1) * longReading
+	c.cost = c.wait + c.work + d.rereading(s, r, c.cached)
+	if over := s.load() - s.Slots; over >= 0 {
+		c.cost += fullCost + time.Duration(over)*slotDelay
 	}
 	switch {
-	case c.work >= longReading && !s.forLong:
-		c.cost += crossing
-	case r.PauseTarget > 0 && r.PauseTarget <= shortPause && s.forLong:
+	case d.isLong(r):
+		c.cost += d.stalls(s)
+	case hasShortPauses(r) && s.forLong:
 		c.cost += crossing
 	}
 	if session := sessionOf(r.Prefix); session != 0 {
@@ -127,12 +147,43 @@
 func (d *Dispatcher) evaluatePlain(now time.Duration, c *candidate) {
 	s := c.s
 	mean := max(s.latency, d.plainLatency) * s.slow(now)
-	ahead := float64(s.inFlight) / float64(max(1, s.Slots))
+	ahead := float64(s.own.InFlight) / float64(max(1, s.Slots))
 	c.wait = time.Duration(max(0, ahead-1) * mean * float64(time.Second))
 	c.work = time.Duration(mean * float64(time.Second))
 	c.cost = time.Duration((1 + ahead) * mean * float64(time.Second))
 }
 
+// rereading is the penalty for reading shared parts of the prompt: another upstream most
+// likely keeps them, and the work is taken from requests that come later.
+// Load pattern: more prompts than the upstreams can read, as long as sessions stay.
+func (d *Dispatcher) rereading(s *server, r *Request, cached int) time.Duration {
+	shared := 0
+	for i, p := range r.Prefix {
+		if i < len(r.Prefix)-1 {
+			shared += p.Tokens
+		}
+	}
+	if shared <= cached {
+		return 0
+	}
+	return time.Duration(rereadFactor * float64(reading(d.rate, shared, cached)))
+}
+
+// stalls is the penalty for a long prompt at an upstream that runs streams with short
+// pauses: each of them would be late.
+func (d *Dispatcher) stalls(s *server) time.Duration {
+	if s.forLong {
+		return 0
+	}
+	return prior + stalling*time.Duration(min(s.streams(), manyStreams))/manyStreams
+}
+
+// hasShortPauses reports whether a long prompt beside the stream makes it late.
+func hasShortPauses(r *Request) bool { return r.PauseTarget > 0 && r.PauseTarget <= shortPause }
+
+// isLong reports whether reading the prompt stalls the streams beside it.
+func (d *Dispatcher) isLong(r *Request) bool { return reading(d.rate, r.Prompt, 0) >= longReading }
+
 // sessionOf returns the last shared part of the prompt: the one before the request's own.
 func sessionOf(prefix []Part) uint64 {
 	switch n := len(prefix); n {
@@ -170,9 +221,9 @@
 // demand is the recent prompt work by kind, in seconds of reading.
 type demand struct{ long, short fading }
 
-func (x *demand) add(now, work time.Duration) {
+func (x *demand) add(now, work time.Duration, long bool) {
 	f := &x.short
-	if work >= longReading {
+	if long {
 		f = &x.long
 	}
 	f.value, f.at = f.halved(now)+work.Seconds(), now
@@ -182,21 +233,54 @@
 	return f.value * math.Exp2(-float64(max(0, now-f.at))/float64(demandHalfLife))
 }
 
-// longShare is the share of upstreams for long prompts.
-func (x *demand) longShare(now time.Duration) float64 {
-	long, short := x.long.halved(now), x.short.halved(now)
-	if long+short == 0 {
-		return (minLongShare + maxLongShare) / 2
-	}
-	return min(max(long/(long+short), minLongShare), maxLongShare)
+// rates returns the seconds of reading that arrive in a second, by kind.
+func (x *demand) rates(now time.Duration) (long, short float64) {
+	window := demandHalfLife.Seconds() / math.Ln2
+	return x.long.halved(now) / window, x.short.halved(now) / window
+}
+
+// border divides the upstreams, in the order of their positions, into those for long
+// prompts and those for streams.
+type border struct {
+	forStreams int
+	shrinkAt   time.Duration
 }
 
-// setBorder marks the upstreams for long prompts.
+// setBorder marks the upstreams for long prompts. The part for streams grows at once and
+// shrinks one by one: a stream that runs where long prompts arrive is late.
+// Load pattern: a burst of long answers after a burst of long prompts.
 func (d *Dispatcher) setBorder(now time.Duration) {
-	n := int(math.Round(d.demand.longShare(now) * float64(len(d.order))))
+	n := len(d.order)
+	wanted := d.serversForStreams(now)
+	b := &d.border
+	switch {
+	case wanted >= b.forStreams || b.forStreams > n:
+		b.forStreams, b.shrinkAt = min(wanted, n), now+shrinkPause
+	case now >= b.shrinkAt:
+		b.forStreams, b.shrinkAt = b.forStreams-1, now+shrinkPause
+	}
 	for i, s := range d.order {
-		s.forLong = i < n
+		s.forLong = i < n-b.forStreams
+	}
+}
+
+// serversForStreams is the number of upstreams that short prompts need for their reading
+// and streams for their slots, and half of what long prompts do not need. Short prompts
+// come first: more of them are served in the same time.
+func (d *Dispatcher) serversForStreams(now time.Duration) int {
+	n, streams, slots := len(d.order), 0, 0
+	for _, s := range d.order {
+		streams += s.streams()
+		slots += s.Slots
+	}
+	if slots == 0 {
+		return 0
 	}
+	long, short := d.demand.rates(now)
+	filled := float64(streams) / (fillShare * float64(slots)) * float64(n)
+	needed := int(math.Ceil(max(short/streamUse, filled, 1)))
+	spare := n - needed - int(math.Ceil(long/longUse))
+	return min(needed+max(spare/2, 0), n-1)
 }
 
 func comparePosition(a, b *server) int { return cmp.Compare(a.position, b.position) }
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -47,12 +47,13 @@
 	plainLatency float64 // mean answer time of the service in seconds
 	demand       demand
 	leastUrgent  leastUrgent
+	border       border
 
 	queue   *fairqueue.Queue[*item]
 	waiting map[uint64]*item
 	grants  map[uint64]*grant
 	next    uint64
-	told    []Work // for the peers
+	placed  []Work // for the peers
 	values  []float64
 }
 
@@ -64,16 +65,17 @@
 
 // grant is a request at an upstream.
 type grant struct {
-	s       *server
-	class   string
-	prompt  int
-	cached  int
-	sent    time.Duration
-	wait    time.Duration
-	work    time.Duration
-	first   bool
-	probe   bool
-	retried bool
+	s        *server
+	priority int
+	prompt   int
+	cached   int
+	sent     time.Duration
+	wait     time.Duration
+	work     time.Duration
+	first    bool
+	stream   bool // with short pauses
+	probe    bool
+	retried  bool
 }
 
 // New returns a dispatcher without upstreams. rng must not be shared.
@@ -244,9 +246,12 @@
 // mustHold reports whether the request waits here.
 func (d *Dispatcher) mustHold(now time.Duration, r *Request, c *candidate, queued time.Duration) bool {
 	if c.s.Memory == 0 {
-		return c.s.inFlight >= c.s.Slots
+		return c.s.own.InFlight >= c.s.Slots
 	}
-	if c.work < longReading {
+	if c.s.load() >= c.s.Slots {
+		return true // it would take the place of another request
+	}
+	if !d.isLong(r) {
 		return false
 	}
 	limit := max(time.Duration(holdShare*float64(r.Target-now)), minHold)
@@ -271,29 +276,28 @@
 	s := c.s
 	d.next++
 	g := &grant{
-		s: s, class: r.Class, prompt: r.Prompt, cached: c.cached, sent: now, wait: c.wait, work: c.work,
-		probe: s.aside(), retried: len(r.Exclude) > 0,
+		s: s, priority: r.Priority, prompt: r.Prompt, cached: c.cached, sent: now, wait: c.wait, work: c.work,
+		stream: hasShortPauses(r), probe: s.aside(), retried: len(r.Exclude) > 0,
 	}
 	d.grants[d.next] = g
-	s.inFlight++
+	s.own.InFlight++
+	if g.stream {
+		s.own.Streams++
+	}
 	if g.probe {
 		s.probing = true
 	}
 	if s.Memory > 0 {
-		d.demand.add(now, c.work)
-		s.free = max(s.free, now) + c.work
+		d.demand.add(now, c.work, d.isLong(r))
+		s.add(now, r.Priority, c.work)
 		s.keep(now, r.Prefix)
-		d.tell(Work{Server: s.ID, Reading: c.work, Parts: r.Prefix})
+		if len(d.placed) < peerKeep {
+			d.placed = append(d.placed, Work{Server: s.ID, Reading: c.work, Priority: r.Priority, Long: d.isLong(r), Parts: r.Prefix})
+		}
 	}
 	return Decision{ID: r.ID, Grant: &Grant{Server: s.Server, Token: d.next, Wait: c.wait, Work: c.work, Cached: c.cached, Probe: g.probe}}
 }
 
-func (d *Dispatcher) tell(w Work) {
-	if len(d.told) < peerKeep {
-		d.told = append(d.told, w)
-	}
-}
-
 // reject refuses the request with a time to come back.
 func (d *Dispatcher) reject(now time.Duration, r *Request, reason Reason, predicted time.Duration) Decision {
 	return Decision{ID: r.ID, Rejection: &Rejection{Reason: reason, Predicted: predicted, RetryAfter: d.retryAfter(now)}}
@@ -305,7 +309,7 @@
 	drain := d.queuedAhead(maxPriority)
 	var least time.Duration = -1
 	for _, s := range d.order {
-		if w := s.wait(now); least < 0 || w < least {
+		if w := s.wait(now, maxPriority); least < 0 || w < least {
 			least = w
 		}
 	}
@@ -340,27 +344,60 @@
 	return len(d.waiting)
 }
 
-// Collect returns the work that was placed since the last call, for the peers.
-func (d *Dispatcher) Collect() []Work {
+// Collect returns what has changed since the last call, for the peers.
+func (d *Dispatcher) Collect() Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := d.told
-	d.told = nil
-	return out
+	r := Report{Placed: d.placed}
+	d.placed = nil
+	for _, s := range d.order {
+		s.own.Server = s.ID
+		if s.Memory > 0 && s.own != s.told {
+			s.told = s.own
+			r.Loads = append(r.Loads, s.own)
+		}
+	}
+	return r
 }
 
-// Merge takes the work that a peer has placed.
-func (d *Dispatcher) Merge(now time.Duration, list []Work) {
+// Merge takes the report of a peer.
+func (d *Dispatcher) Merge(now time.Duration, peer string, r Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, w := range list {
+	for _, w := range r.Placed {
 		s := d.servers[w.Server]
 		if s == nil || s.Memory == 0 || w.Reading < 0 {
 			continue
 		}
-		s.free = max(s.free, now) + min(w.Reading, maxBackoff)
+		s.add(now, w.Priority, min(w.Reading, maxPeerReading))
 		s.keep(now, w.Parts)
-		d.demand.add(now, w.Reading)
+		d.demand.add(now, w.Reading, w.Long)
+	}
+	for _, l := range r.Loads {
+		if s := d.servers[l.Server]; s != nil && l.InFlight >= 0 && l.Streams >= 0 {
+			s.setPeer(peer, l)
+		}
+	}
+}
+
+// maxPeerReading bounds the reading time of one prompt that a peer reports.
+const maxPeerReading = 5 * time.Second
+
+// Forget drops the loads of a peer that is gone.
+func (d *Dispatcher) Forget(peer string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.order {
+		s.setPeer(peer, Load{})
+	}
+}
+
+// Retell makes the next report hold all loads, for a peer that is new.
+func (d *Dispatcher) Retell() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.order {
+		s.told = Load{}
 	}
 }
 
--- a/internal/coordination/dispatch/learn.go
+++ b/internal/coordination/dispatch/learn.go
@@ -23,14 +23,18 @@
 	d.learnRate(g, took)
 	// Prompts are read in order: when this one was earlier or later than predicted, so
 	// are those behind it.
-	g.s.free = max(g.s.free+(took-predicted)/2, now)
+	g.s.correct(now, g.priority, (took-predicted)/2)
 }
 
+// minSample is the least reading time that tells the rate apart from the fixed cost of a
+// step.
+const minSample = 60 * time.Millisecond
+
 // learnRate takes a sample of the reading rate from a prompt that had the upstream for
 // itself.
 func (d *Dispatcher) learnRate(g *grant, took time.Duration) {
 	fresh := g.prompt - g.cached
-	if g.wait > 0 || g.work < longReading || took <= stepTime {
+	if g.wait > 0 || g.work < minSample || took <= stepTime {
 		return
 	}
 	rate := float64(fresh) / (float64(took-stepTime) / float64(time.Millisecond))
@@ -61,12 +65,15 @@
 	}
 	delete(d.grants, token)
 	s := g.s
-	s.inFlight--
+	s.own.InFlight--
+	if g.stream {
+		s.own.Streams--
+	}
 	if g.probe {
 		s.probing = false
 	}
 	if s.Memory > 0 && !g.first && status != Succeeded {
-		s.free = max(s.free-g.work, now)
+		s.correct(now, g.priority, -g.work)
 	}
 	switch status {
 	case Succeeded:
@@ -83,7 +90,7 @@
 		s.failures.add(now, 1, failureWeight)
 	case Refused:
 		d.reach(g)
-		s.free = max(s.free, now) + refusedDelay
+		s.add(now, g.priority, refusedDelay)
 	case Cancelled:
 	}
 }
@@ -113,7 +120,8 @@
 // ServerState is the state of one upstream for operators.
 type ServerState struct {
 	Server
-	InFlight int
+	InFlight int // of this instance
+	Load     int // of all instances, as far as their reports tell
 	Wait     time.Duration
 	Slowness float64
 	Failures float64
@@ -128,7 +136,7 @@
 	out := make([]ServerState, 0, len(d.order))
 	for _, s := range d.order {
 		out = append(out, ServerState{
-			Server: s.Server, InFlight: s.inFlight, Wait: s.wait(now), Slowness: s.slow(now),
+			Server: s.Server, InFlight: s.own.InFlight, Load: s.load(), Wait: s.wait(now, maxPriority), Slowness: s.slow(now),
 			Failures: s.failures.get(now), Aside: s.aside(), ForLong: s.forLong,
 		})
 	}
--- a/internal/coordination/dispatch/server.go
+++ b/internal/coordination/dispatch/server.go
@@ -40,13 +40,18 @@
 // server is the learned state of one upstream.
 type server struct {
 	Server
-	position uint64 // order for the border between long prompts and streams
-	forLong  bool   // on the side of the border for long prompts
-	inFlight int
-	free     time.Duration // predicted time at which all prompts sent so far are read
-	slowness fading        // answer time over prediction, less 1
-	failures fading        // share of failed requests
-	latency  float64       // mean answer time in seconds; plain services
+	position uint64          // order for the border between long prompts and streams
+	forLong  bool            // on the side of the border for long prompts
+	own      Load            // requests of this instance
+	told     Load            // own in the last report to the peers
+	peers    map[string]Load // by peer
+	others   Load            // sum of peers
+	// free is, by level of priority, the predicted time at which all prompts of that level
+	// and of more urgent ones are read.
+	free     [levels]time.Duration
+	slowness fading  // answer time over prediction, less 1
+	failures fading  // share of failed requests
+	latency  float64 // mean answer time in seconds; plain services
 	cache    *expiring.Map[uint64, struct{}]
 
 	unreachable int           // failures to reach it in a row
@@ -117,8 +122,52 @@
 // slow is the factor by which the upstream is slower than predicted.
 func (s *server) slow(now time.Duration) float64 { return 1 + s.slowness.get(now) }
 
-// wait is the predicted time until the upstream begins with a new prompt.
-func (s *server) wait(now time.Duration) time.Duration { return max(0, s.free-now) }
+// levels is the number of priorities that are told apart in predictions; the least urgent
+// ones share the last.
+const levels = 4
+
+func level(priority int) int { return min(max(priority, 0), levels-1) }
+
+// wait is the predicted time until the upstream begins with a prompt of the priority. More
+// urgent prompts are read first.
+func (s *server) wait(now time.Duration, priority int) time.Duration {
+	return max(0, s.free[level(priority)]-now)
+}
+
+// add notes that a prompt of the priority is to be read.
+func (s *server) add(now time.Duration, priority int, work time.Duration) {
+	for i := level(priority); i < levels; i++ {
+		s.free[i] = max(s.free[i], now) + work
+	}
+}
+
+// correct moves the predicted times of the priority and of less urgent ones.
+func (s *server) correct(now time.Duration, priority int, by time.Duration) {
+	for i := level(priority); i < levels; i++ {
+		s.free[i] = max(s.free[i]+by, now)
+	}
+}
+
+// load is the number of requests of all instances at the upstream.
+func (s *server) load() int { return s.own.InFlight + s.others.InFlight }
+
+// streams is the number of streams with short pauses of all instances at the upstream.
+func (s *server) streams() int { return s.own.Streams + s.others.Streams }
+
+// setPeer records what a peer has in flight.
+func (s *server) setPeer(peer string, l Load) {
+	old := s.peers[peer]
+	s.others.InFlight += l.InFlight - old.InFlight
+	s.others.Streams += l.Streams - old.Streams
+	if l.InFlight == 0 && l.Streams == 0 {
+		delete(s.peers, peer)
+		return
+	}
+	if s.peers == nil {
+		s.peers = map[string]Load{}
+	}
+	s.peers[peer] = l
+}
 
 // aside reports whether the upstream could not be reached lately.
 func (s *server) aside() bool { return s.unreachable > 0 }
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -104,12 +104,32 @@
 
 // Work is prompt work that a peer has sent to an upstream.
 type Work struct {
-	Server  string
-	Reading time.Duration
+	Server   string
+	Reading  time.Duration
+	Priority int
+	Long     bool // the prompt is a long one
 	// Parts are the parts of the prompts, which the upstream now keeps.
 	Parts []Part
 }
 
+// Load is the number of requests that a peer has at an upstream now.
+type Load struct {
+	Server   string
+	InFlight int
+	// Streams is how many of them are streams with short pauses.
+	Streams int
+}
+
+// Report is what an instance tells its peers: the work placed since the last report, and
+// the loads that have changed since.
+type Report struct {
+	Placed []Work
+	Loads  []Load
+}
+
+// Empty reports whether there is nothing to tell.
+func (r Report) Empty() bool { return len(r.Placed) == 0 && len(r.Loads) == 0 }
+
 // Options configure a Dispatcher. Zero values take the defaults.
 type Options struct {
 	// Domain is the failure domain of this instance.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 	x.upstream = grant.Server.ID
 	x.log("request_placed").WithFields(logrus.Fields{
 		"upstream": grant.Server.ID, "address": grant.Server.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
-		"cached": grant.Cached, "prompt": x.request.Prompt, "probe": grant.Probe, "attempt": x.arrivals + 1,
+		"priority": x.priority, "cached": grant.Cached, "prompt": x.request.Prompt, "probe": grant.Probe, "attempt": x.arrivals + 1,
 	}).Info("request placed")
 	x.g.quarantine.Started(a.began, x.fingerprint, x.team, grant.Server.ID)
 	if err := a.run(); err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -29,10 +29,10 @@
 	// calmPulls is the number of pull intervals between two questions of an instance that
 	// the platform answers: its connection may be silent without an error.
 	calmPulls = 10
-	// placedInterval is how often an instance tells its peers what work it has placed,
-	// for up to placedPeers peers; with more, the interval grows in proportion.
-	placedInterval = 100 * time.Millisecond
-	placedPeers    = 16
+	// reportInterval is how often an instance tells its peers what it has at the upstreams,
+	// for up to reportPeers peers; with more, the interval grows in proportion.
+	reportInterval = 100 * time.Millisecond
+	reportPeers    = 16
 )
 
 // meshDomain is the membership domain of all instances: they are few enough to probe each
@@ -54,8 +54,8 @@
 // pushMessage answers a pullMessage. Nil: the peer has nothing newer.
 type pushMessage struct{ Snapshot *replica.Snapshot }
 
-// placedMessage tells which work an instance has placed, by service.
-type placedMessage map[string][]dispatch.Work
+// reportMessage tells what an instance has at the upstreams, by service.
+type reportMessage map[string]dispatch.Report
 
 // newPeers opens the sockets for peers; it returns nil where the settings have none.
 func newPeers(g *Gateway) (*peers, error) {
@@ -103,6 +103,7 @@
 func (p *peers) observe(_ time.Duration, a membership.Action) {
 	switch a := a.(type) {
 	case membership.Changed:
+		p.noteChange(a)
 		p.g.log.WithFields(logrus.Fields{"event": "peer_changed", "peer": a.Member.Name, "process": a.Member.Incarnation.Process.String(),
 			"state": a.Member.State.String(), "previous": a.Previous.String()}).Info("peer changed")
 	case membership.Paused:
@@ -110,6 +111,19 @@
 	}
 }
 
+// noteChange drops the loads of a peer that is gone and tells a new one all of this
+// instance's.
+func (p *peers) noteChange(a membership.Changed) {
+	for _, s := range p.g.serviceList() {
+		switch {
+		case a.Member.State == membership.Dead:
+			s.dispatcher.Forget(a.Member.Incarnation.Process.String())
+		case a.Previous == 0:
+			s.dispatcher.Retell()
+		}
+	}
+}
+
 // live returns the other instances that are not dead.
 func (p *peers) live() []membership.Member {
 	var out []membership.Member
@@ -125,7 +139,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.gossip.Run(ctx) })
 	group.Go(func() error { return p.pullLoop(ctx) })
-	group.Go(func() error { return p.placedLoop(ctx) })
+	group.Go(func() error { return p.reportLoop(ctx) })
 	return group.Wait()
 }
 
@@ -193,9 +207,9 @@
 	p.g.log.WithFields(logrus.Fields{"event": "peer_call_failed", "call": what, "peer": name, "error": err.Error()}).Debug("a call to a peer failed")
 }
 
-// placedLoop tells the peers what work has been placed.
-func (p *peers) placedLoop(ctx context.Context) error {
-	timer := time.NewTimer(placedInterval)
+// reportLoop tells the peers what this instance has at the upstreams.
+func (p *peers) reportLoop(ctx context.Context) error {
+	timer := time.NewTimer(reportInterval)
 	defer timer.Stop()
 	for {
 		select {
@@ -204,16 +218,16 @@
 		case <-timer.C:
 		}
 		live := p.live()
-		p.tellPlaced(ctx, live)
-		timer.Reset(placedInterval * time.Duration(max(1, (len(live)+placedPeers-1)/placedPeers)))
+		p.report(ctx, live)
+		timer.Reset(reportInterval * time.Duration(max(1, (len(live)+reportPeers-1)/reportPeers)))
 	}
 }
 
-func (p *peers) tellPlaced(ctx context.Context, live []membership.Member) {
-	m := placedMessage{}
+func (p *peers) report(ctx context.Context, live []membership.Member) {
+	m := reportMessage{}
 	for _, s := range p.g.serviceList() {
-		if work := s.dispatcher.Collect(); len(work) > 0 {
-			m[s.name] = work
+		if r := s.dispatcher.Collect(); !r.Empty() {
+			m[s.name] = r
 		}
 	}
 	if len(m) == 0 {
@@ -221,7 +235,7 @@
 	}
 	payload, err := msgpack.Marshal(m)
 	if err != nil {
-		p.failed("placed", "all", err)
+		p.failed("report", "all", err)
 		return
 	}
 	p.toAll(ctx, live, peerwire.Placed{Payload: payload})
@@ -247,13 +261,13 @@
 	case peerwire.ReplicaPull:
 		return p.answerPull(m)
 	case peerwire.Placed:
-		var placed placedMessage
-		if err := msgpack.Unmarshal(m.Payload, &placed); err != nil {
-			return nil, errors.Wrap(err, "placed work")
+		var reports reportMessage
+		if err := msgpack.Unmarshal(m.Payload, &reports); err != nil {
+			return nil, errors.Wrap(err, "report")
 		}
-		for name, work := range placed {
+		for name, r := range reports {
 			if s := p.g.service(name); s != nil {
-				s.dispatcher.Merge(p.g.now(), work)
+				s.dispatcher.Merge(p.g.now(), from.Process.String(), r)
 			}
 		}
 		return nil, nil
--- a/internal/protocol/peerwire/message.go
+++ b/internal/protocol/peerwire/message.go
@@ -93,7 +93,7 @@
 	ReplicaPull struct{ Payload []byte }
 	// ReplicaPush carries copies of what the platform publishes.
 	ReplicaPush struct{ Payload []byte }
-	// Placed tells which work an instance has placed at upstreams.
+	// Placed tells what an instance has at the upstreams.
 	Placed struct{ Payload []byte }
 	// KeepAlive shows that a connection still works.
 	KeepAlive struct{}
