dispatch: dial upstreams that were set aside, take silent ones of a domain together

Change: an upstream that was set aside is dialled in the background and takes requests again when it accepts; two silent upstreams of one domain set all of it aside; a dial that is not answered ends after 0.3 s, before the first retransmission.

--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -66,9 +66,6 @@
 
 // choose returns the cheapest upstream for the request; ok is false when there is none.
 func (d *Dispatcher) choose(now time.Duration, r *Request) (best candidate, ok bool) {
-	if c, due := d.probe(now, r); due {
-		return c, true
-	}
 	median := d.medianFailures(now)
 	for pass := range 3 {
 		for _, s := range d.order {
@@ -96,20 +93,6 @@
 	return pass > 0 || !s.aside()
 }
 
-// probe returns an upstream that is due to be tried again. A request that has failed
-// once is not spent on it.
-func (d *Dispatcher) probe(now time.Duration, r *Request) (candidate, bool) {
-	if len(r.Exclude) > 0 || d.aside == 0 {
-		return candidate{}, false
-	}
-	for _, s := range d.order {
-		if s.aside() && !s.Leaving && s.probeDue(now) {
-			return d.evaluate(now, s, r, 0), true
-		}
-	}
-	return candidate{}, false
-}
-
 func (d *Dispatcher) evaluate(now time.Duration, s *server, r *Request, medianFailures float64) candidate {
 	c := candidate{s: s}
 	if s.Memory > 0 {
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -40,8 +40,8 @@
 	rng     *rand.Rand
 
 	servers map[string]*server
-	order   []*server // by position, the same at all instances
-	aside   int       // upstreams that could not be reached lately
+	domains map[string]time.Duration // when the last request that was answered there was sent
+	order   []*server                // by position, the same at all instances
 
 	rate         float64 // prompt tokens read in a millisecond
 	plainLatency float64 // mean answer time of the service in seconds
@@ -74,8 +74,6 @@
 	work     time.Duration
 	first    bool
 	stream   bool // with short pauses
-	probe    bool
-	retried  bool
 }
 
 // New returns a dispatcher without upstreams. rng must not be shared.
@@ -88,7 +86,7 @@
 	}
 	return &Dispatcher{
 		options: o, rng: rng, rate: o.TokensPerMS,
-		servers: map[string]*server{}, waiting: map[uint64]*item{}, grants: map[uint64]*grant{},
+		servers: map[string]*server{}, domains: map[string]time.Duration{}, waiting: map[uint64]*item{}, grants: map[uint64]*grant{},
 		queue: fairqueue.New[*item](o.QueueLimit, 0, 1),
 	}
 }
@@ -108,12 +106,8 @@
 	}
 	d.servers = next
 	d.order = d.order[:0]
-	d.aside = 0
 	for _, s := range next {
 		d.order = append(d.order, s)
-		if s.aside() {
-			d.aside++
-		}
 	}
 	slices.SortFunc(d.order, comparePosition)
 	d.setBorder(now)
@@ -277,16 +271,13 @@
 	d.next++
 	g := &grant{
 		s: s, priority: r.Priority, prompt: r.Prompt, cached: c.cached, sent: now, wait: c.wait, work: c.work,
-		stream: hasShortPauses(r), probe: s.aside(), retried: len(r.Exclude) > 0,
+		stream: hasShortPauses(r),
 	}
 	d.grants[d.next] = g
 	s.own.InFlight++
 	if g.stream {
 		s.own.Streams++
 	}
-	if g.probe {
-		s.probing = true
-	}
 	if s.Memory > 0 {
 		d.demand.add(now, c.work, d.isLong(r))
 		s.add(now, r.Priority, c.work)
@@ -295,7 +286,7 @@
 			d.placed = append(d.placed, Work{Server: s.ID, Reading: c.work, Priority: r.Priority, Long: d.isLong(r), Parts: r.Prefix})
 		}
 	}
-	return Decision{ID: r.ID, Grant: &Grant{Server: s.Server, Token: d.next, Wait: c.wait, Work: c.work, Cached: c.cached, Probe: g.probe}}
+	return Decision{ID: r.ID, Grant: &Grant{Server: s.Server, Token: d.next, Wait: c.wait, Work: c.work, Cached: c.cached}}
 }
 
 // reject refuses the request with a time to come back.
--- a/internal/coordination/dispatch/learn.go
+++ b/internal/coordination/dispatch/learn.go
@@ -69,9 +69,6 @@
 	if g.stream {
 		s.own.Streams--
 	}
-	if g.probe {
-		s.probing = false
-	}
 	if s.Memory > 0 && !g.first && status != Succeeded {
 		s.correct(now, g.priority, -g.work)
 	}
@@ -83,11 +80,12 @@
 		d.reach(g)
 		s.failures.add(now, 1, failureWeight)
 	case Unreachable:
-		if !s.aside() {
-			d.aside++
-		}
 		s.failedToReach(now)
 		s.failures.add(now, 1, failureWeight)
+	case Silent:
+		s.failedToReach(now)
+		s.failures.add(now, 1, failureWeight)
+		d.suspectDomain(now, s)
 	case Refused:
 		d.reach(g)
 		s.add(now, g.priority, refusedDelay)
@@ -99,22 +97,74 @@
 // lack of room.
 const refusedDelay = 100 * time.Millisecond
 
-// reach notes that the upstream answered a request that was sent after it was set aside.
+// reach notes that the upstream answered.
 func (d *Dispatcher) reach(g *grant) {
-	if g.s.aside() && (g.probe || g.sent >= g.s.retryAt-maxBackoff) {
-		g.s.reached()
-		d.aside = max(0, d.aside-1)
+	g.s.reached()
+	g.s.silentAt = 0
+	if x := d.domains[g.s.Domain]; x < g.sent {
+		d.domains[g.s.Domain] = g.sent
 	}
 }
 
-// SetAside records that an upstream was found unreachable other than by a request.
-func (d *Dispatcher) SetAside(now time.Duration, id string) {
+const (
+	// domainWindow is the time in which silent upstreams of one failure domain are taken
+	// together.
+	domainWindow = 2 * time.Second
+	// silentServers is the number of silent upstreams from which the whole domain is set
+	// aside, unless another one there has answered a request that was sent meanwhile.
+	silentServers = 2
+)
+
+// suspectDomain sets a failure domain aside when several of its upstreams are silent:
+// trying each of them would cost a request each.
+// Load pattern: a failure domain that is cut off.
+func (d *Dispatcher) suspectDomain(now time.Duration, x *server) {
+	x.silentAt = now
+	silent := 0
+	for _, s := range d.order {
+		if s.Domain == x.Domain && s.silentAt > 0 && s.silentAt > now-domainWindow && s.silentAt > d.domains[x.Domain] {
+			silent++
+		}
+	}
+	if silent < silentServers {
+		return
+	}
+	for _, s := range d.order {
+		if s.Domain == x.Domain && !s.aside() {
+			s.failedToReach(now)
+		}
+	}
+}
+
+// Due returns the upstreams that are set aside and are to be dialled again now. Each is
+// followed by a call of Probed.
+func (d *Dispatcher) Due(now time.Duration) []Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.servers[id]; s != nil && !s.aside() {
-		d.aside++
-		s.failedToReach(now)
+	var out []Server
+	for _, s := range d.order {
+		if s.aside() && !s.Leaving && s.probeDue(now) {
+			s.probing = true
+			out = append(out, s.Server)
+		}
+	}
+	return out
+}
+
+// Probed records whether an upstream that was set aside could be dialled.
+func (d *Dispatcher) Probed(now time.Duration, id string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[id]
+	if s == nil {
+		return
+	}
+	s.probing = false
+	if ok {
+		s.reached()
+		return
 	}
+	s.failedToReach(now)
 }
 
 // ServerState is the state of one upstream for operators.
--- a/internal/coordination/dispatch/server.go
+++ b/internal/coordination/dispatch/server.go
@@ -55,7 +55,8 @@
 	cache    *expiring.Map[uint64, struct{}]
 
 	unreachable int           // failures to reach it in a row
-	retryAt     time.Duration // of the next probe
+	retryAt     time.Duration // of the next dial
+	silentAt    time.Duration // of the last silence; 0: it has answered since
 	probing     bool
 }
 
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -65,8 +65,6 @@
 	Wait, Work time.Duration
 	// Cached is the number of prompt tokens that the upstream is thought to keep.
 	Cached int
-	// Probe marks a request that tries an upstream which was set aside.
-	Probe bool
 }
 
 // Rejection is the refusal of a request that was not sent anywhere.
@@ -96,6 +94,9 @@
 	// Unreachable means that no connection could be made or that the connection was lost
 	// before an answer.
 	Unreachable
+	// Silent is Unreachable without any answer of the other end: the upstream or the path
+	// to it is gone.
+	Silent
 	// Refused means that the upstream did not run the request.
 	Refused
 	// Cancelled means that the caller left; it says nothing about the upstream.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 	x.upstream = grant.Server.ID
 	x.log("request_placed").WithFields(logrus.Fields{
 		"upstream": grant.Server.ID, "address": grant.Server.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
-		"priority": x.priority, "cached": grant.Cached, "prompt": x.request.Prompt, "probe": grant.Probe, "attempt": x.arrivals + 1,
+		"priority": x.priority, "cached": grant.Cached, "prompt": x.request.Prompt, "attempt": x.arrivals + 1,
 	}).Info("request placed")
 	x.g.quarantine.Started(a.began, x.fingerprint, x.team, grant.Server.ID)
 	if err := a.run(); err != nil {
@@ -209,7 +209,7 @@
 	case a.sent == sentBytes:
 		x.mayHaveRun = true
 	}
-	crashed := status == dispatch.Unreachable && a.sent == sentBytes && a.crashed()
+	crashed := (status == dispatch.Unreachable || status == dispatch.Silent) && a.sent == sentBytes && a.crashed()
 	x.log("attempt_failed").WithFields(logrus.Fields{
 		"upstream": a.grant.Server.ID, "verdict": a.verdict.String(), "sent": a.sent == sentBytes, "crashed": crashed,
 		"after_ms": (x.g.now() - a.began).Milliseconds(), "error": err.Error(),
@@ -226,7 +226,12 @@
 		return dispatch.Refused
 	}
 	var f *upstream.Failure
-	if errors.As(err, &f) && !f.Timeout && (f.Phase == upstream.Dial || !f.Reused) {
+	switch {
+	case !errors.As(err, &f):
+		return dispatch.Failed
+	case f.Phase == upstream.Dial && f.TimedOut(), f.Broken():
+		return dispatch.Silent
+	case f.Phase == upstream.Dial, !f.Timeout && !f.Reused:
 		return dispatch.Unreachable
 	}
 	return dispatch.Failed
@@ -266,7 +271,7 @@
 }
 
 var statusNames = map[dispatch.Status]string{
-	dispatch.Succeeded: "succeeded", dispatch.Failed: "failed", dispatch.Unreachable: "unreachable",
+	dispatch.Succeeded: "succeeded", dispatch.Failed: "failed", dispatch.Unreachable: "unreachable", dispatch.Silent: "silent",
 	dispatch.Refused: "refused", dispatch.Cancelled: "cancelled",
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -217,6 +217,7 @@
 	now := g.now()
 	for _, s := range g.serviceList() {
 		s.advance(now)
+		s.probe(g)
 	}
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/retry"
@@ -19,8 +21,9 @@
 	maxIdleConnections = 32
 	// reuseWindow is how long an idle connection is kept when the upstream does not say.
 	reuseWindow = 8 * time.Second
-	// dialTimeout bounds a fresh dial: many round trips in one region.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds a fresh dial: many round trips in one region, and less than the
+	// first retransmission, so that another upstream is tried in time.
+	dialTimeout = 300 * time.Millisecond
 	// silentConnection is how long sent bytes may stay without an acknowledgement: several
 	// retransmissions in one region.
 	silentConnection = 1200 * time.Millisecond
@@ -114,6 +117,21 @@
 	}
 }
 
+// probe dials the upstreams that were set aside, so that no request is spent on it.
+func (s *service) probe(g *Gateway) {
+	for _, to := range s.dispatcher.Due(g.now()) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+			defer cancel()
+			err := s.client(to).Warm(ctx)
+			s.dispatcher.Probed(g.now(), to.ID, err == nil)
+			if err == nil {
+				g.log.WithFields(logrus.Fields{"event": "upstream_reached", "service": s.name, "upstream": to.ID}).Info("an upstream that was set aside accepts connections")
+			}
+		}()
+	}
+}
+
 // client returns the connections to an upstream. They are kept by name and address, since
 // an address may be given to another upstream.
 func (s *service) client(to dispatch.Server) *upstream.Client {
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -120,6 +120,13 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
+// TimedOut reports that the failure is a time limit of any kind.
+func (f *Failure) TimedOut() bool { return isTimeout(f.Err) || f.Broken() }
+
+// Broken reports that the kernel gave the connection up because the other end no longer
+// acknowledged anything.
+func (f *Failure) Broken() bool { return errors.Is(f.Err, syscall.ETIMEDOUT) }
+
 // Client sends requests to one upstream. It is safe for concurrent use.
 type Client struct {
 	address string
@@ -228,6 +235,16 @@
 	return true
 }
 
+// Warm dials the upstream and keeps the connection for a later call.
+func (c *Client) Warm(ctx context.Context) error {
+	cn, err := c.dial(ctx)
+	if err != nil {
+		return err
+	}
+	c.putIdle(cn)
+	return nil
+}
+
 func (c *Client) dial(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
@@ -376,7 +393,7 @@
 // did not arrive in time with an error that is not a [net.Error].
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
+	return !errors.Is(err, syscall.ETIMEDOUT) && errors.As(err, &t) && t.Timeout()
 }
 
 // Answer is an answer whose body is still being read.
