Bound retries over a sliding window; reject for the target only on arrival

Change: retry.Window allows what any span of the window allows, and no slack in the first window after a start. Only long prompts are rejected for their target, and only on arrival.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -119,7 +119,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.leastUrgent.add(now, r.Priority)
-	decision := d.decide(now, &r, d.queuedAhead(r.Priority))
+	decision := d.arrive(now, &r)
 	if decision.Grant != nil || decision.Rejection != nil {
 		return decision
 	}
@@ -217,6 +217,19 @@
 	delete(d.waiting, x.request.ID)
 }
 
+// arrive decides about a new request. A long prompt of the least urgent priority that
+// would miss its target behind a backlog is rejected: it would make those behind it late,
+// too. Short prompts are not: they cost little, and most of them are more urgent.
+func (d *Dispatcher) arrive(now time.Duration, r *Request) Decision {
+	queued := d.queuedAhead(r.Priority)
+	if d.isLong(r) && !r.Returning && len(r.Exclude) == 0 && d.leastUrgent.is(now, r.Priority) {
+		if c, ok := d.choose(now, r); ok && c.s.Memory > 0 && now+queued+c.firstOutput() > r.Target && c.wait+queued > c.work {
+			return d.reject(now, r, ReasonTarget, queued+c.firstOutput())
+		}
+	}
+	return d.decide(now, r, queued)
+}
+
 // decide places the request, keeps it waiting or rejects it. queued is the predicted
 // delay by requests that wait ahead of it.
 func (d *Dispatcher) decide(now time.Duration, r *Request, queued time.Duration) Decision {
@@ -228,9 +241,6 @@
 	if now+c.work+stepTime > r.Deadline || now+predicted > r.Deadline {
 		return d.reject(now, r, ReasonDeadline, predicted)
 	}
-	if now+predicted > r.Target && c.wait+queued > c.work && !r.Returning && d.leastUrgent.is(now, r.Priority) {
-		return d.reject(now, r, ReasonTarget, predicted)
-	}
 	if d.mustHold(now, r, &c, queued) {
 		return Decision{ID: r.ID}
 	}
--- a/internal/coordination/retry/doc.go
+++ b/internal/coordination/retry/doc.go
@@ -1,4 +1,4 @@
-// Package retry bounds the retries of one request class.
+// Package retry bounds the retries of one request class or service.
 //
 // A [Budget] is a token bucket that is filled by first tries, not by time:
 // every first try adds ratio tokens, up to burst, and every retry takes one.
--- a/internal/coordination/retry/retry.go
+++ b/internal/coordination/retry/retry.go
@@ -31,14 +31,6 @@
 	return &Budget{units: limit, gain: gain, burst: limit}
 }
 
-// NewEmptyBudget is NewBudget without retries saved: the budgets of instances that start
-// again and again must not add up to more than one that keeps running.
-func NewEmptyBudget(ratio float64, burst int) *Budget {
-	b := NewBudget(ratio, burst)
-	b.units = 0
-	return b
-}
-
 // First records a first try.
 func (b *Budget) First(now time.Duration) {
 	b.mu.Lock()
@@ -58,13 +50,6 @@
 	return true
 }
 
-// Available reports whether Allow would succeed now.
-func (b *Budget) Available() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.units >= unitsPerToken
-}
-
 // Denied returns the number of retries that were refused.
 func (b *Budget) Denied() uint64 {
 	b.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 	x.upstream = grant.Server.ID
 	x.log("request_placed").WithFields(logrus.Fields{
 		"upstream": grant.Server.ID, "address": grant.Server.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
-		"priority": x.priority, "cached": grant.Cached, "prompt": x.request.Prompt, "attempt": x.arrivals + 1,
+		"priority": x.priority, "cached": grant.Cached, "prompt": x.request.Prompt, "output": x.request.Output, "attempt": x.arrivals + 1,
 	}).Info("request placed")
 	x.g.quarantine.Started(a.began, x.fingerprint, x.team, grant.Server.ID)
 	if err := a.run(); err != nil {
@@ -174,7 +174,7 @@
 // mayTryElsewhere reports whether a failure of the upstream itself is better answered by
 // another one. The budget is asked only when the request is in fact sent again.
 func (x *exchange) mayTryElsewhere() bool {
-	return x.route.Repeatable() && x.counted < x.route.MaxAttempts && x.service.budget.Available() && x.g.now() < x.giveUp
+	return x.route.Repeatable() && x.counted < x.route.MaxAttempts && x.service.budget.Available(x.g.now()) && x.g.now() < x.giveUp
 }
 
 func (a *attempt) readBody() ([]byte, error) {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -35,7 +35,7 @@
 type service struct {
 	name       string
 	dispatcher *dispatch.Dispatcher
-	budget     *retry.Budget
+	budget     *retry.Window
 
 	mu      sync.Mutex
 	clients map[string]*upstream.Client
@@ -47,7 +47,7 @@
 		name: name,
 		dispatcher: dispatch.New(dispatch.Options{Domain: g.settings.FailureDomain, TokensPerMS: g.settings.PromptTokensPerMS},
 			rand.New(rand.NewPCG(g.seed, xxhash.Sum64String(name)))),
-		budget:  retry.NewEmptyBudget(g.settings.Retries.Ratio*retryMargin, g.retryBurst()),
+		budget:  retry.NewWindow(retryMargin*g.settings.Retries.Ratio, g.retrySlack(), g.settings.Retries.Window.Std()),
 		clients: map[string]*upstream.Client{},
 		waiters: map[uint64]chan dispatch.Decision{},
 	}
@@ -62,9 +62,9 @@
 	slackInstances = 8
 )
 
-// retryBurst is this instance's share of the retries that are free.
-func (g *Gateway) retryBurst() int {
-	return max(1, int(retryMargin*float64(g.settings.Retries.Slack))/max(slackInstances, g.instanceCount()))
+// retrySlack is this instance's share of the retries that need no first tries.
+func (g *Gateway) retrySlack() int {
+	return int(retryMargin*float64(g.settings.Retries.Slack)) / max(slackInstances, g.instanceCount())
 }
 
 // acquire asks for an upstream and waits while the dispatcher holds the request.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -61,6 +61,8 @@
 type Retries struct {
 	// Ratio is the share of requests. Default 0.1.
 	Ratio float64 `yaml:"ratio,omitempty" validate:"min=0,max=1"`
+	// Window is the time over which the bound holds. Default 10s.
+	Window config.Duration `yaml:"window,omitempty" validate:"min=0"`
 	// Slack is the number of retries of all instances together that need no requests.
 	Slack int `yaml:"slack,omitempty" validate:"min=0"`
 }
@@ -87,6 +89,7 @@
 	}
 	setDefault(&s.ReadyPath, "/readyz")
 	setDefault(&s.Retries.Ratio, 0.1)
+	setDefault(&s.Retries.Window, config.Duration(10*time.Second))
 	setDefault(&s.Grace, config.Duration(8*time.Second))
 	setDefault(&s.DrainDelay, config.Duration(2500*time.Millisecond))
 	setDefault(&s.MaxConnections, 1024)
