--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -35,9 +35,6 @@
 	prior = 100 * time.Millisecond
 	// manyStreams is the number of streams from which the whole penalty applies.
 	manyStreams = 4
-	// sessionSpread is the most that the hash of a session adds to the cost, so that
-	// instances without knowledge choose the same upstream for it.
-	sessionSpread = 25 * time.Millisecond
 	// failureCost is the penalty for an upstream all of whose requests fail.
 	failureCost = 2 * time.Second
 	// remoteCost is the penalty for an upstream of another failure domain: the extra
@@ -68,11 +65,12 @@
 func (d *Dispatcher) choose(now time.Duration, r *Request) (best candidate, ok bool) {
 	median := d.medianFailures(now)
 	for pass := range 3 {
+		home := d.home(r, pass)
 		for _, s := range d.order {
 			if !d.eligible(s, r, pass) {
 				continue
 			}
-			c := d.evaluate(now, s, r, median)
+			c := d.evaluate(now, s, r, s == home, median)
 			if !ok || c.cost < best.cost {
 				best, ok = c, true
 			}
@@ -93,10 +91,40 @@
 	return pass > 0 || !s.aside()
 }
 
-func (d *Dispatcher) evaluate(now time.Duration, s *server, r *Request, medianFailures float64) candidate {
+// home is the upstream that a session belongs to, among those on the request's side of the
+// border: the one with the highest hash of both. All instances choose the same without
+// talking.
+func (d *Dispatcher) home(r *Request, pass int) *server {
+	session := sessionOf(r.Prefix)
+	if session == 0 {
+		return nil
+	}
+	long := d.isLong(r)
+	var best *server
+	var highest uint64
+	for _, s := range d.order {
+		if s.forLong != long || !d.eligible(s, r, pass) {
+			continue
+		}
+		if h := mix(session, s.position); best == nil || h > highest {
+			best, highest = s, h
+		}
+	}
+	return best
+}
+
+// mix hashes a session and an upstream.
+func mix(session, position uint64) uint64 {
+	h := session*0x9e3779b97f4a7c15 ^ position
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	return h ^ h>>32
+}
+
+func (d *Dispatcher) evaluate(now time.Duration, s *server, r *Request, home bool, medianFailures float64) candidate {
 	c := candidate{s: s}
 	if s.Memory > 0 {
-		d.evaluatePrompt(now, &c, r)
+		d.evaluatePrompt(now, &c, r, home)
 	} else {
 		d.evaluatePlain(now, &c)
 	}
@@ -107,12 +135,15 @@
 	return c
 }
 
-func (d *Dispatcher) evaluatePrompt(now time.Duration, c *candidate, r *Request) {
+func (d *Dispatcher) evaluatePrompt(now time.Duration, c *candidate, r *Request, home bool) {
 	s := c.s
 	c.cached = min(s.cached(now, r.Prefix), r.Prompt)
 	c.wait = s.wait(now, r.Priority)
 	c.work = time.Duration(float64(reading(d.rate, r.Prompt, c.cached)) * s.slow(now))
-	c.cost = c.wait + c.work + d.rereading(s, r, c.cached)
+	c.cost = c.wait + c.work
+	if !home {
+		c.cost += d.rereading(r, c.cached)
+	}
 	if over := s.load() - s.Slots; over >= 0 {
 		c.cost += fullCost + time.Duration(over)*slotDelay
 	}
@@ -122,9 +153,6 @@
 	case hasShortPauses(r) && s.forLong:
 		c.cost += crossing
 	}
-	if session := sessionOf(r.Prefix); session != 0 {
-		c.cost += spread(session, s.position)
-	}
 }
 
 func (d *Dispatcher) evaluatePlain(now time.Duration, c *candidate) {
@@ -139,7 +167,7 @@
 // rereading is the penalty for reading shared parts of the prompt: another upstream most
 // likely keeps them, and the work is taken from requests that come later.
 // Load pattern: more prompts than the upstreams can read, as long as sessions stay.
-func (d *Dispatcher) rereading(s *server, r *Request, cached int) time.Duration {
+func (d *Dispatcher) rereading(r *Request, cached int) time.Duration {
 	shared := 0
 	for i, p := range r.Prefix {
 		if i < len(r.Prefix)-1 {
@@ -179,15 +207,6 @@
 	}
 }
 
-// spread maps the session and the upstream to a cost that all instances compute alike.
-func spread(session, position uint64) time.Duration {
-	h := session*0x9e3779b97f4a7c15 ^ position
-	h ^= h >> 32
-	h *= 0xd6e8feb86659fd93
-	h ^= h >> 32
-	return time.Duration(float64(h) / math.MaxUint64 * float64(sessionSpread))
-}
-
 // medianFailures is the median share of failures over the upstreams.
 func (d *Dispatcher) medianFailures(now time.Duration) float64 {
 	d.values = d.values[:0]
--- a/internal/coordination/dispatch/doc.go
+++ b/internal/coordination/dispatch/doc.go
@@ -12,8 +12,8 @@
 // start, work and penalties:
 //
 //   - Sessions stay where their prompt is cached, as long as the queue there costs less
-//     than reading the prompt again elsewhere. Where nothing is cached, a hash of the
-//     session breaks ties, so that instances choose alike without talking.
+//     than reading the prompt again elsewhere. Each session has a home, the upstream with
+//     the highest hash of both, so that instances choose alike before they have talked.
 //     Load pattern: bursts of long prompts that share their first parts.
 //   - Long prompts and streams with short pauses keep apart: a chunk of a long prompt
 //     delays the next token of every stream beside it. The upstreams are ordered by a hash
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,7 +12,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
@@ -29,10 +28,6 @@
 	// calmPulls is the number of pull intervals between two questions of an instance that
 	// the platform answers: its connection may be silent without an error.
 	calmPulls = 10
-	// reportInterval is how often an instance tells its peers what it has at the upstreams,
-	// for up to reportPeers peers; with more, the interval grows in proportion.
-	reportInterval = 100 * time.Millisecond
-	reportPeers    = 16
 )
 
 // meshDomain is the membership domain of all instances: they are few enough to probe each
@@ -46,6 +41,7 @@
 	members *membership.Machine
 	gossip  *peer.Gossip
 	node    *peer.Node
+	reports *reports
 }
 
 // pullMessage asks for a copy that is newer than a revision.
@@ -54,9 +50,6 @@
 // pushMessage answers a pullMessage. Nil: the peer has nothing newer.
 type pushMessage struct{ Snapshot *replica.Snapshot }
 
-// reportMessage tells what an instance has at the upstreams, by service.
-type reportMessage map[string]dispatch.Report
-
 // newPeers opens the sockets for peers; it returns nil where the settings have none.
 func newPeers(g *Gateway) (*peers, error) {
 	s := g.settings.Peers
@@ -96,6 +89,7 @@
 	}
 	p.members = membership.New(membership.Options{Self: p.self, Seeds: seeds}, mathrand.New(mathrand.NewPCG(g.seed, 1)))
 	p.gossip.SetMachine(p.members)
+	p.reports = newReports(p)
 	return p, nil
 }
 
@@ -139,7 +133,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.gossip.Run(ctx) })
 	group.Go(func() error { return p.pullLoop(ctx) })
-	group.Go(func() error { return p.reportLoop(ctx) })
+	group.Go(func() error { return p.reports.run(ctx) })
 	return group.Wait()
 }
 
@@ -207,40 +201,6 @@
 	p.g.log.WithFields(logrus.Fields{"event": "peer_call_failed", "call": what, "peer": name, "error": err.Error()}).Debug("a call to a peer failed")
 }
 
-// reportLoop tells the peers what this instance has at the upstreams.
-func (p *peers) reportLoop(ctx context.Context) error {
-	timer := time.NewTimer(reportInterval)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-timer.C:
-		}
-		live := p.live()
-		p.report(ctx, live)
-		timer.Reset(reportInterval * time.Duration(max(1, (len(live)+reportPeers-1)/reportPeers)))
-	}
-}
-
-func (p *peers) report(ctx context.Context, live []membership.Member) {
-	m := reportMessage{}
-	for _, s := range p.g.serviceList() {
-		if r := s.dispatcher.Collect(); !r.Empty() {
-			m[s.name] = r
-		}
-	}
-	if len(m) == 0 {
-		return
-	}
-	payload, err := msgpack.Marshal(m)
-	if err != nil {
-		p.failed("report", "all", err)
-		return
-	}
-	p.toAll(ctx, live, peerwire.Placed{Payload: payload})
-}
-
 // toAll sends a message that is not answered. A peer that cannot be reached does not
 // delay the others.
 func (p *peers) toAll(ctx context.Context, live []membership.Member, m peerwire.Message) {
@@ -261,16 +221,7 @@
 	case peerwire.ReplicaPull:
 		return p.answerPull(m)
 	case peerwire.Placed:
-		var reports reportMessage
-		if err := msgpack.Unmarshal(m.Payload, &reports); err != nil {
-			return nil, errors.Wrap(err, "report")
-		}
-		for name, r := range reports {
-			if s := p.g.service(name); s != nil {
-				s.dispatcher.Merge(p.g.now(), from.Process.String(), r)
-			}
-		}
-		return nil, nil
+		return nil, p.reports.receive(from, m.Payload)
 	case peerwire.Suspicions:
 		var list []quarantine.Suspicion
 		if err := msgpack.Unmarshal(m.Payload, &list); err != nil {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -16,7 +16,7 @@
 
 const (
 	// advanceInterval is how often waiting requests are decided about.
-	advanceInterval = 10 * time.Millisecond
+	advanceInterval = 20 * time.Millisecond
 	// maxIdleConnections bounds the idle connections to one upstream.
 	maxIdleConnections = 32
 	// reuseWindow is how long an idle connection is kept when the upstream does not say.
