--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -207,7 +207,7 @@
 	}
 }
 
-// medianFailures is the median share of failures over the upstreams.
+// medianFailures is the median share of failures over the upstreams, the lower one of two.
 func (d *Dispatcher) medianFailures(now time.Duration) float64 {
 	d.values = d.values[:0]
 	for _, s := range d.order {
@@ -217,7 +217,7 @@
 		return 0
 	}
 	slices.Sort(d.values)
-	return d.values[len(d.values)/2]
+	return d.values[(len(d.values)-1)/2]
 }
 
 // demand is the recent prompt work by kind, in seconds of reading.
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -221,7 +221,7 @@
 // would miss its target behind a backlog is rejected: it would make those behind it late,
 // too. Short prompts are not: they cost little, and most of them are more urgent.
 func (d *Dispatcher) arrive(now time.Duration, r *Request) Decision {
-	queued := d.queuedAhead(r.Priority)
+	queued := d.queuedAhead(r)
 	if d.isLong(r) && !r.Returning && len(r.Exclude) == 0 && d.leastUrgent.is(now, r.Priority) {
 		if c, ok := d.choose(now, r); ok && c.s.Memory > 0 && now+queued+c.firstOutput() > r.Target && c.wait+queued > c.work {
 			return d.reject(now, r, ReasonTarget, queued+c.firstOutput())
@@ -262,18 +262,35 @@
 	return queued > 0 || c.wait > limit
 }
 
-// queuedAhead is the predicted delay by the requests that wait and are as urgent or more.
-func (d *Dispatcher) queuedAhead(priority int) time.Duration {
+// queuedAhead is the predicted delay by the waiting requests that come first: those of the
+// own team, and of every other team as much as the own team gets in the same time.
+// Load pattern: one team sends many times its usual; the others' requests are predicted,
+// and accepted, as if it did not.
+func (d *Dispatcher) queuedAhead(r *Request) time.Duration {
 	if len(d.waiting) == 0 || len(d.order) == 0 {
 		return 0
 	}
-	var work float64
+	byTeam := map[string]float64{}
 	for _, x := range d.waiting {
-		if x.request.Priority <= priority {
-			work += x.Cost
+		if x.request.Priority <= r.Priority {
+			byTeam[x.request.Team] += x.Cost
 		}
 	}
-	return time.Duration(work / float64(len(d.order)) * float64(time.Second))
+	own := byTeam[r.Team] + reading(d.rate, r.Prompt, 0).Seconds()
+	ahead := 0.0
+	for _, work := range byTeam {
+		ahead += min(work, own)
+	}
+	return time.Duration(ahead / float64(len(d.order)) * float64(time.Second))
+}
+
+// backlog is the predicted time until everything that waits is done.
+func (d *Dispatcher) backlog() time.Duration {
+	work := 0.0
+	for _, x := range d.waiting {
+		work += x.Cost
+	}
+	return time.Duration(work / float64(max(1, len(d.order))) * float64(time.Second))
 }
 
 func (d *Dispatcher) grantTo(now time.Duration, r *Request, c candidate) Decision {
@@ -307,7 +324,7 @@
 // retryAfter is the predicted time until the backlog is gone, spread over as much again,
 // so that rejected callers do not return together.
 func (d *Dispatcher) retryAfter(now time.Duration) time.Duration {
-	drain := d.queuedAhead(maxPriority)
+	drain := d.backlog()
 	var least time.Duration = -1
 	for _, s := range d.order {
 		if w := s.wait(now, maxPriority); least < 0 || w < least {
