--- a/cmd/yuccabridged/gateway.go
+++ b/cmd/yuccabridged/gateway.go
@@ -87,7 +87,7 @@
 		case <-ctx.Done():
 			return
 		case <-hup:
-			entry := log.WithFields(logrus.Fields{"event": "settings_checked", "file": file})
+			entry := log.WithFields(logrus.Fields{"event": eventlog.SettingsChecked, "file": file})
 			if _, err := settings.LoadGateway(file); err != nil {
 				entry.WithError(err).Error("the changed settings are not valid; the process goes on with its own")
 				continue
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -155,7 +155,7 @@
 
 // A name that operators or callers meet must be explained.
 func TestPagesNameEverything(t *testing.T) {
-	operations, configuration := read(t, "operations.md"), read(t, "configuration.md")
+	operations, configuration := read(t, "OPERATIONS.md"), read(t, "configuration.md")
 	n := collect(t)
 	for what, set := range map[string]map[string]bool{"metrics": n.metrics, "events": n.events, "codes": n.codes} {
 		if len(set) < 10 {
@@ -163,16 +163,16 @@
 		}
 	}
 	for m := range n.metrics {
-		expect(t, "operations.md", operations, metricPrefix+m)
+		expect(t, "OPERATIONS.md", operations, metricPrefix+m)
 	}
 	for e := range n.events {
-		expect(t, "operations.md", operations, e)
+		expect(t, "OPERATIONS.md", operations, e)
 	}
 	for c := range n.codes {
 		expect(t, "configuration.md", configuration, c)
 	}
 	for _, key := range fields("", reflect.TypeFor[settings.Settings]()) {
-		expect(t, "operations.md", operations, key)
+		expect(t, "OPERATIONS.md", operations, key)
 	}
 	for _, key := range fields("", reflect.TypeFor[config.Deployment]()) {
 		expect(t, "configuration.md", configuration, key)
@@ -182,7 +182,7 @@
 // A page must not name a metric that is gone.
 func TestPagesNameNoOldMetric(t *testing.T) {
 	n := collect(t)
-	for _, page := range []string{"operations.md", "configuration.md", "../README.md"} {
+	for _, page := range []string{"OPERATIONS.md", "configuration.md", "../README.md"} {
 		for _, m := range regexp.MustCompile(metricPrefix+`[a-z_]+`).FindAllString(read(t, page), -1) {
 			if !n.metrics[strings.TrimPrefix(m, metricPrefix)] {
 				t.Errorf("%s names %s", page, m)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/sse"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
@@ -60,7 +61,7 @@
 func (x *exchange) attempt(grant *dispatch.Grant) *attempt {
 	a := &attempt{x: x, grant: grant, began: x.g.now()}
 	x.upstream = grant.Server.ID
-	x.log("request_placed").WithFields(logrus.Fields{
+	x.log(eventlog.RequestPlaced).WithFields(logrus.Fields{
 		"upstream": grant.Server.ID, "address": grant.Server.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
 		"priority": x.priority, "cached": grant.Cached, "prompt": x.request.Prompt, "output": x.request.Output, "attempt": x.arrivals + 1,
 	}).Info("request placed")
@@ -96,7 +97,7 @@
 		Foreign: func(h *fasthttp.ResponseHeader) bool {
 			mine := x.g.protocols.Upstream.Mine(h, x.request.ID)
 			if !mine {
-				x.log("foreign_answer").WithField("upstream", a.grant.Server.ID).Warn("an answer to another request was dropped")
+				x.log(eventlog.ForeignAnswer).WithField("upstream", a.grant.Server.ID).Warn("an answer to another request was dropped")
 			}
 			return !mine
 		},
@@ -210,7 +211,7 @@
 		x.mayHaveRun = true
 	}
 	crashed := (status == dispatch.Unreachable || status == dispatch.Silent) && a.sent == sentBytes && a.crashed()
-	x.log("attempt_failed").WithFields(logrus.Fields{
+	x.log(eventlog.AttemptFailed).WithFields(logrus.Fields{
 		"upstream": a.grant.Server.ID, "verdict": a.verdict.String(), "sent": a.sent == sentBytes, "crashed": crashed,
 		"after_ms": (x.g.now() - a.began).Milliseconds(), "error": err.Error(),
 	}).Warn("attempt failed")
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 )
 
@@ -227,7 +228,7 @@
 		return len(x.tried) < maxDials
 	}
 	if !x.service.budget.Allow(x.g.now()) {
-		x.log("retry_denied").Warn("the retry budget is used up")
+		x.log(eventlog.RetryDenied).Warn("the retry budget is used up")
 		return false
 	}
 	return true
@@ -317,19 +318,19 @@
 	x.logEnded()
 }
 
-func (x *exchange) log(event string) *logrus.Entry {
+func (x *exchange) log(event eventlog.Event) *logrus.Entry {
 	return x.g.log.WithFields(logrus.Fields{"event": event, "request": x.request.ID, "age_ms": (x.g.now() - x.arrived).Milliseconds()})
 }
 
 func (x *exchange) logQueued(r dispatch.Request) {
-	x.log("request_queued").WithFields(logrus.Fields{
+	x.log(eventlog.RequestQueued).WithFields(logrus.Fields{
 		"service": x.service.name, "priority": r.Priority, "team": r.Team, "prompt": r.Prompt,
 		"left_ms": (r.Deadline - x.g.now()).Milliseconds(), "waiting": x.service.dispatcher.Waiting(),
 	}).Info("request waits for an upstream")
 }
 
 func (x *exchange) logRejected(r *dispatch.Rejection) {
-	x.log("request_rejected").WithFields(logrus.Fields{
+	x.log(eventlog.RequestRejected).WithFields(logrus.Fields{
 		"service": x.service.name, "priority": x.priority, "team": x.team, "reason": string(r.Reason),
 		"predicted_ms": r.Predicted.Milliseconds(), "target_ms": x.route.Target.Milliseconds(),
 		"retry_after_ms": r.RetryAfter.Milliseconds(), "prompt": x.request.Prompt,
@@ -349,10 +350,10 @@
 	}
 	x.g.metrics.requests.WithLabelValues(kind, priority, x.outcome).Inc()
 	if x.outcome == outcomeServed {
-		x.log("request_ended").WithFields(fields).Info("request ended")
+		x.log(eventlog.RequestEnded).WithFields(fields).Info("request ended")
 		return
 	}
-	x.log("request_ended").WithFields(fields).Warn("request ended without an answer of an upstream")
+	x.log(eventlog.RequestEnded).WithFields(fields).Warn("request ended without an answer of an upstream")
 }
 
 // outcomeServed is the outcome of a request whose caller received an upstream's answer.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 )
 
 const (
@@ -80,7 +81,7 @@
 			whole, pause = true, firstPause
 			continue
 		case errors.Is(err, ErrHistoryGone):
-			f.g.log.WithFields(logrus.Fields{"event": "history_gone", "prefix": f.prefix}).Warn("the platform has dropped the history; reading in full")
+			f.g.log.WithFields(logrus.Fields{"event": eventlog.HistoryGone, "prefix": f.prefix}).Warn("the platform has dropped the history; reading in full")
 			whole = false
 			continue
 		}
@@ -125,13 +126,13 @@
 
 func (f *feed) lost(err error) {
 	if f.replica.Away() {
-		f.g.log.WithFields(logrus.Fields{"event": "platform_lost", "prefix": f.prefix, "error": err.Error()}).Warn("the platform does not answer")
+		f.g.log.WithFields(logrus.Fields{"event": eventlog.PlatformLost, "prefix": f.prefix, "error": err.Error()}).Warn("the platform does not answer")
 	}
 }
 
 func (f *feed) regained() {
 	if f.replica.Back(f.g.now()) {
-		f.g.log.WithFields(logrus.Fields{"event": "platform_regained", "prefix": f.prefix}).Info("the platform answers again")
+		f.g.log.WithFields(logrus.Fields{"event": eventlog.PlatformRegained, "prefix": f.prefix}).Info("the platform answers again")
 	}
 }
 
@@ -157,7 +158,7 @@
 		}
 		configuration, err := g.protocols.Decoder.Configuration(c.Item)
 		if err != nil {
-			g.log.WithFields(logrus.Fields{"event": "configuration_refused", "revision": c.Revision, "source": source, "error": err.Error()}).Error("configuration cannot be read; the last one stays in force")
+			g.log.WithFields(logrus.Fields{"event": eventlog.ConfigurationRefused, "revision": c.Revision, "source": source, "error": err.Error()}).Error("configuration cannot be read; the last one stays in force")
 			continue
 		}
 		g.applyConfiguration(configuration, source)
@@ -172,7 +173,7 @@
 
 // applyUpstream takes one entry over. The caller holds configuring.
 func (g *Gateway) applyUpstream(c replica.Change, source string) {
-	fields := logrus.Fields{"event": "upstream_changed", "key": c.Key, "revision": c.Revision, "source": source}
+	fields := logrus.Fields{"event": eventlog.UpstreamChanged, "key": c.Key, "revision": c.Revision, "source": source}
 	old, known := g.upstreams[c.Key]
 	if c.Deleted {
 		if known {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
@@ -133,7 +134,7 @@
 	g.distribute()
 	g.metrics.version.Set(float64(c.Version))
 	g.log.WithFields(logrus.Fields{
-		"event": "configuration_applied", "version": c.Version, "source": source,
+		"event": eventlog.ConfigurationApplied, "version": c.Version, "source": source,
 		"routes": len(c.Routes), "services": len(c.Services), "teams": len(c.Teams),
 	}).Info("configuration applied")
 }
@@ -208,7 +209,7 @@
 		stop()
 		return err
 	})
-	g.log.WithFields(logrus.Fields{"event": "started", "instance": g.settings.Instance, "failure_domain": g.settings.FailureDomain,
+	g.log.WithFields(logrus.Fields{"event": eventlog.Started, "instance": g.settings.Instance, "failure_domain": g.settings.FailureDomain,
 		"callers": g.CallersAddress(), "operations": g.OperationsAddress()}).Info("instance started")
 	return group.Wait()
 }
@@ -236,7 +237,7 @@
 	if g.peers != nil {
 		g.peers.leave()
 	}
-	g.log.WithFields(logrus.Fields{"event": "draining", "in_progress": g.watcher.InProgress()}).Info("draining")
+	g.log.WithFields(logrus.Fields{"event": eventlog.Draining, "in_progress": g.watcher.InProgress()}).Info("draining")
 	time.Sleep(g.settings.DrainDelay.Std())
 	done := make(chan error, 1)
 	go func() { done <- g.callers.Shutdown() }()
@@ -255,7 +256,7 @@
 		g.peers.close()
 	}
 	g.stopOperations()
-	g.log.WithFields(logrus.Fields{"event": "stopped", "in_progress": g.watcher.InProgress(), "after_ms": time.Since(began).Milliseconds()}).Info("stopped")
+	g.log.WithFields(logrus.Fields{"event": eventlog.Stopped, "in_progress": g.watcher.InProgress(), "after_ms": time.Since(began).Milliseconds()}).Info("stopped")
 	return nil
 }
 
@@ -265,7 +266,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopPoll)
 	defer cancel()
 	if err := g.operations.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		g.log.WithFields(logrus.Fields{"event": "operations_listener_failed", "error": err.Error()}).Warn("operations listener could not be closed")
+		g.log.WithFields(logrus.Fields{"event": eventlog.OperationsListenerFailed, "error": err.Error()}).Warn("operations listener could not be closed")
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
 	"github.com/yuccabridge/yuccabridge/internal/transport/peer"
 )
@@ -98,10 +99,10 @@
 	switch a := a.(type) {
 	case membership.Changed:
 		p.noteChange(a)
-		p.g.log.WithFields(logrus.Fields{"event": "peer_changed", "peer": a.Member.Name, "process": a.Member.Incarnation.Process.String(),
+		p.g.log.WithFields(logrus.Fields{"event": eventlog.PeerChanged, "peer": a.Member.Name, "process": a.Member.Incarnation.Process.String(),
 			"state": a.Member.State.String(), "previous": a.Previous.String()}).Info("peer changed")
 	case membership.Paused:
-		p.g.log.WithFields(logrus.Fields{"event": "process_paused", "for_ms": a.For.Milliseconds()}).Warn("the process was paused")
+		p.g.log.WithFields(logrus.Fields{"event": eventlog.ProcessPaused, "for_ms": a.For.Milliseconds()}).Warn("the process was paused")
 	}
 }
 
@@ -141,7 +142,7 @@
 
 func (p *peers) close() {
 	if err := p.node.Close(); err != nil {
-		p.g.log.WithFields(logrus.Fields{"event": "peer_listener_failed", "error": err.Error()}).Warn("peers' listener could not be closed")
+		p.g.log.WithFields(logrus.Fields{"event": eventlog.PeerListenerFailed, "error": err.Error()}).Warn("peers' listener could not be closed")
 	}
 }
 
@@ -198,7 +199,7 @@
 }
 
 func (p *peers) failed(what, name string, err error) {
-	p.g.log.WithFields(logrus.Fields{"event": "peer_call_failed", "call": what, "peer": name, "error": err.Error()}).Debug("a call to a peer failed")
+	p.g.log.WithFields(logrus.Fields{"event": eventlog.PeerCallFailed, "call": what, "peer": name, "error": err.Error()}).Debug("a call to a peer failed")
 }
 
 // toAll sends a message that is not answered. A peer that cannot be reached does not
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
@@ -57,7 +58,7 @@
 
 // Printf implements fasthttp.Logger.
 func (q quietLogger) Printf(format string, args ...any) {
-	q.g.log.WithField("event", "http_server").Debugf(format, args...)
+	q.g.log.WithField("event", eventlog.HttpServer).Debugf(format, args...)
 }
 
 // callerListener bounds how long callers may stay idle or take to send a request. The
@@ -77,7 +78,7 @@
 	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 		config := net.KeepAliveConfig{Enable: true, Idle: callerProbe, Interval: callerProbe, Count: 2}
 		if err := tcp.SetKeepAliveConfig(config); err != nil {
-			l.g.log.WithFields(map[string]any{"event": "socket_option_failed", "error": err.Error()}).Warn("keep-alive probes could not be enabled")
+			l.g.log.WithFields(map[string]any{"event": eventlog.SocketOptionFailed, "error": err.Error()}).Warn("keep-alive probes could not be enabled")
 		}
 	}
 	return &callerConn{Conn: conn, g: l.g}, nil
@@ -136,7 +137,7 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		e = apierror.New(apierror.RequestTimeout, "the request did not arrive in time")
 	}
-	g.log.WithFields(map[string]any{"event": "request_unreadable", "code": string(e.Code), "error": err.Error()}).Warn("a request could not be read")
+	g.log.WithFields(map[string]any{"event": eventlog.RequestUnreadable, "code": string(e.Code), "error": err.Error()}).Warn("a request could not be read")
 	g.metrics.refused.WithLabelValues(string(e.Code)).Inc()
 	g.protocols.Caller.Refuse(&ctx.Response, Refusal{Error: e, Status: e.Status()})
 	ctx.SetConnectionClose()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/retry"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
@@ -126,7 +127,7 @@
 			err := s.client(to).Warm(ctx)
 			s.dispatcher.Probed(g.now(), to.ID, err == nil)
 			if err == nil {
-				g.log.WithFields(logrus.Fields{"event": "upstream_reached", "service": s.name, "upstream": to.ID}).Info("an upstream that was set aside accepts connections")
+				g.log.WithFields(logrus.Fields{"event": eventlog.UpstreamReached, "service": s.name, "upstream": to.ID}).Info("an upstream that was set aside accepts connections")
 			}
 		}()
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/sse"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
@@ -145,7 +146,7 @@
 	after := x.events.last
 	next := &attempt{x: x, grant: grant, began: x.g.now()}
 	x.upstream = grant.Server.ID
-	x.log("stream_resumed").WithField("upstream", grant.Server.ID).WithField("after_event", after).Info("stream goes on at another upstream")
+	x.log(eventlog.StreamResumed).WithField("upstream", grant.Server.ID).WithField("after_event", after).Info("stream goes on at another upstream")
 	x.g.quarantine.Started(next.began, x.fingerprint, x.team, grant.Server.ID)
 	s.a = next
 	if err := next.send(&after); err != nil {
