--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -83,22 +83,30 @@
 			add(n.events, x.Value)
 		}
 	case *ast.ValueSpec:
-		if id, ok := x.Type.(*ast.Ident); ok && id.Name == "Code" {
+		set := map[string]map[string]bool{"Code": n.codes, "Event": n.events}
+		if id, ok := x.Type.(*ast.Ident); ok && set[id.Name] != nil {
 			for _, v := range x.Values {
-				add(n.codes, v)
+				add(set[id.Name], v)
 			}
 		}
 	}
 	return true
 }
 
-// call finds metrics that are made by the helpers of package entry, and log fields.
+// call finds metrics that are made by the helpers of the packages entry and gateway, and
+// log fields.
 func (n names) call(x *ast.CallExpr) {
-	f, ok := x.Fun.(*ast.SelectorExpr)
-	if !ok || len(x.Args) < 2 {
+	if len(x.Args) < 2 {
 		return
 	}
-	switch f.Sel.Name {
+	var name string
+	switch f := x.Fun.(type) {
+	case *ast.SelectorExpr:
+		name = f.Sel.Name
+	case *ast.Ident:
+		name = f.Name
+	}
+	switch name {
 	case "histogram", "counter":
 		add(n.metrics, x.Args[0])
 	case "WithField":
@@ -174,6 +182,9 @@
 	for _, key := range fields("", reflect.TypeFor[settings.Settings]()) {
 		expect(t, "OPERATIONS.md", operations, key)
 	}
+	for _, key := range fields("", reflect.TypeFor[settings.Gateway]()) {
+		expect(t, "OPERATIONS.md", operations, key)
+	}
 	for _, key := range fields("", reflect.TypeFor[config.Deployment]()) {
 		expect(t, "configuration.md", configuration, key)
 	}
