feed: reconnect faster and hold lapsed entries for a shorter time

Change: pauses between calls to a store that does not answer are 0.2 to 0.4 s at most, a dial ends after 0.4 s, lapsed entries are held for 1.6 s.

--- a/cmd/yuccabridged/gateway.go
+++ b/cmd/yuccabridged/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -65,7 +66,7 @@
 	}
 	go logReloads(ctx, log, file)
 	dial := upstream.Dialer(storeSilent, storeProbe)
-	store := client.New(client.Options{Address: s.Platform.Address, Dial: client.WithoutNetwork(dial)})
+	store := client.New(client.Options{Address: s.Platform.Address, Dial: client.WithoutNetwork(limited(dial, gateway.StoreDialTimeout))})
 	defer store.Close()
 	g, err := gateway.New(s, gateway.Protocols{
 		Caller: platform.Headers{}, Upstream: platform.Headers{}, Source: platform.NewStore(store), Decoder: platform.Entries{},
@@ -76,6 +77,17 @@
 	return g.Run(ctx)
 }
 
+// limited bounds each dial.
+func limited(dial dialer, limit time.Duration) dialer {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return dial(ctx, address)
+	}
+}
+
+type dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // logReloads checks the settings file whenever the process is told that it has changed.
 // The settings of a running process stay: routes and upstreams come from the platform.
 func logReloads(ctx context.Context, log *logrus.Logger, file string) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,7 +13,6 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
-	"github.com/yuccabridge/yuccabridge/internal/protocol/sse"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
@@ -275,8 +274,3 @@
 	dispatch.Succeeded: "succeeded", dispatch.Failed: "failed", dispatch.Unreachable: "unreachable", dispatch.Silent: "silent",
 	dispatch.Refused: "refused", dispatch.Cancelled: "cancelled",
 }
-
-// newEvents reads the events of the answer.
-func (a *attempt) newEvents(silence time.Duration) *sse.Reader {
-	return sse.NewReader(a.answer.Body(silence))
-}
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -24,10 +24,11 @@
 	readTimeout = 4 * time.Second
 	// firstPause and maxPause bound the pause before a call that failed is repeated.
 	firstPause = 30 * time.Millisecond
-	maxPause   = 800 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
 	// lapseGrace is how long entries that lapsed in an outage are kept after the
-	// platform's return: live upstreams write them again within two seconds.
-	lapseGrace = 1900 * time.Millisecond
+	// platform's return: most live upstreams have written them again by then. A removal
+	// that has another cause must take effect within two seconds of it.
+	lapseGrace = 1600 * time.Millisecond
 	// feedTick is how often held removals are looked at.
 	feedTick = 100 * time.Millisecond
 )
@@ -88,7 +89,7 @@
 		f.lost(err)
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause + time.Duration(rand.Int64N(int64(pause)))):
+		case <-time.After(pause/2 + time.Duration(rand.Int64N(int64(pause/2)))):
 		}
 		pause = min(2*pause, maxPause)
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -91,6 +91,10 @@
 // ErrHistoryGone is returned by a [Source] that no longer has the changes after a revision.
 var ErrHistoryGone = errors.New("the platform has dropped the history")
 
+// StoreDialTimeout bounds a dial of the platform. A dial that began behind a cut must not
+// last longer than the cut.
+const StoreDialTimeout = 400 * time.Millisecond
+
 // Source reads what the platform publishes. Implementations are safe for concurrent use.
 type Source interface {
 	// Read reads everything under a prefix.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,6 +41,7 @@
 // means that the caller is gone.
 type stream struct {
 	a       *attempt
+	body    *upstream.BodyReader
 	events  *sse.Reader
 	pending []byte
 	ended   bool
@@ -72,7 +73,8 @@
 // elsewhere, and hands the rest to the HTTP server.
 func (a *attempt) startStream() error {
 	x := a.x
-	s := &stream{a: a, events: a.newEvents(a.silence())}
+	s := &stream{a: a}
+	s.open()
 	event, err := s.events.Next()
 	if err != nil {
 		if err == io.EOF {
@@ -90,8 +92,15 @@
 	return nil
 }
 
+// open begins to read the events of the present attempt's answer.
+func (s *stream) open() {
+	s.body = s.a.answer.Body(s.a.silence())
+	s.events = sse.NewReader(s.body)
+}
+
 func (s *stream) take(event []byte) {
 	s.a.x.events.note(s.a.x.g.now(), event)
+	s.body.SetLiveness(s.a.x.pauseLimit())
 	s.pending = append(s.pending[:0], event...)
 }
 
@@ -155,7 +164,7 @@
 	if next.answer.Response.StatusCode() != fasthttp.StatusOK {
 		return nil, errors.Errorf("the upstream answered %d", next.answer.Response.StatusCode())
 	}
-	s.events = next.newEvents(next.silence())
+	s.open()
 	event, err := s.events.Next()
 	if err != nil {
 		return nil, err
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -407,8 +407,8 @@
 
 // Body returns a reader of the body. Each read is bounded by liveness; zero means
 // no bound.
-func (a *Answer) Body(liveness time.Duration) io.Reader {
-	return &bodyReader{answer: a, liveness: liveness}
+func (a *Answer) Body(liveness time.Duration) *BodyReader {
+	return &BodyReader{answer: a, liveness: liveness}
 }
 
 // Release ends the exchange. A connection whose body was read to the end returns
@@ -452,13 +452,17 @@
 	return n == 0 && err == io.EOF
 }
 
-type bodyReader struct {
+// BodyReader reads the body of an answer.
+type BodyReader struct {
 	answer   *Answer
 	liveness time.Duration
 }
 
+// SetLiveness bounds each further read; zero means no bound.
+func (b *BodyReader) SetLiveness(d time.Duration) { b.liveness = d }
+
 // Read reads body bytes; a failure is a *Failure with Phase Body.
-func (b *bodyReader) Read(p []byte) (int, error) {
+func (b *BodyReader) Read(p []byte) (int, error) {
 	a := b.answer
 	stream := a.Response.BodyStream()
 	if stream == nil {
