dispatch: rank what waits, reject hopeless requests at once, report all loads now and then

Change: waiting requests are ordered by rank (priority, then the route's), and only the least urgent rank is rejected for its target; late requests go behind those that can meet their target and are rejected as soon as they are hopeless; the time to come back is at least what the request would have waited; every 2 s a report holds all loads.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -26,8 +26,8 @@
 	minRetryAfter = 100 * time.Millisecond
 	// plainWeight is the weight of a new answer time of a plain service.
 	plainWeight = 0.1
-	// maxPriority bounds the tiers of the queue.
-	maxPriority = 15
+	// maxRank bounds the tiers of the queue.
+	maxRank = 15
 	// peerKeep is how many reports to peers are kept until they are collected.
 	peerKeep = 1024
 )
@@ -46,14 +46,16 @@
 	rate         float64 // prompt tokens read in a millisecond
 	plainLatency float64 // mean answer time of the service in seconds
 	demand       demand
-	leastUrgent  leastUrgent
 	border       border
+	leastUrgent  leastUrgent
 
 	queue   *fairqueue.Queue[*item]
 	waiting map[uint64]*item
 	grants  map[uint64]*grant
 	next    uint64
-	placed  []Work // for the peers
+	placed  []Work        // for the peers
+	fullAt  time.Duration // of the next report of all loads
+	lateAt  time.Duration // of the next look for late requests
 	values  []float64
 }
 
@@ -118,14 +120,14 @@
 func (d *Dispatcher) Submit(now time.Duration, r Request) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.leastUrgent.add(now, r.Priority)
+	d.leastUrgent.add(now, r.Rank)
 	decision := d.arrive(now, &r)
 	if decision.Grant != nil || decision.Rejection != nil {
 		return decision
 	}
 	x := &item{request: r}
 	x.Entry = fairqueue.Entry[*item]{
-		Tier: tier(r.Priority), Team: r.Team, Weight: 1, Cost: reading(d.rate, r.Prompt, 0).Seconds(),
+		Tier: tier(r.Rank), Team: r.Team, Weight: 1, Cost: reading(d.rate, r.Prompt, 0).Seconds(),
 		Arrived: r.Arrived, Retry: len(r.Exclude) > 0, Value: x,
 	}
 	d.queue.Push(&x.Entry)
@@ -153,7 +155,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.setBorder(now)
-	var out []Decision
+	out := d.deferLate(now)
 	for len(d.waiting) > 0 {
 		decision, ok := d.advanceHead(now)
 		if !ok {
@@ -169,6 +171,35 @@
 	return out
 }
 
+// deferLate puts requests that can no longer meet their target behind those of their
+// priority that can: served first they would make those late, too. Those that would not
+// begin before their deadline behind all that waits are rejected at once.
+// Load pattern: more long prompts than the upstreams can read, for longer than the target.
+func (d *Dispatcher) deferLate(now time.Duration) []Decision {
+	if now < d.lateAt {
+		return nil
+	}
+	d.lateAt = now + lateInterval
+	var out []Decision
+	for _, x := range d.byUrgency() {
+		r := &x.request
+		least := now + stepTime + reading(d.rate, r.Prompt, r.Prompt/2)
+		if least <= r.Target {
+			continue
+		}
+		if predicted := least + d.queuedAhead(r); predicted > r.Deadline {
+			d.drop(x)
+			out = append(out, d.reject(now, r, ReasonDeadline, predicted-now))
+		} else if !x.Deferred() {
+			d.queue.Defer(&x.Entry)
+		}
+	}
+	return out
+}
+
+// lateInterval is how often the waiting requests are looked through for late ones.
+const lateInterval = 100 * time.Millisecond
+
 // advanceHead decides about the next request in the order of the queue.
 func (d *Dispatcher) advanceHead(now time.Duration) (Decision, bool) {
 	best, ok := d.queue.Best()
@@ -217,12 +248,12 @@
 	delete(d.waiting, x.request.ID)
 }
 
-// arrive decides about a new request. A long prompt of the least urgent priority that
-// would miss its target behind a backlog is rejected: it would make those behind it late,
-// too. Short prompts are not: they cost little, and most of them are more urgent.
+// arrive decides about a new request. A long prompt of the least urgent rank that would
+// miss its target behind a backlog is rejected: it would make those behind it late, too.
+// Short prompts are not: they cost little.
 func (d *Dispatcher) arrive(now time.Duration, r *Request) Decision {
 	queued := d.queuedAhead(r)
-	if d.isLong(r) && !r.Returning && len(r.Exclude) == 0 && d.leastUrgent.is(now, r.Priority) {
+	if d.isLong(r) && !r.Returning && len(r.Exclude) == 0 && d.leastUrgent.is(now, r.Rank) {
 		if c, ok := d.choose(now, r); ok && c.s.Memory > 0 && now+queued+c.firstOutput() > r.Target && c.wait+queued > c.work {
 			return d.reject(now, r, ReasonTarget, queued+c.firstOutput())
 		}
@@ -272,7 +303,7 @@
 	}
 	byTeam := map[string]float64{}
 	for _, x := range d.waiting {
-		if x.request.Priority <= r.Priority {
+		if x.request.Rank <= r.Rank {
 			byTeam[x.request.Team] += x.Cost
 		}
 	}
@@ -281,7 +312,12 @@
 	for _, work := range byTeam {
 		ahead += min(work, own)
 	}
-	return time.Duration(ahead / float64(len(d.order)) * float64(time.Second))
+	return d.spreadOver(ahead)
+}
+
+// spreadOver is the time in which the upstreams do work of so many seconds.
+func (d *Dispatcher) spreadOver(work float64) time.Duration {
+	return time.Duration(work / float64(max(1, len(d.order))) * float64(time.Second))
 }
 
 // backlog is the predicted time until everything that waits is done.
@@ -290,7 +326,7 @@
 	for _, x := range d.waiting {
 		work += x.Cost
 	}
-	return time.Duration(work / float64(max(1, len(d.order))) * float64(time.Second))
+	return d.spreadOver(work)
 }
 
 func (d *Dispatcher) grantTo(now time.Duration, r *Request, c candidate) Decision {
@@ -318,20 +354,20 @@
 
 // reject refuses the request with a time to come back.
 func (d *Dispatcher) reject(now time.Duration, r *Request, reason Reason, predicted time.Duration) Decision {
-	return Decision{ID: r.ID, Rejection: &Rejection{Reason: reason, Predicted: predicted, RetryAfter: d.retryAfter(now)}}
+	return Decision{ID: r.ID, Rejection: &Rejection{Reason: reason, Predicted: predicted, RetryAfter: d.retryAfter(now, predicted)}}
 }
 
-// retryAfter is the predicted time until the backlog is gone, spread over as much again,
-// so that rejected callers do not return together.
-func (d *Dispatcher) retryAfter(now time.Duration) time.Duration {
-	drain := d.backlog()
+// retryAfter is the predicted time until the backlog is gone, and at least what the
+// rejected request would have waited, spread over as much again, so that rejected callers
+// neither return together nor into the same backlog.
+func (d *Dispatcher) retryAfter(now, predicted time.Duration) time.Duration {
 	var least time.Duration = -1
 	for _, s := range d.order {
-		if w := s.wait(now, maxPriority); least < 0 || w < least {
+		if w := s.wait(now, levels); least < 0 || w < least {
 			least = w
 		}
 	}
-	drain = max(drain+max(least, 0), minRetryAfter)
+	drain := max(d.backlog()+max(least, 0), predicted, minRetryAfter)
 	return min(drain+time.Duration(d.rng.Float64()*float64(drain)), maxRetryAfter)
 }
 
@@ -340,7 +376,7 @@
 func (d *Dispatcher) RetryAfter(now time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.retryAfter(now)
+	return d.retryAfter(now, 0)
 }
 
 // Cancel removes a waiting request. It reports false when the request does not wait.
@@ -362,15 +398,20 @@
 	return len(d.waiting)
 }
 
-// Collect returns what has changed since the last call, for the peers.
-func (d *Dispatcher) Collect() Report {
+// Collect returns what has changed since the last call, for the peers. Now and then it
+// returns all loads: a report that is lost, or whose relay has stopped, would otherwise
+// leave requests counted that have long ended.
+func (d *Dispatcher) Collect(now time.Duration) Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := Report{Placed: d.placed}
+	r := Report{Placed: d.placed, Full: now >= d.fullAt}
+	if r.Full {
+		d.fullAt = now + fullInterval
+	}
 	d.placed = nil
 	for _, s := range d.order {
 		s.own.Server = s.ID
-		if s.Memory > 0 && s.own != s.told {
+		if s.Memory > 0 && (s.own != s.told || r.Full && s.own.InFlight > 0) {
 			s.told = s.own
 			r.Loads = append(r.Loads, s.own)
 		}
@@ -378,6 +419,9 @@
 	return r
 }
 
+// fullInterval is the pause between reports of all loads.
+const fullInterval = 2 * time.Second
+
 // Merge takes the report of a peer.
 func (d *Dispatcher) Merge(now time.Duration, peer string, r Report) {
 	d.mu.Lock()
@@ -391,6 +435,9 @@
 		s.keep(now, w.Parts)
 		d.demand.add(now, w.Reading, w.Long)
 	}
+	if r.Full {
+		d.forget(peer)
+	}
 	for _, l := range r.Loads {
 		if s := d.servers[l.Server]; s != nil && l.InFlight >= 0 && l.Streams >= 0 {
 			s.setPeer(peer, l)
@@ -405,38 +452,30 @@
 func (d *Dispatcher) Forget(peer string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, s := range d.order {
-		s.setPeer(peer, Load{})
-	}
+	d.forget(peer)
 }
 
-// Retell makes the next report hold all loads, for a peer that is new.
-func (d *Dispatcher) Retell() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (d *Dispatcher) forget(peer string) {
 	for _, s := range d.order {
-		s.told = Load{}
+		s.setPeer(peer, Load{})
 	}
 }
 
-func tier(priority int) int { return min(max(priority, 0), maxPriority) + 1 }
+func tier(rank int) int { return min(max(rank, 0), maxRank) + 1 }
 
-// leastUrgent remembers which priorities have been asked for lately.
-type leastUrgent struct {
-	seen [maxPriority + 1]time.Duration
-}
+// leastUrgent remembers which ranks have been asked for lately.
+type leastUrgent struct{ seen [maxRank + 1]time.Duration }
 
-// urgencyWindow is how long a priority counts after its last request.
+// urgencyWindow is how long a rank counts after its last request.
 const urgencyWindow = 3 * time.Second
 
-func (l *leastUrgent) add(now time.Duration, priority int) {
-	l.seen[tier(priority)-1] = now + urgencyWindow
+func (l *leastUrgent) add(now time.Duration, rank int) {
+	l.seen[tier(rank)-1] = now + urgencyWindow
 }
 
-// is reports whether no less urgent priority, and some more urgent one, was seen lately.
-func (l *leastUrgent) is(now time.Duration, priority int) bool {
-	p := tier(priority) - 1
-	for _, until := range l.seen[p+1:] {
+// is reports whether no less urgent rank was seen lately.
+func (l *leastUrgent) is(now time.Duration, rank int) bool {
+	for _, until := range l.seen[tier(rank):] {
 		if until > now {
 			return false
 		}
--- a/internal/coordination/dispatch/doc.go
+++ b/internal/coordination/dispatch/doc.go
@@ -34,16 +34,17 @@
 // queue elsewhere could. Long prompts wait here while every upstream is predicted to need
 // more than a share of their target for what is ahead, so that a burst of them neither
 // fills the upstreams' queues ahead of more urgent requests nor is lost with an upstream
-// that crashes. The waiting requests are ordered by priority, then fairly between teams
+// that crashes. The waiting requests are ordered by rank, then fairly between teams
 // (package fairqueue).
 // Load pattern: a burst of the least urgent class; one team with eight times its usual.
 //
 // # Rejection
 //
-// A request is rejected on arrival, or when its prediction changes, if it cannot begin
-// within its deadline. A request of the least urgent priority is also rejected when it
-// would miss its target behind a backlog: it would run late and make those behind it late,
-// too. Requests that come back after a rejection are judged by their deadline. The time to
-// come back is the predicted time until the backlog is gone, spread over as much again.
+// A request is rejected as soon as it is predicted not to begin within its deadline. A long
+// prompt of the least urgent rank is also rejected on arrival when it would miss its target
+// behind a backlog: it would run late and make those behind it late, too. Requests that
+// come back after a rejection are judged by their deadline. Waiting requests that can no
+// longer meet their target go behind those of their priority that can. The time to come
+// back is the predicted time until the backlog is gone, spread over as much again.
 // Load pattern: more work than the upstreams can do, for seconds.
 package dispatch
--- a/internal/coordination/dispatch/learn.go
+++ b/internal/coordination/dispatch/learn.go
@@ -186,7 +186,7 @@
 	out := make([]ServerState, 0, len(d.order))
 	for _, s := range d.order {
 		out = append(out, ServerState{
-			Server: s.Server, InFlight: s.own.InFlight, Load: s.load(), Wait: s.wait(now, maxPriority), Slowness: s.slow(now),
+			Server: s.Server, InFlight: s.own.InFlight, Load: s.load(), Wait: s.wait(now, levels), Slowness: s.slow(now),
 			Failures: s.failures.get(now), Aside: s.aside(), ForLong: s.forLong,
 		})
 	}
--- a/internal/coordination/dispatch/replay_test.go
+++ b/internal/coordination/dispatch/replay_test.go
@@ -93,7 +93,7 @@
 			}
 		}
 		for j, from := range ds {
-			r := from.Collect()
+			r := from.Collect(now)
 			for k, to := range ds {
 				if j != k {
 					to.Merge(now, fmt.Sprint(j), r)
@@ -276,3 +276,25 @@
 		t.Errorf("%d of 300 requests went to the failing upstream", bad)
 	}
 }
+
+// Guards against requests that stay counted because the report of their end was lost, as
+// when a relay stops: the engine would look full for good.
+func TestLostReportIsMadeUpForByTheNextFullOne(t *testing.T) {
+	list := []Server{{ID: "x", Domain: "a", Slots: 16, Memory: simMemory}}
+	a, b := New(Options{}, rand.New(rand.NewPCG(1, 1))), New(Options{}, rand.New(rand.NewPCG(1, 2)))
+	a.Update(0, list)
+	b.Update(0, list)
+	w := simWorld{rng: rand.New(rand.NewPCG(3, 3))}
+	g := a.Submit(0, w.request(0, instructions, "t").Request).Grant
+	b.Merge(0, "a", a.Collect(0))
+	if load := b.Snapshot(0)[0].Load; load != 1 {
+		t.Fatalf("load %d after the report", load)
+	}
+	a.Done(time.Second, g.Token, Succeeded)
+	a.Collect(time.Second) // lost
+	later := time.Second + fullInterval
+	b.Merge(later, "a", a.Collect(later))
+	if load := b.Snapshot(later)[0].Load; load != 0 {
+		t.Errorf("load %d after the next full report", load)
+	}
+}
--- a/internal/coordination/dispatch/server.go
+++ b/internal/coordination/dispatch/server.go
@@ -125,7 +125,7 @@
 
 // levels is the number of priorities that are told apart in predictions; the least urgent
 // ones share the last.
-const levels = 4
+const levels = 10
 
 func level(priority int) int { return min(max(priority, 0), levels-1) }
 
--- a/internal/coordination/dispatch/sim_test.go
+++ b/internal/coordination/dispatch/sim_test.go
@@ -168,7 +168,7 @@
 		{ID: base + w.nextID + 1_000_000, Tokens: own},
 	}
 	return &simRequest{events: s.events, arrived: now, Request: Request{
-		ID: w.nextID, Class: s.class, Team: team, Priority: s.priority, Arrived: now, Target: now + s.target, Deadline: now + s.limit,
+		ID: w.nextID, Class: s.class, Team: team, Priority: s.priority, Rank: s.priority, Arrived: now, Target: now + s.target, Deadline: now + s.limit,
 		Prompt: s.group + s.session + own, Output: s.events * simStride, Prefix: parts, PauseTarget: s.pauses,
 	}}
 }
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -23,8 +23,12 @@
 	ID uint64
 	// Class groups requests with like answers: learned figures are kept by class.
 	Class, Team string
-	// Priority 0 is the most urgent.
+	// Priority orders requests at the upstream; 0 is the most urgent.
 	Priority int
+	// Rank orders the requests that wait here; 0 is the most urgent. It tells requests of
+	// one priority apart, so that the shorter target of one does not let the other begin
+	// first.
+	Rank int
 	// Arrived, Target and Deadline are points in time. An answer that begins after
 	// Target is late; one after Deadline is of no use.
 	Arrived, Target, Deadline time.Duration
@@ -47,8 +51,8 @@
 const (
 	// ReasonNoServer means that the service has no upstream that takes requests.
 	ReasonNoServer Reason = "no_upstream"
-	// ReasonTarget means that the request is of the least urgent priority and is
-	// predicted to miss its target behind a backlog.
+	// ReasonTarget means that the request has a long prompt and the least urgent rank, and
+	// is predicted to miss its target behind a backlog.
 	ReasonTarget Reason = "target"
 	// ReasonDeadline means that the request is predicted to miss its deadline.
 	ReasonDeadline Reason = "deadline"
@@ -126,10 +130,12 @@
 type Report struct {
 	Placed []Work
 	Loads  []Load
+	// Full marks a report whose loads are all that there are: what is not in it is zero.
+	Full bool
 }
 
 // Empty reports whether there is nothing to tell.
-func (r Report) Empty() bool { return len(r.Placed) == 0 && len(r.Loads) == 0 }
+func (r Report) Empty() bool { return len(r.Placed) == 0 && len(r.Loads) == 0 && !r.Full }
 
 // Options configure a Dispatcher. Zero values take the defaults.
 type Options struct {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -112,6 +112,16 @@
 	return nil
 }
 
+// routeRanks is the number of priorities of routes that are told apart within one priority
+// of teams.
+const routeRanks = 3
+
+// rank orders the request among those that wait: first by its priority, then by the
+// route's, so that one team's questions come before its own long prompts.
+func (x *exchange) rank() int {
+	return max(x.priority, 0)*routeRanks + min(max(x.route.Priority, 0), routeRanks-1)
+}
+
 // pathOf cuts the query off.
 func pathOf(uri []byte) []byte {
 	if i := slices.Index(uri, '?'); i >= 0 {
@@ -195,7 +205,7 @@
 
 func (x *exchange) dispatchRequest() dispatch.Request {
 	r := dispatch.Request{
-		ID: x.g.sequence.Add(1), Class: x.route.Name, Team: x.team, Priority: x.priority,
+		ID: x.g.sequence.Add(1), Class: x.route.Name, Team: x.team, Priority: x.priority, Rank: x.rank(),
 		Arrived: x.arrived, Target: x.arrived + x.route.Target, Deadline: x.giveUp,
 		Prompt: x.request.Prompt, Output: x.request.Output, Prefix: x.request.Prefix,
 		PauseTarget: x.route.PauseTarget, Exclude: x.tried,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -106,16 +106,13 @@
 	}
 }
 
-// noteChange drops the loads of a peer that is gone and tells a new one all of this
-// instance's.
+// noteChange drops the loads of a peer that is gone.
 func (p *peers) noteChange(a membership.Changed) {
+	if a.Member.State != membership.Dead {
+		return
+	}
 	for _, s := range p.g.serviceList() {
-		switch {
-		case a.Member.State == membership.Dead:
-			s.dispatcher.Forget(a.Member.Incarnation.Process.String())
-		case a.Previous == 0:
-			s.dispatcher.Retell()
-		}
+		s.dispatcher.Forget(a.Member.Incarnation.Process.String())
 	}
 }
 
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -81,7 +81,7 @@
 func (r *reports) collect() (own originReport, ok bool) {
 	own = originReport{Origin: r.p.self.Incarnation.Process.String(), Services: map[string]dispatch.Report{}}
 	for _, s := range r.p.g.serviceList() {
-		if x := s.dispatcher.Collect(); !x.Empty() {
+		if x := s.dispatcher.Collect(r.p.g.now()); !x.Empty() {
 			own.Services[s.name] = x
 		}
 	}
