--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -49,6 +49,11 @@
 	longUse   = 0.6
 )
 
+// The times above follow from the step of an engine that the users' sheets give: 5.5 ms and a
+// chunk of 2,048 tokens at 38.7 tokens a millisecond, with three to five tokens in an event.
+// The shares and penalties were compared on six days, see
+// docs/decisions/prompt-placement.md.
+
 // candidate is an upstream with its predicted figures for one request.
 type candidate struct {
 	s      *server
@@ -58,7 +63,7 @@
 	cost   time.Duration
 }
 
-// start is the predicted time to the first output.
+// firstOutput is the predicted time to the first output.
 func (c *candidate) firstOutput() time.Duration { return c.wait + c.work + stepTime }
 
 // choose returns the cheapest upstream for the request; ok is false when there is none.
