--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -150,7 +150,7 @@
 }
 
 // Advance decides about the waiting requests: in the order of the queue while they can be
-// placed, then those behind whose own upstream has room or whose time has run out.
+// placed, then those of the same rank behind whose own upstream has room.
 func (d *Dispatcher) Advance(now time.Duration) []Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -163,7 +163,13 @@
 		}
 		out = append(out, decision)
 	}
+	// A less urgent request never begins while a more urgent one waits, whose shorter
+	// target lets it wait at an upstream for less.
+	best, _ := d.queue.Best()
 	for _, x := range d.byUrgency() {
+		if x.Tier > best {
+			break
+		}
 		if decision, ok := d.settle(now, x); ok {
 			out = append(out, decision)
 		}
--- a/internal/coordination/dispatch/replay_test.go
+++ b/internal/coordination/dispatch/replay_test.go
@@ -298,3 +298,39 @@
 		t.Errorf("load %d after the next full report", load)
 	}
 }
+
+// Guards against long prompts of an urgent class that wait while those of a less urgent one
+// begin, because their shorter target allows a shorter queue at the engine. Load pattern:
+// half of the engines are gone (ngri-bridge, mix --seed 551282911809).
+func TestLongQuestionsBeginBeforeLongDossiers(t *testing.T) {
+	w := newWorld(4)
+	long := questions
+	long.own, long.spread = 6000, 0
+	submit := func(now time.Duration, s shape) {
+		r := w.request(now, s, "a")
+		r.Priority = 1 // the team's, for both
+		w.submit(now, r)
+	}
+	w.run(10*time.Second, func(now time.Duration) {
+		for range w.poisson(30) {
+			submit(now, longPrompts)
+		}
+		for range w.poisson(3) {
+			submit(now, long)
+		}
+	})
+	asked, begun := map[string]int{}, map[string]int{}
+	for _, r := range w.all {
+		if r.arrived > 2*time.Second && r.arrived < 7*time.Second {
+			asked[r.Class]++
+			if r.token != 0 {
+				begun[r.Class]++
+			}
+		}
+	}
+	share := func(class string) float64 { return float64(begun[class]) / float64(max(1, asked[class])) }
+	t.Logf("begun: questions %.2f, dossiers %.2f", share("question"), share("dossier"))
+	if share("question") < target {
+		t.Errorf("%.2f of the questions begin, want %.2f", share("question"), target)
+	}
+}
