--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -118,13 +118,12 @@
 
 // noteSent records how far the request went.
 func (a *attempt) noteSent(err error) {
+	a.x.tried = append(a.x.tried, a.grant.Server.ID)
 	var f *upstream.Failure
 	if errors.As(err, &f) && !f.Sent {
-		a.x.tried = append(a.x.tried, a.grant.Server.ID)
 		return
 	}
 	a.sent = sentBytes
-	a.x.tried = append(a.x.tried, a.grant.Server.ID)
 	a.x.arrivals++
 	a.x.counted++
 }
