dispatch: strict homes and predictions that hold at sixty instances

Change: a long prompt goes to its session's home, or to one of the next two if idle, else waits; room is 1.25 times the slots for long prompts; the border moves by a sixteenth, and streams end before long prompts come; corrections count once and leave the time of the first event out; slowness is compared with the median. Reports are arrays with tags for names, and groups are as large as there are groups. A watch waits for 0.6 of the configuration's bound (setting freshness). New log event border_moved, field home.

Ruled out: processor time (0.066 of 0.192 cores at most), the store, memory of the engines.

--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -19,8 +19,21 @@
 	// fillShare is the share of the slots up to which streams are to fill their
 	// upstreams, so that a burst finds free ones.
 	fillShare = 0.7
-	// shrinkPause is the pause between two upstreams that the part for streams gives up.
+	// shrinkPause is the pause between two steps in which the part for streams gives up
+	// upstreams, one in shrinkParts of all at a time.
 	shrinkPause = 700 * time.Millisecond
+	shrinkParts = 16
+	// emptyTime is how long an upstream that changes over to long prompts keeps them out
+	// while streams run there: about the time that a stream takes.
+	emptyTime = 2 * time.Second
+	// roomFactor times its slots is the number of requests that an upstream is given:
+	// the ends of other instances' requests are known late, and a free slot costs more
+	// than a short queue there.
+	roomFactor = 1.25
+	// choices is the number of upstreams that are looked at for a session.
+	choices = 3
+	// idleWait is the longest wait at an upstream that counts as idle: a part of a chunk.
+	idleWait = 50 * time.Millisecond
 	// shortPause is the pause target up to which a stream suffers from long prompts
 	// beside it: a few tokens, each behind a chunk, fill an event.
 	shortPause = 250 * time.Millisecond
@@ -46,7 +59,7 @@
 	// those for streams need room for bursts, and a long prompt's own answer takes a chunk
 	// of reading for each token while others are read.
 	streamUse = 0.7
-	longUse   = 0.6
+	longUse   = 0.7
 )
 
 // The times above follow from the step of an engine that the users' sheets give: 5.5 ms and a
@@ -57,26 +70,46 @@
 // candidate is an upstream with its predicted figures for one request.
 type candidate struct {
 	s      *server
+	home   bool
 	cached int
 	wait   time.Duration
 	work   time.Duration
+	risk   time.Duration // penalty for failures
 	cost   time.Duration
 }
 
 // firstOutput is the predicted time to the first output.
 func (c *candidate) firstOutput() time.Duration { return c.wait + c.work + stepTime }
 
-// choose returns the cheapest upstream for the request; ok is false when there is none.
+// choose returns the upstream for the request; ok is false when there is none. The home of
+// the request's session comes first, as long as it is predicted to begin in time. Then
+// come the next ones in the order of the session's hashes that are idle: few, the same at
+// all instances, so that reports that are late do not send many instances to one upstream.
+// A short prompt that finds none goes to the cheapest of all.
 func (d *Dispatcher) choose(now time.Duration, r *Request) (best candidate, ok bool) {
-	median := d.medianFailures(now)
+	usual := d.usual(now)
 	for pass := range 3 {
-		home := d.home(r, pass)
+		long := d.isLong(r)
+		for i, s := range d.ranked(r, pass, long) {
+			c := d.evaluate(now, s, r, i == 0, usual)
+			if i == 0 {
+				best, ok = c, true
+			}
+			if i == 0 && d.inTime(now, r, &c) || i > 0 && c.idle() {
+				return c, true
+			}
+		}
+		if ok && long {
+			if c, found := d.unused(now, r, pass, usual); found {
+				return c, true
+			}
+			return best, true
+		}
 		for _, s := range d.order {
 			if !d.eligible(s, r, pass) {
 				continue
 			}
-			c := d.evaluate(now, s, r, s == home, median)
-			if !ok || c.cost < best.cost {
+			if c := d.evaluate(now, s, r, ok && s == best.s, usual); !ok || c.cost < best.cost {
 				best, ok = c, true
 			}
 		}
@@ -87,35 +120,71 @@
 	return best, false
 }
 
-// eligible reports whether the upstream may take the request. The second pass takes
-// upstreams that were set aside, the third one also those that the request has tried.
-func (d *Dispatcher) eligible(s *server, r *Request, pass int) bool {
-	if s.Leaving || pass < 2 && slices.Contains(r.Exclude, s.ID) {
+// unused returns an upstream on the side of the streams that runs nothing at all, for a
+// long prompt whose own side is busy.
+func (d *Dispatcher) unused(now time.Duration, r *Request, pass int, usual usual) (candidate, bool) {
+	for _, s := range d.ranked(r, pass, false) {
+		if c := d.evaluate(now, s, r, false, usual); s.load() == 0 && c.idle() {
+			return c, true
+		}
+	}
+	return candidate{}, false
+}
+
+// inTime reports whether the upstream has room and is predicted to begin in time: a long
+// prompt before its target, a short one at once, since it costs little elsewhere.
+func (d *Dispatcher) inTime(now time.Duration, r *Request, c *candidate) bool {
+	if c.s.load() >= d.room(r, c.s) {
 		return false
 	}
-	return pass > 0 || !s.aside()
+	if d.isLong(r) {
+		return now+c.firstOutput()+c.risk <= r.Target
+	}
+	return c.wait+c.risk < idleWait
 }
 
-// home is the upstream that a session belongs to, among those on the request's side of the
-// border: the one with the highest hash of both. All instances choose the same without
-// talking.
-func (d *Dispatcher) home(r *Request, pass int) *server {
+// idle reports whether the upstream has next to nothing to do.
+func (c *candidate) idle() bool {
+	return c.s.load() < c.s.Slots/2 && c.wait+c.risk < idleWait
+}
+
+// ranked returns the first upstreams on one side of the border in the order of the hashes
+// of session and upstream. All instances have the same order without talking.
+func (d *Dispatcher) ranked(r *Request, pass int, long bool) []*server {
 	session := sessionOf(r.Prefix)
 	if session == 0 {
 		return nil
 	}
-	long := d.isLong(r)
-	var best *server
-	var highest uint64
+	var list [choices]*server
+	var hashes [choices]uint64
+	n := 0
 	for _, s := range d.order {
 		if s.forLong != long || !d.eligible(s, r, pass) {
 			continue
 		}
-		if h := mix(session, s.position); best == nil || h > highest {
-			best, highest = s, h
+		h := mix(session, s.position)
+		i := n
+		for i > 0 && hashes[i-1] < h {
+			i--
+		}
+		if i == choices {
+			continue
 		}
+		n = min(n+1, choices)
+		copy(list[i+1:n], list[i:])
+		copy(hashes[i+1:n], hashes[i:])
+		list[i], hashes[i] = s, h
+	}
+	return slices.Clone(list[:n])
+}
+
+// eligible reports whether the upstream may take the request. The second pass takes
+// upstreams that were set aside, the third one also those that the request has tried.
+func (d *Dispatcher) eligible(s *server, r *Request, pass int) bool {
+	if s.Leaving || pass < 2 && slices.Contains(r.Exclude, s.ID) {
+		return false
 	}
-	return best
+	return pass > 0 || !s.aside()
 }
 
 // mix hashes a session and an upstream.
@@ -126,30 +195,31 @@
 	return h ^ h>>32
 }
 
-func (d *Dispatcher) evaluate(now time.Duration, s *server, r *Request, home bool, medianFailures float64) candidate {
-	c := candidate{s: s}
+func (d *Dispatcher) evaluate(now time.Duration, s *server, r *Request, home bool, usual usual) candidate {
+	c := candidate{s: s, home: home}
 	if s.Memory > 0 {
-		d.evaluatePrompt(now, &c, r, home)
+		d.evaluatePrompt(now, &c, r, usual)
 	} else {
-		d.evaluatePlain(now, &c)
+		d.evaluatePlain(now, &c, usual)
 	}
-	c.cost += time.Duration(max(0, s.failures.get(now)-medianFailures) * float64(failureCost))
+	c.risk = time.Duration(max(0, s.failures.get(now)-usual.failures) * float64(failureCost))
+	c.cost += c.risk
 	if s.Domain != d.options.Domain {
 		c.cost += remoteCost
 	}
 	return c
 }
 
-func (d *Dispatcher) evaluatePrompt(now time.Duration, c *candidate, r *Request, home bool) {
+func (d *Dispatcher) evaluatePrompt(now time.Duration, c *candidate, r *Request, usual usual) {
 	s := c.s
 	c.cached = min(s.cached(now, r.Prefix), r.Prompt)
 	c.wait = s.wait(now, r.Priority)
-	c.work = time.Duration(float64(reading(d.rate, r.Prompt, c.cached)) * s.slow(now))
+	c.work = time.Duration(float64(reading(d.rate, r.Prompt, c.cached)) * s.slow(now, usual))
 	c.cost = c.wait + c.work
-	if !home {
+	if !c.home {
 		c.cost += d.rereading(r, c.cached)
 	}
-	if over := s.load() - s.Slots; over >= 0 {
+	if over := s.load() - d.room(r, s); over >= 0 {
 		c.cost += fullCost + time.Duration(over)*slotDelay
 	}
 	switch {
@@ -160,9 +230,9 @@
 	}
 }
 
-func (d *Dispatcher) evaluatePlain(now time.Duration, c *candidate) {
+func (d *Dispatcher) evaluatePlain(now time.Duration, c *candidate, usual usual) {
 	s := c.s
-	mean := max(s.latency, d.plainLatency) * s.slow(now)
+	mean := max(s.latency, d.plainLatency) * s.slow(now, usual)
 	ahead := float64(s.own.InFlight) / float64(max(1, s.Slots))
 	c.wait = time.Duration(max(0, ahead-1) * mean * float64(time.Second))
 	c.work = time.Duration(mean * float64(time.Second))
@@ -202,21 +272,57 @@
 
 // sessionOf returns the last shared part of the prompt: the one before the request's own.
 func sessionOf(prefix []Part) uint64 {
-	switch n := len(prefix); n {
-	case 0:
+	shared := sharedParts(prefix)
+	if len(shared) == 0 {
 		return 0
-	case 1:
-		return prefix[0].ID
-	default:
-		return prefix[n-2].ID
 	}
+	return shared[len(shared)-1].ID
+}
+
+// sharedParts returns the parts that other requests may share: all but the request's own.
+func sharedParts(prefix []Part) []Part {
+	if len(prefix) < 2 {
+		return prefix
+	}
+	return prefix[:len(prefix)-1]
+}
+
+// sessionPart is the last shared part with the tokens of all shared parts.
+func sessionPart(prefix []Part) Part {
+	p := Part{ID: sessionOf(prefix)}
+	for _, x := range sharedParts(prefix) {
+		p.Tokens += x.Tokens
+	}
+	return p
+}
+
+// usual is what the median upstream shows. Upstreams are compared with it: where all of them
+// are late or fail, the cause is the load or the service, and none of them is avoided.
+type usual struct {
+	at                 time.Duration
+	failures, slowness float64
 }
 
-// medianFailures is the median share of failures over the upstreams, the lower one of two.
-func (d *Dispatcher) medianFailures(now time.Duration) float64 {
+// usualInterval is how long the medians are used before they are computed again.
+const usualInterval = 20 * time.Millisecond
+
+// usual returns the medians over the upstreams, the lower one of two.
+func (d *Dispatcher) usual(now time.Duration) usual {
+	if d.medians.at > 0 && now < d.medians.at+usualInterval {
+		return d.medians
+	}
+	d.medians = usual{
+		at:       now,
+		failures: d.median(func(s *server) float64 { return s.failures.get(now) }),
+		slowness: d.median(func(s *server) float64 { return s.slowness.get(now) }),
+	}
+	return d.medians
+}
+
+func (d *Dispatcher) median(of func(*server) float64) float64 {
 	d.values = d.values[:0]
 	for _, s := range d.order {
-		d.values = append(d.values, s.failures.get(now))
+		d.values = append(d.values, of(s))
 	}
 	if len(d.values) == 0 {
 		return 0
@@ -264,13 +370,38 @@
 	case wanted >= b.forStreams || b.forStreams > n:
 		b.forStreams, b.shrinkAt = min(wanted, n), now+shrinkPause
 	case now >= b.shrinkAt:
-		b.forStreams, b.shrinkAt = b.forStreams-1, now+shrinkPause
+		b.forStreams, b.shrinkAt = max(wanted, b.forStreams-max(1, n/shrinkParts)), now+shrinkPause
 	}
 	for i, s := range d.order {
-		s.forLong = i < n-b.forStreams
+		long := i < n-b.forStreams
+		if !long || s.forLong || s.emptied == 0 {
+			s.emptied = now + emptyTime
+		}
+		s.forLong = long && (s.streams() < manyStreams || now >= s.emptied)
 	}
 }
 
+// Border is how the upstreams are divided between long prompts and streams, and why.
+type Border struct {
+	Servers, ForStreams int
+	// LongWork and ShortWork are the seconds of reading that arrive in a second.
+	LongWork, ShortWork float64
+	// Streams is the number of streams with short pauses that run.
+	Streams int
+}
+
+// Border returns the present division.
+func (d *Dispatcher) Border(now time.Duration) Border {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := Border{Servers: len(d.order), ForStreams: d.border.forStreams}
+	b.LongWork, b.ShortWork = d.demand.rates(now)
+	for _, s := range d.order {
+		b.Streams += s.streams()
+	}
+	return b
+}
+
 // serversForStreams is the number of upstreams that short prompts need for their reading
 // and streams for their slots, and half of what long prompts do not need. Short prompts
 // come first: more of them are served in the same time.
@@ -291,3 +422,14 @@
 }
 
 func comparePosition(a, b *server) int { return cmp.Compare(a.position, b.position) }
+
+var TRACE bool
+
+// room is the number of requests up to which an upstream is taken to have room. A stream
+// must not wait for a slot; a long prompt may.
+func (d *Dispatcher) room(r *Request, s *server) int {
+	if d.isLong(r) {
+		return int(roomFactor * float64(s.Slots))
+	}
+	return s.Slots
+}
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -15,7 +15,10 @@
 	defaultQueueLimit  = 512
 	// holdShare is the share of what is left until its target that a long prompt may
 	// wait at an upstream; beyond, it waits here.
-	holdShare = 0.3
+	holdShare = 0.6
+	// chunkTime is the least time that reading a long prompt takes. An upstream whose slots
+	// are read within the target, a chunk each, has a short queue while its slots suffice.
+	chunkTime = 55 * time.Millisecond
 	// minHold keeps requests that are already late from waiting for an idle upstream.
 	minHold = 100 * time.Millisecond
 	// rateWeight is the weight of a new sample of the reading rate.
@@ -40,6 +43,7 @@
 	rng     *rand.Rand
 
 	servers map[string]*server
+	tagged  map[Tag]*server
 	domains map[string]time.Duration // when the last request that was answered there was sent
 	order   []*server                // by position, the same at all instances
 
@@ -57,6 +61,7 @@
 	fullAt  time.Duration // of the next report of all loads
 	lateAt  time.Duration // of the next look for late requests
 	values  []float64
+	medians usual
 }
 
 // item is a waiting request.
@@ -75,7 +80,8 @@
 	wait     time.Duration
 	work     time.Duration
 	first    bool
-	stream   bool // with short pauses
+	stream   bool          // with short pauses
+	shift    time.Duration // of the server when the request was sent
 }
 
 // New returns a dispatcher without upstreams. rng must not be shared.
@@ -106,10 +112,11 @@
 		x.Server = s
 		next[s.ID] = x
 	}
-	d.servers = next
+	d.servers, d.tagged = next, make(map[Tag]*server, len(next))
 	d.order = d.order[:0]
 	for _, s := range next {
 		d.order = append(d.order, s)
+		d.tagged[s.tag] = s
 	}
 	slices.SortFunc(d.order, comparePosition)
 	d.setBorder(now)
@@ -289,14 +296,17 @@
 	if c.s.Memory == 0 {
 		return c.s.own.InFlight >= c.s.Slots
 	}
-	if c.s.load() >= c.s.Slots {
+	if c.s.load() >= d.room(r, c.s) {
 		return true // it would take the place of another request
 	}
 	if !d.isLong(r) {
 		return false
 	}
-	limit := max(time.Duration(holdShare*float64(r.Target-now)), minHold)
-	return queued > 0 || c.wait > limit
+	limit := r.Target - now
+	if time.Duration(c.s.Slots)*chunkTime > limit {
+		limit = time.Duration(holdShare * float64(limit))
+	}
+	return queued > 0 || c.wait > max(limit, minHold)
 }
 
 // queuedAhead is the predicted delay by the waiting requests that come first: those of the
@@ -340,7 +350,7 @@
 	d.next++
 	g := &grant{
 		s: s, priority: r.Priority, prompt: r.Prompt, cached: c.cached, sent: now, wait: c.wait, work: c.work,
-		stream: hasShortPauses(r),
+		stream: hasShortPauses(r), shift: s.shift[level(r.Priority)],
 	}
 	d.grants[d.next] = g
 	s.own.InFlight++
@@ -350,12 +360,12 @@
 	if s.Memory > 0 {
 		d.demand.add(now, c.work, d.isLong(r))
 		s.add(now, r.Priority, c.work)
-		s.keep(now, r.Prefix)
+		s.keep(now, sharedParts(r.Prefix))
 		if len(d.placed) < peerKeep {
-			d.placed = append(d.placed, Work{Server: s.ID, Reading: c.work, Priority: r.Priority, Long: d.isLong(r), Parts: r.Prefix})
+			d.placed = append(d.placed, Work{Server: s.tag, Reading: c.work, Priority: r.Priority, Long: d.isLong(r), Session: sessionPart(r.Prefix)})
 		}
 	}
-	return Decision{ID: r.ID, Grant: &Grant{Server: s.Server, Token: d.next, Wait: c.wait, Work: c.work, Cached: c.cached}}
+	return Decision{ID: r.ID, Grant: &Grant{Server: s.Server, Token: d.next, Wait: c.wait, Work: c.work, Cached: c.cached, Home: c.home}}
 }
 
 // reject refuses the request with a time to come back.
@@ -416,7 +426,7 @@
 	}
 	d.placed = nil
 	for _, s := range d.order {
-		s.own.Server = s.ID
+		s.own.Server = s.tag
 		if s.Memory > 0 && (s.own != s.told || r.Full && s.own.InFlight > 0) {
 			s.told = s.own
 			r.Loads = append(r.Loads, s.own)
@@ -433,19 +443,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, w := range r.Placed {
-		s := d.servers[w.Server]
+		s := d.tagged[w.Server]
 		if s == nil || s.Memory == 0 || w.Reading < 0 {
 			continue
 		}
 		s.add(now, w.Priority, min(w.Reading, maxPeerReading))
-		s.keep(now, w.Parts)
+		s.keepSession(now, w.Session)
 		d.demand.add(now, w.Reading, w.Long)
 	}
 	if r.Full {
 		d.forget(peer)
 	}
 	for _, l := range r.Loads {
-		if s := d.servers[l.Server]; s != nil && l.InFlight >= 0 && l.Streams >= 0 {
+		if s := d.tagged[l.Server]; s != nil && l.InFlight >= 0 && l.Streams >= 0 {
 			s.setPeer(peer, l)
 		}
 	}
--- a/internal/coordination/dispatch/learn.go
+++ b/internal/coordination/dispatch/learn.go
@@ -22,10 +22,20 @@
 	g.s.slowness.add(now, min(max(ratio, 0), maxSlowness), slownessWeight)
 	d.learnRate(g, took)
 	// Prompts are read in order: when this one was earlier or later than predicted, so
-	// are those behind it.
-	g.s.correct(now, g.priority, (took-predicted)/2)
+	// are those behind it. What other answers have corrected since it was sent is the same
+	// error. The tokens of its first event were made while those behind it were read, which
+	// is no reason to expect these later.
+	late := took - predicted - (g.s.shift[level(g.priority)] - g.shift)
+	if behind := g.s.wait(now, g.priority) + late; late > 0 && behind > 0 {
+		late -= min(late, behind, eventTime)
+	}
+	g.s.correct(now, g.priority, late/2)
 }
 
+// eventTime is how long the tokens of an event take while prompts are read in between: three
+// to five of them, each behind a chunk.
+const eventTime = 200 * time.Millisecond
+
 // minSample is the least reading time that tells the rate apart from the fixed cost of a
 // step.
 const minSample = 60 * time.Millisecond
@@ -186,7 +196,7 @@
 	out := make([]ServerState, 0, len(d.order))
 	for _, s := range d.order {
 		out = append(out, ServerState{
-			Server: s.Server, InFlight: s.own.InFlight, Load: s.load(), Wait: s.wait(now, levels), Slowness: s.slow(now),
+			Server: s.Server, InFlight: s.own.InFlight, Load: s.load(), Wait: s.wait(now, levels), Slowness: s.slow(now, d.usual(now)),
 			Failures: s.failures.get(now), Aside: s.aside(), ForLong: s.forLong,
 		})
 	}
--- a/internal/coordination/dispatch/replay_test.go
+++ b/internal/coordination/dispatch/replay_test.go
@@ -111,7 +111,7 @@
 // them all.
 func TestTeamWithEightTimesItsUsualDoesNotStarveTheOthers(t *testing.T) {
 	w := newWorld(2)
-	w.run(12*time.Second, func(now time.Duration) {
+	w.run(44*time.Second, func(now time.Duration) {
 		for range w.poisson(24) {
 			w.submit(now, w.request(now, longPrompts, "large"))
 		}
@@ -123,7 +123,7 @@
 	})
 	served, asked := map[string]int{}, map[string]int{}
 	for _, r := range w.all {
-		if r.arrived < 8*time.Second {
+		if r.arrived < 40*time.Second {
 			asked[r.Team]++
 			if r.token != 0 {
 				served[r.Team]++
--- a/internal/coordination/dispatch/server.go
+++ b/internal/coordination/dispatch/server.go
@@ -40,15 +40,19 @@
 // server is the learned state of one upstream.
 type server struct {
 	Server
-	position uint64          // order for the border between long prompts and streams
+	position uint64          // hash of the name; order for the border between long prompts and streams
+	tag      Tag             // the position's low half
 	forLong  bool            // on the side of the border for long prompts
+	emptied  time.Duration   // when it changes over to long prompts at the latest
 	own      Load            // requests of this instance
 	told     Load            // own in the last report to the peers
 	peers    map[string]Load // by peer
 	others   Load            // sum of peers
 	// free is, by level of priority, the predicted time at which all prompts of that level
 	// and of more urgent ones are read.
-	free     [levels]time.Duration
+	free [levels]time.Duration
+	// shift is the sum of all corrections of free.
+	shift    [levels]time.Duration
 	slowness fading  // answer time over prediction, less 1
 	failures fading  // share of failed requests
 	latency  float64 // mean answer time in seconds; plain services
@@ -62,6 +66,7 @@
 
 func newServer(s Server) *server {
 	x := &server{Server: s, position: xxhash.Sum64String(s.ID)}
+	x.tag = Tag(x.position)
 	if s.Memory > 0 {
 		x.cache = expiring.New(expiring.Options[uint64, struct{}]{
 			TTL: cacheLifetime, MaxEntries: cacheEntries, MaxCost: int64(cacheShare * float64(s.Memory)),
@@ -89,30 +94,41 @@
 }
 
 // cached returns how many tokens of the prompt's beginning the upstream is thought to
-// keep. A part counts only if all parts before it do.
+// keep. A part counts only if all parts before it do; a session that is kept stands for
+// those before it, since they are used more often.
 func (s *server) cached(now time.Duration, prefix []Part) int {
 	if s.cache == nil {
 		return 0
 	}
-	n := 0
-	for _, p := range prefix {
-		if _, ok := s.cache.Peek(now, p.ID); !ok {
+	n, kept := 0, 0
+	for i, p := range prefix {
+		n += p.Tokens
+		if _, ok := s.cache.Peek(now, p.ID); ok {
+			kept = n
+		} else if i >= len(prefix)-2 {
 			break
 		}
-		n += p.Tokens
 	}
-	return n
+	return kept
 }
 
-func (s *server) keep(now time.Duration, prefix []Part) {
+// keep notes that the upstream has read the shared parts of a prompt.
+func (s *server) keep(now time.Duration, shared []Part) {
 	if s.cache == nil {
 		return
 	}
-	for _, p := range prefix {
+	for _, p := range shared {
 		s.cache.Put(now, p.ID, struct{}{}, int64(p.Tokens))
 	}
 }
 
+// keepSession notes that the upstream has read a session's shared parts for a peer.
+func (s *server) keepSession(now time.Duration, session Part) {
+	if s.cache != nil && session.ID != 0 {
+		s.cache.Put(now, session.ID, struct{}{}, int64(max(session.Tokens, 0)))
+	}
+}
+
 // reading is the time to read the rest of a prompt of which cached tokens are kept.
 func reading(tokensPerMS float64, prompt, cached int) time.Duration {
 	fresh := float64(max(prompt-cached, 1))
@@ -120,8 +136,10 @@
 	return time.Duration((fresh/tokensPerMS + pairs*attentionMS) * float64(time.Millisecond))
 }
 
-// slow is the factor by which the upstream is slower than predicted.
-func (s *server) slow(now time.Duration) float64 { return 1 + s.slowness.get(now) }
+// slow is the factor by which the upstream is slower than most.
+func (s *server) slow(now time.Duration, usual usual) float64 {
+	return max(1, (1+s.slowness.get(now))/(1+usual.slowness))
+}
 
 // levels is the number of priorities that are told apart in predictions; the least urgent
 // ones share the last.
@@ -146,6 +164,7 @@
 func (s *server) correct(now time.Duration, priority int, by time.Duration) {
 	for i := level(priority); i < levels; i++ {
 		s.free[i] = max(s.free[i]+by, now)
+		s.shift[i] += by
 	}
 }
 
--- a/internal/coordination/dispatch/sim_test.go
+++ b/internal/coordination/dispatch/sim_test.go
@@ -25,72 +25,170 @@
 type simRequest struct {
 	Request
 	events  int // of its answer
+	at      int // the instance that has it
 	server  string
 	token   uint64
 	reject  *Rejection
+	full    bool // the engine had no room
 	first   time.Duration
 	pause   time.Duration // longest
 	last    time.Duration
 	done    bool
-	toRead  int // prompt tokens that are left
-	read    int // context so far
-	tokens  int // produced
+	ended   bool // its slot is free again
+	toRead  int  // prompt tokens that are left
+	read    int  // context so far
+	tokens  int  // produced
 	arrived time.Duration
+	home    bool
 }
 
 func (r *simRequest) onTime() bool {
 	return r.done && r.first <= r.Target && (r.PauseTarget == 0 || r.pause <= r.PauseTarget)
 }
 
+// simPart is a part of prompts that an engine keeps.
+type simPart struct {
+	tokens int
+	used   time.Duration // last use
+	users  int           // requests that run with it
+}
+
 // simEngine is one engine.
 type simEngine struct {
 	name    string
+	slots   int
+	queue   []*simRequest // by priority, then arrival
 	reading []*simRequest // by priority, then arrival
 	running []*simRequest
-	cache   map[uint64]bool
+	cache   map[uint64]*simPart
+	kept    int           // tokens in cache
 	next    time.Duration // end of the present step
 	down    bool
-	most    int // requests at once
-	read    int // prompt tokens read
+	most    int             // requests at once
+	read    int             // prompt tokens read
+	again   int             // tokens of shared parts that were read although an engine has read them
+	seen    map[uint64]bool // parts that an engine has read; of the whole world
+}
+
+func newSimEngine(name string, slots int, seen map[uint64]bool) *simEngine {
+	return &simEngine{name: name, slots: slots, cache: map[uint64]*simPart{}, seen: seen}
+}
+
+// add takes a request; it reports false when the queue is full.
+func (e *simEngine) add(r *simRequest, now time.Duration) bool {
+	if len(e.queue) >= 2*e.slots {
+		return false
+	}
+	e.queue = append(e.queue, r)
+	sortUrgent(e.queue)
+	e.most = max(e.most, len(e.queue)+len(e.reading)+len(e.running))
+	e.admit(now)
+	return true
+}
+
+func sortUrgent(list []*simRequest) {
+	slices.SortStableFunc(list, func(a, b *simRequest) int { return a.Priority - b.Priority })
+}
+
+// admit begins with requests of the queue while there are slots.
+func (e *simEngine) admit(now time.Duration) {
+	for len(e.queue) > 0 && len(e.reading)+len(e.running) < e.slots {
+		r := e.queue[0]
+		e.queue = e.queue[1:]
+		r.read = 0
+		whole := true
+		for i, p := range r.Prefix {
+			x := e.cache[p.ID]
+			if x == nil {
+				whole = false
+				x = &simPart{tokens: p.Tokens}
+				e.cache[p.ID] = x
+				e.kept += p.Tokens
+			} else if whole {
+				r.read += p.Tokens
+			}
+			if !whole && e.seen[p.ID] && i < len(r.Prefix)-1 {
+				e.again += p.Tokens
+			}
+			e.seen[p.ID] = true
+			x.used = now
+			x.users++
+		}
+		r.read = min(r.read, r.Prompt-1)
+		r.toRead = r.Prompt - r.read
+		e.reading = append(e.reading, r)
+		sortUrgent(e.reading)
+	}
+	e.evict()
 }
 
-func (e *simEngine) add(r *simRequest) {
-	r.read = 0
-	for _, p := range r.Prefix {
-		if !e.cache[p.ID] {
-			break
+// evict drops the parts that were not used for longest until the memory holds the rest.
+func (e *simEngine) evict() {
+	for e.kept > simMemory {
+		var oldest uint64
+		var x *simPart
+		for id, p := range e.cache {
+			if p.users == 0 && (x == nil || p.used < x.used) {
+				oldest, x = id, p
+			}
+		}
+		if x == nil {
+			return
 		}
-		r.read += p.Tokens
+		delete(e.cache, oldest)
+		e.kept -= x.tokens
 	}
-	for _, p := range r.Prefix {
-		e.cache[p.ID] = true
+}
+
+// leave frees the slot of a request.
+func (e *simEngine) leave(r *simRequest, now time.Duration) {
+	same := func(x *simRequest) bool { return x == r }
+	e.queue = slices.DeleteFunc(e.queue, same)
+	began := slices.Contains(e.reading, r) || slices.Contains(e.running, r)
+	e.reading = slices.DeleteFunc(e.reading, same)
+	e.running = slices.DeleteFunc(e.running, same)
+	if began {
+		for _, p := range r.Prefix {
+			if x := e.cache[p.ID]; x != nil {
+				x.used = now
+				x.users--
+			}
+		}
 	}
-	r.read = min(r.read, r.Prompt-1)
-	r.toRead = r.Prompt - r.read
-	e.reading = append(e.reading, r)
-	slices.SortStableFunc(e.reading, func(a, b *simRequest) int { return a.Priority - b.Priority })
-	e.most = max(e.most, len(e.reading)+len(e.running))
+	r.ended = true
 }
 
 // step runs one step that ends at now and returns the length of the next one.
 func (e *simEngine) step(w *simWorld, now time.Duration) {
 	for _, r := range slices.Clone(e.running) {
-		if r.tokens++; r.tokens%simStride != 0 {
+		if now > r.Deadline {
+			e.leave(r, now)
+			w.ds[r.at].Done(now, r.token, Cancelled)
+			continue
+		}
+		if r.tokens++; r.tokens%w.stride != 0 {
 			continue
 		}
 		if r.first == 0 {
 			r.first = now
-			w.d.FirstOutput(now, r.token)
+			w.ds[r.at].FirstOutput(now, r.token)
 		} else {
 			r.pause = max(r.pause, now-r.last)
 		}
 		r.last = now
-		if r.tokens >= simStride*r.events {
+		if r.tokens >= w.stride*r.events {
 			r.done = true
-			e.running = slices.DeleteFunc(e.running, func(x *simRequest) bool { return x == r })
-			w.d.Done(now, r.token, Succeeded)
+			e.leave(r, now)
+			w.ds[r.at].Done(now, r.token, Succeeded)
+		}
+	}
+	for _, r := range slices.Concat(e.queue, e.reading) {
+		if now > r.Deadline {
+			e.leave(r, now)
+			w.ds[r.at].Done(now, r.token, Cancelled)
 		}
 	}
+	e.admit(now)
 	length := simStep
 	if len(e.reading) > 0 {
 		r := e.reading[0]
@@ -106,27 +204,48 @@
 	e.next = now + length
 }
 
-// simWorld drives one dispatcher against simulated engines.
+// simWorld drives the dispatchers of some instances against simulated engines.
 type simWorld struct {
-	d       *Dispatcher
+	ds      []*Dispatcher
 	rng     *rand.Rand
 	engines map[string]*simEngine
 	order   []*simEngine
 	all     []*simRequest
 	waiting map[uint64]*simRequest
 	nextID  uint64
+	stride  int // tokens in an event
+	// reportEvery is the pause between the reports of an instance, reportDelay the time
+	// until they have reached the others.
+	reportEvery, reportDelay time.Duration
+	underway                 []simReport
+	movedAt                  time.Duration // when the border last had too much for streams
 }
 
-func newWorld(engines int) *simWorld {
-	w := &simWorld{rng: rand.New(rand.NewPCG(7, 7)), engines: map[string]*simEngine{}, waiting: map[uint64]*simRequest{}}
-	w.d = New(Options{Domain: "a"}, rand.New(rand.NewPCG(1, 1)))
+// simReport is a report on its way.
+type simReport struct {
+	at     time.Duration
+	from   int
+	report Report
+}
+
+func newWorld(engines int) *simWorld { return newFleet(1, engines, simSlots) }
+
+// newFleet returns a world of several instances.
+func newFleet(instances, engines, slots int) *simWorld {
+	w := &simWorld{rng: rand.New(rand.NewPCG(7, 7)), engines: map[string]*simEngine{}, waiting: map[uint64]*simRequest{}, stride: simStride,
+		reportEvery: 200 * time.Millisecond, reportDelay: 250 * time.Millisecond}
 	var list []Server
+	seen := map[uint64]bool{}
 	for i := range engines {
-		e := &simEngine{name: fmt.Sprintf("engine-%02d", i), cache: map[uint64]bool{}}
+		e := newSimEngine(fmt.Sprintf("engine-%02d", i), slots, seen)
 		w.engines[e.name], w.order = e, append(w.order, e)
-		list = append(list, Server{ID: e.name, Domain: "a", Slots: simSlots, Memory: simMemory})
+		list = append(list, Server{ID: e.name, Domain: "a", Slots: slots, Memory: simMemory})
+	}
+	for i := range instances {
+		d := New(Options{Domain: "a"}, rand.New(rand.NewPCG(1, uint64(i+1))))
+		d.Update(0, list)
+		w.ds = append(w.ds, d)
 	}
-	w.d.Update(0, list)
 	return w
 }
 
@@ -174,12 +293,13 @@
 }
 
 func (w *simWorld) submit(now time.Duration, r *simRequest) {
+	r.at = w.rng.IntN(len(w.ds))
 	w.all = append(w.all, r)
 	w.waiting[r.ID] = r
-	w.take(w.d.Submit(now, r.Request))
+	w.take(now, w.ds[r.at].Submit(now, r.Request))
 }
 
-func (w *simWorld) take(x Decision) {
+func (w *simWorld) take(now time.Duration, x Decision) {
 	r := w.waiting[x.ID]
 	if r == nil || x.Grant == nil && x.Rejection == nil {
 		return
@@ -189,8 +309,11 @@
 		r.reject = x.Rejection
 		return
 	}
-	r.server, r.token = x.Grant.Server.ID, x.Grant.Token
-	w.engines[r.server].add(r)
+	r.server, r.token, r.home = x.Grant.Server.ID, x.Grant.Token, x.Grant.Home
+	if !w.engines[r.server].add(r, now) {
+		r.full, r.ended = true, true
+		w.ds[r.at].Done(now, r.token, Refused)
+	}
 }
 
 // tick is the resolution of the simulation.
@@ -208,8 +331,34 @@
 			}
 		}
 		if now%(20*time.Millisecond) == 0 {
-			for _, x := range w.d.Advance(now) {
-				w.take(x)
+			for _, d := range w.ds {
+				for _, x := range d.Advance(now) {
+					w.take(now, x)
+				}
+			}
+		}
+		w.report(now)
+	}
+}
+
+// report passes reports between the instances.
+func (w *simWorld) report(now time.Duration) {
+	if len(w.ds) == 1 {
+		return
+	}
+	if now%w.reportEvery == 0 {
+		for i, d := range w.ds {
+			if r := d.Collect(now); !r.Empty() {
+				w.underway = append(w.underway, simReport{now + w.reportDelay, i, r})
+			}
+		}
+	}
+	for len(w.underway) > 0 && w.underway[0].at <= now {
+		x := w.underway[0]
+		w.underway = w.underway[1:]
+		for i, d := range w.ds {
+			if i != x.from {
+				d.Merge(now, fmt.Sprint(x.from), x.report)
 			}
 		}
 	}
@@ -217,10 +366,12 @@
 
 // poisson returns how many requests of a rate arrive in one tick.
 func (w *simWorld) poisson(perSecond float64) int {
-	if w.rng.Float64() < perSecond*tick.Seconds() {
-		return 1
+	mean := perSecond * tick.Seconds()
+	n := int(mean)
+	if w.rng.Float64() < mean-float64(n) {
+		n++
 	}
-	return 0
+	return n
 }
 
 // onTime is the share of a class's requests that were on time.
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -69,6 +69,8 @@
 	Wait, Work time.Duration
 	// Cached is the number of prompt tokens that the upstream is thought to keep.
 	Cached int
+	// Home tells that the prompt's session belongs to the upstream.
+	Home bool
 }
 
 // Rejection is the refusal of a request that was not sent anywhere.
@@ -107,19 +109,24 @@
 	Cancelled
 )
 
+// Tag names an upstream in reports, which are sent several times a second: the low half of
+// the hash of its name.
+type Tag uint32
+
 // Work is prompt work that a peer has sent to an upstream.
 type Work struct {
-	Server   string
+	Server   Tag
 	Reading  time.Duration
 	Priority int
 	Long     bool // the prompt is a long one
-	// Parts are the parts of the prompts, which the upstream now keeps.
-	Parts []Part
+	// Session is the last shared part of the prompt, with the tokens of all shared parts,
+	// which the upstream now keeps.
+	Session Part
 }
 
 // Load is the number of requests that a peer has at an upstream now.
 type Load struct {
-	Server   string
+	Server   Tag
 	InFlight int
 	// Streams is how many of them are streams with short pauses.
 	Streams int
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -27,6 +27,9 @@
 	UpstreamChanged Event = "upstream_changed"
 	// UpstreamReached: An upstream that was set aside accepts connections.
 	UpstreamReached Event = "upstream_reached"
+	// BorderMoved: the division of a service's upstreams between long prompts and streams
+	// has changed by more than a step.
+	BorderMoved Event = "border_moved"
 	// PeerChanged: another instance joined, is suspected, leaves or is gone.
 	PeerChanged Event = "peer_changed"
 	// PeerCallFailed: a call to another instance failed.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 	x.upstream = grant.Server.ID
 	x.log(eventlog.RequestPlaced).WithFields(logrus.Fields{
 		"upstream": grant.Server.ID, "address": grant.Server.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
-		"priority": x.priority, "cached": grant.Cached, "prompt": x.request.Prompt, "output": x.request.Output, "attempt": x.arrivals + 1,
+		"priority": x.priority, "cached": grant.Cached, "home": grant.Home, "prompt": x.request.Prompt, "output": x.request.Output, "attempt": x.arrivals + 1,
 	}).Info("request placed")
 	x.g.quarantine.Started(a.began, x.fingerprint, x.team, grant.Server.ID)
 	if err := a.run(); err != nil {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	// watchWait is how long one watch waits for changes. A watch that was cut hears
-	// nothing and gets no answer: with the client's own limit it must end within the two
-	// seconds in which a configuration is to be in force.
-	watchWait = 1200 * time.Millisecond
-	// watchPause lets changes that come one after the other share a call.
-	watchPause = 100 * time.Millisecond
+	// watchShare is the part of the freshness that one watch waits for changes. A watch that
+	// was cut hears nothing and gets no answer, so it must end well within it.
+	watchShare = 0.6
+	// watchMargin is the part of the freshness that is left for the call after the watch.
+	watchMargin = 0.1
+	// minWatchPause lets changes that come one after the other share a call.
+	minWatchPause = 100 * time.Millisecond
 	// readTimeout bounds a full read, also of a platform that is slow.
 	readTimeout = 4 * time.Second
 	// firstPause and maxPause bound the pause before a call that failed is repeated.
@@ -39,10 +40,17 @@
 	g       *Gateway
 	prefix  string
 	replica *replica.Replica
+	// wait is how long a watch waits, pause the time between a watch that brought changes
+	// and the next.
+	wait, pause time.Duration
 }
 
 func newFeed(g *Gateway) *feed {
-	return &feed{g: g, prefix: g.protocols.Decoder.Prefix(), replica: replica.New(replica.Options{Grace: lapseGrace})}
+	f := &feed{g: g, prefix: g.protocols.Decoder.Prefix(), replica: replica.New(replica.Options{Grace: lapseGrace})}
+	freshness := g.settings.Freshness.Std()
+	f.wait = time.Duration(watchShare * float64(freshness))
+	f.pause = max(minWatchPause, time.Duration((1-watchShare-watchMargin)*float64(freshness))-WatchSlack)
+	return f
 }
 
 func (f *feed) run(ctx context.Context) error {
@@ -110,7 +118,7 @@
 
 func (f *feed) watch(ctx context.Context) error {
 	after, _ := f.replica.Revision()
-	changes, revision, err := f.g.protocols.Source.Watch(ctx, f.prefix, after, watchWait)
+	changes, revision, err := f.g.protocols.Source.Watch(ctx, f.prefix, after, f.wait)
 	if err != nil {
 		return err
 	}
@@ -119,7 +127,7 @@
 	if len(changes) > 0 {
 		select {
 		case <-ctx.Done():
-		case <-time.After(watchPause):
+		case <-time.After(f.pause):
 		}
 	}
 	return nil
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/settings"
 )
 
 // Guards against requests to an upstream that left while this instance was cut off from the
@@ -20,3 +23,21 @@
 		t.Errorf("reconnecting takes up to %v and the grace %v, together not below %v", reconnect, lapseGrace, stable)
 	}
 }
+
+// Guards against a configuration that takes effect too late because a watch was cut without
+// a sign: the watch and the pause before it, together with the next call, must fit into the
+// freshness.
+func TestChangesBehindASilentWatchAreSeenInTime(t *testing.T) {
+	for _, freshness := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		s := &settings.Gateway{Freshness: config.Duration(freshness)}
+		f := newFeed(&Gateway{settings: s, protocols: Protocols{Decoder: prefixDecoder{}}})
+		if total := f.pause + f.wait + WatchSlack + maxPause/2; total > freshness {
+			t.Errorf("freshness %v: a change may be seen after %v", freshness, total)
+		}
+	}
+}
+
+// prefixDecoder is a Decoder of which only the prefix is used.
+type prefixDecoder struct{ Decoder }
+
+func (prefixDecoder) Prefix() string { return "" }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,6 +218,7 @@
 	now := g.now()
 	for _, s := range g.serviceList() {
 		s.advance(now)
+		s.logBorder(g)
 		s.probe(g)
 	}
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -95,6 +95,9 @@
 // last longer than the cut.
 const StoreDialTimeout = 400 * time.Millisecond
 
+// WatchSlack is how much longer than its wait a watch may take to be answered.
+const WatchSlack = 500 * time.Millisecond
+
 // Source reads what the platform publishes. Implementations are safe for concurrent use.
 type Source interface {
 	// Read reads everything under a prefix.
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bytes"
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -24,8 +26,8 @@
 	// directPeers is the number of peers up to which each instance tells all others
 	// itself. The messages grow with its square.
 	directPeers = 15
-	// groupSize is the number of instances that share a relay.
-	groupSize = 12
+	// minGroup is the least number of instances that share a relay.
+	minGroup = 6
 )
 
 // originReport is what one instance has at the upstreams, by service.
@@ -42,6 +44,19 @@
 	Reports []originReport
 }
 
+// encode returns the batch in few bytes: relays send it many times, over links that may be
+// slow.
+func (b reportBatch) encode() ([]byte, error) {
+	var out bytes.Buffer
+	e := msgpack.NewEncoder(&out)
+	e.UseCompactInts(true)
+	e.UseArrayEncodedStructs(true)
+	if err := e.Encode(b); err != nil {
+		return nil, errors.Wrap(err, "encode reports")
+	}
+	return out.Bytes(), nil
+}
+
 // reports exchanges what the instances have at the upstreams. Few instances tell each
 // other directly. More form groups: each tells the relay of its group, which passes the
 // reports of the group on to its members and to the other relays. With n instances in g
@@ -118,7 +133,7 @@
 }
 
 func (r *reports) send(ctx context.Context, to []membership.Member, b reportBatch) {
-	payload, err := msgpack.Marshal(b)
+	payload, err := b.encode()
 	if err != nil {
 		r.p.failed("report", "all", err)
 		return
@@ -163,6 +178,12 @@
 	return append(list, more[:min(len(more), max(0, maxPending-len(list)))]...)
 }
 
+// groupSize is the number of instances that share a relay: about as many as there are
+// groups, so that a relay sends to few. Relays may have slow links.
+func groupSize(instances int) int {
+	return max(minGroup, int(math.Ceil(math.Sqrt(float64(instances)))))
+}
+
 // groups is an instance's place among the others.
 type groups struct {
 	isRelay bool
@@ -179,7 +200,7 @@
 		return cmp.Or(cmp.Compare(a.Name, b.Name), a.Incarnation.Process.Compare(b.Incarnation.Process))
 	})
 	var g groups
-	for part := range slices.Chunk(all, groupSize) {
+	for part := range slices.Chunk(all, groupSize(len(all))) {
 		own := slices.ContainsFunc(part, func(m membership.Member) bool { return m.Incarnation.Process == self.Incarnation.Process })
 		switch {
 		case !own:
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 	mu      sync.Mutex
 	clients map[string]*upstream.Client
 	waiters map[uint64]chan dispatch.Decision
+
+	loggedForStreams int // in the last line about the border; used by one goroutine
 }
 
 func (g *Gateway) newService(name string) *service {
@@ -118,6 +121,26 @@
 	}
 }
 
+// borderStep is the part of the upstreams by which the border must have moved since the
+// last line about it.
+const borderStep = 0.1
+
+// logBorder notes a change of the division between long prompts and streams.
+func (s *service) logBorder(g *Gateway) {
+	b := s.dispatcher.Border(g.now())
+	if moved := b.ForStreams - s.loggedForStreams; math.Abs(float64(moved)) <= borderStep*float64(b.Servers) {
+		return
+	}
+	g.log.WithFields(logrus.Fields{
+		"event": eventlog.BorderMoved, "service": s.name, "for_streams": b.ForStreams, "previous": s.loggedForStreams, "upstreams": b.Servers,
+		"long_work": round(b.LongWork), "short_work": round(b.ShortWork), "streams": b.Streams,
+	}).Info("the division of the upstreams has moved")
+	s.loggedForStreams = b.ForStreams
+}
+
+// round keeps two decimals for a log line.
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
 // probe dials the upstreams that were set aside, so that no request is spent on it.
 func (s *service) probe(g *Gateway) {
 	for _, to := range s.dispatcher.Due(g.now()) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,6 +23,9 @@
 	ReadyPath string `yaml:"ready_path,omitempty" validate:"omitempty,startswith=/"`
 	// Platform is where the configuration and the upstreams are read.
 	Platform Platform `yaml:"platform"`
+	// Freshness is the time within which a published change takes effect here, also when a
+	// connection to the platform falls silent. Default 2s.
+	Freshness config.Duration `yaml:"freshness,omitempty" validate:"min=0"`
 	// Peers configures the traffic between instances. Absent: the instance works alone.
 	Peers *Mesh `yaml:"peers,omitempty"`
 	// Retries bound the repeated sendings of all instances together.
@@ -90,6 +93,7 @@
 	setDefault(&s.ReadyPath, "/readyz")
 	setDefault(&s.Retries.Ratio, 0.1)
 	setDefault(&s.Retries.Window, config.Duration(10*time.Second))
+	setDefault(&s.Freshness, config.Duration(2*time.Second))
 	setDefault(&s.Grace, config.Duration(8*time.Second))
 	setDefault(&s.DrainDelay, config.Duration(2500*time.Millisecond))
 	setDefault(&s.MaxConnections, 1024)
