gateway: count each report of an instance once

Change: a report carries its origin's sequence number and counts once. Demand and queues are counted at the usual pace of an upstream, its own pace only chooses; the reading rate is learned without attention, and faster samples weigh more.

--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -73,13 +73,14 @@
 	home   bool
 	cached int
 	wait   time.Duration
-	work   time.Duration
+	work   time.Duration // reading the prompt at the usual pace
+	takes  time.Duration // the same at the upstream's pace
 	risk   time.Duration // penalty for failures
 	cost   time.Duration
 }
 
 // firstOutput is the predicted time to the first output.
-func (c *candidate) firstOutput() time.Duration { return c.wait + c.work + stepTime }
+func (c *candidate) firstOutput() time.Duration { return c.wait + c.takes + stepTime }
 
 // choose returns the upstream for the request; ok is false when there is none. The home of
 // the request's session comes first, as long as it is predicted to begin in time. Then
@@ -214,8 +215,9 @@
 	s := c.s
 	c.cached = min(s.cached(now, r.Prefix), r.Prompt)
 	c.wait = s.wait(now, r.Priority)
-	c.work = time.Duration(float64(reading(d.rate, r.Prompt, c.cached)) * s.slow(now, usual))
-	c.cost = c.wait + c.work
+	c.work = reading(d.rate, r.Prompt, c.cached)
+	c.takes = time.Duration(float64(c.work) * s.slow(now, usual))
+	c.cost = c.wait + c.takes
 	if !c.home {
 		c.cost += d.rereading(r, c.cached)
 	}
@@ -236,6 +238,7 @@
 	ahead := float64(s.own.InFlight) / float64(max(1, s.Slots))
 	c.wait = time.Duration(max(0, ahead-1) * mean * float64(time.Second))
 	c.work = time.Duration(mean * float64(time.Second))
+	c.takes = c.work
 	c.cost = time.Duration((1 + ahead) * mean * float64(time.Second))
 }
 
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -23,6 +23,9 @@
 	minHold = 100 * time.Millisecond
 	// rateWeight is the weight of a new sample of the reading rate.
 	rateWeight = 0.02
+	// fasterWeight is the same for a sample above the rate: only few requests have an
+	// upstream for themselves, and these show the rate.
+	fasterWeight = 0.1
 	// maxRetryAfter bounds the time to come back.
 	maxRetryAfter = 5 * time.Second
 	// minRetryAfter keeps rejected callers from returning into the same backlog.
@@ -282,7 +285,7 @@
 		return d.reject(now, r, ReasonNoServer, 0)
 	}
 	predicted := queued + c.firstOutput()
-	if now+c.work+stepTime > r.Deadline || now+predicted > r.Deadline {
+	if now+c.takes+stepTime > r.Deadline || now+predicted > r.Deadline {
 		return d.reject(now, r, ReasonDeadline, predicted)
 	}
 	if d.mustHold(now, r, &c, queued) {
--- a/internal/coordination/dispatch/learn.go
+++ b/internal/coordination/dispatch/learn.go
@@ -47,10 +47,17 @@
 	if g.wait > 0 || g.work < minSample || took <= stepTime {
 		return
 	}
-	rate := float64(fresh) / (float64(took-stepTime) / float64(time.Millisecond))
+	linear := float64(took-stepTime)/float64(time.Millisecond) - attention(g.prompt, g.cached)
+	if linear <= 0 {
+		return
+	}
+	rate := min(max(float64(fresh)/linear, d.options.TokensPerMS/4), d.options.TokensPerMS*4)
 	// Other instances' prompts can only make the sample smaller.
-	rate = min(max(rate, d.options.TokensPerMS/4), d.options.TokensPerMS*4)
-	d.rate += (rate - d.rate) * rateWeight
+	weight := rateWeight
+	if rate > d.rate {
+		weight = fasterWeight
+	}
+	d.rate += (rate - d.rate) * weight
 }
 
 func (d *Dispatcher) learnPlain(now time.Duration, g *grant, took time.Duration) {
--- a/internal/coordination/dispatch/server.go
+++ b/internal/coordination/dispatch/server.go
@@ -132,8 +132,14 @@
 // reading is the time to read the rest of a prompt of which cached tokens are kept.
 func reading(tokensPerMS float64, prompt, cached int) time.Duration {
 	fresh := float64(max(prompt-cached, 1))
-	pairs := fresh * (float64(cached) + fresh/2) / 1e6
-	return time.Duration((fresh/tokensPerMS + pairs*attentionMS) * float64(time.Millisecond))
+	return time.Duration((fresh/tokensPerMS + attention(prompt, cached)) * float64(time.Millisecond))
+}
+
+// attention is the part of the reading time, in milliseconds, that grows with the tokens
+// before each token.
+func attention(prompt, cached int) float64 {
+	fresh := float64(max(prompt-cached, 1))
+	return fresh * (float64(cached) + fresh/2) / 1e6 * attentionMS
 }
 
 // slow is the factor by which the upstream is slower than most.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -111,8 +111,10 @@
 	if a.Member.State != membership.Dead {
 		return
 	}
+	origin := a.Member.Incarnation.Process.String()
+	p.reports.forget(origin)
 	for _, s := range p.g.serviceList() {
-		s.dispatcher.Forget(a.Member.Incarnation.Process.String())
+		s.dispatcher.Forget(origin)
 	}
 }
 
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -33,6 +33,7 @@
 // originReport is what one instance has at the upstreams, by service.
 type originReport struct {
 	Origin   string // the instance's process
+	Sequence uint64 // counts the reports of the origin
 	Services map[string]dispatch.Report
 }
 
@@ -66,12 +67,14 @@
 type reports struct {
 	p *peers
 
-	mu      sync.Mutex
-	pending []originReport // to be passed on to the own group
-	others  []originReport // to be passed on to the other relays
+	mu       sync.Mutex
+	pending  []originReport    // to be passed on to the own group
+	others   []originReport    // to be passed on to the other relays
+	seen     map[string]uint64 // by origin, the sequence of its last report
+	sequence uint64            // of this instance's last report
 }
 
-func newReports(p *peers) *reports { return &reports{p: p} }
+func newReports(p *peers) *reports { return &reports{p: p, seen: map[string]uint64{}} }
 
 func (r *reports) run(ctx context.Context) error {
 	timer := time.NewTimer(reportInterval)
@@ -100,7 +103,14 @@
 			own.Services[s.name] = x
 		}
 	}
-	return own, len(own.Services) > 0
+	if len(own.Services) == 0 {
+		return own, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	own.Sequence = r.sequence
+	return own, true
 }
 
 func (r *reports) tellAll(ctx context.Context, live []membership.Member) {
@@ -150,11 +160,8 @@
 	if err := msgpack.Unmarshal(payload, &b); err != nil {
 		return errors.Wrap(err, "report")
 	}
-	self := r.p.self.Incarnation.Process.String()
-	for _, x := range b.Reports {
-		if x.Origin == self {
-			continue
-		}
+	fresh := r.fresh(b.Reports)
+	for _, x := range fresh {
 		for name, report := range x.Services {
 			if s := r.p.g.service(name); s != nil {
 				s.dispatcher.Merge(r.p.g.now(), x.Origin, report)
@@ -167,13 +174,37 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pending = appendBounded(r.pending, b.Reports)
+	r.pending = appendBounded(r.pending, fresh)
 	if !b.Relayed {
-		r.others = appendBounded(r.others, b.Reports)
+		r.others = appendBounded(r.others, fresh)
 	}
 	return nil
 }
 
+// fresh returns the reports that have not been seen. While the instances disagree about
+// who is alive, they disagree about the groups, and a report arrives on several ways.
+func (r *reports) fresh(list []originReport) []originReport {
+	self := r.p.self.Incarnation.Process.String()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]originReport, 0, len(list))
+	for _, x := range list {
+		if x.Origin == self || x.Sequence <= r.seen[x.Origin] {
+			continue
+		}
+		r.seen[x.Origin] = x.Sequence
+		out = append(out, x)
+	}
+	return out
+}
+
+// forget drops what is kept about an origin that is gone.
+func (r *reports) forget(origin string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.seen, origin)
+}
+
 func appendBounded(list, more []originReport) []originReport {
 	return append(list, more[:min(len(more), max(0, maxPending-len(list)))]...)
 }
--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -100,3 +100,24 @@
 		}
 	}
 }
+
+// Guards against work that is counted twice and passed on without end, when instances
+// disagree about the groups: the part for streams grew until one engine was left for long
+// prompts (ngri-bridge-grown scale-1, from the kill of eight instances on).
+func TestReportThatArrivesTwiceCountsOnce(t *testing.T) {
+	members, _ := fleet(2)
+	r := newReports(&peers{self: members[0]})
+	other := members[1].Incarnation.Process.String()
+	first := originReport{Origin: other, Sequence: 1}
+	second := originReport{Origin: other, Sequence: 2}
+	own := originReport{Origin: members[0].Incarnation.Process.String(), Sequence: 7}
+	if got := r.fresh([]originReport{first, own}); len(got) != 1 || got[0].Origin != other {
+		t.Fatalf("%+v", got)
+	}
+	if got := r.fresh([]originReport{first, second}); len(got) != 1 || got[0].Sequence != 2 {
+		t.Fatalf("%+v", got)
+	}
+	if got := r.fresh([]originReport{second, first}); len(got) != 0 {
+		t.Fatalf("%+v", got)
+	}
+}
