--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -15,13 +13,12 @@
 // Guards against promises that hold only inside one process: real instances under kills,
 // pauses, stops, cut links and a store that fails.
 func TestPromisesHoldUnderFaults(t *testing.T) {
-	dir := t.TempDir()
-	daemon := filepath.Join(dir, "yuccabridged")
-	if out, err := exec.Command("go", "build", "-o", daemon, "github.com/yuccabridge/yuccabridge/cmd/yuccabridged").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+	file, err := daemon()
+	if err != nil {
+		t.Fatal(err)
 	}
 	for _, seed := range seeds {
-		o := Options{Seed: seed.seed, Duration: 4 * time.Second, Instances: 3, Upstreams: 5, Daemon: daemon, Dir: t.TempDir()}
+		o := Options{Seed: seed.seed, Duration: 4 * time.Second, Instances: 3, Upstreams: 5, Daemon: file, Dir: t.TempDir()}
 		report, err := Run(context.Background(), o)
 		if err != nil {
 			t.Fatal(err)
