yuccabridged: log to standard output through the bounded buffer

The daemon of the project's own protocols wrote its log to standard error, unbuffered, so a reader that stopped reading could hold a request up. It now uses the writer of the forwarding path. The process tests read addresses from standard output.

--- a/cmd/yuccabridged/harness_test.go
+++ b/cmd/yuccabridged/harness_test.go
@@ -51,7 +51,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	fmt.Fprintf(os.Stderr, "address=%q\n", s.Addr())
+	fmt.Printf("address=%q\n", s.Addr())
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM)
 	<-stop
@@ -78,7 +78,7 @@
 func start(t *testing.T, role string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, cmd: roleCommand(role, args...), fields: map[string]string{}, exit: make(chan error, 1)}
-	stderr, err := p.cmd.StderrPipe()
+	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,7 +87,7 @@
 	}
 	t.Cleanup(p.kill)
 	found := make(chan bool, 1)
-	go p.read(bufio.NewScanner(stderr), found)
+	go p.read(bufio.NewScanner(stdout), found)
 	select {
 	case <-found:
 	case <-time.After(startTimeout):
--- a/cmd/yuccabridged/main.go
+++ b/cmd/yuccabridged/main.go
@@ -8,10 +8,10 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"github.com/yuccabridge/yuccabridge/internal/entry"
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 )
 
@@ -53,21 +53,15 @@
 func run(ctx context.Context, s *settings.Settings) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	in, err := entry.New(s, newLogger(s.Log.Level))
+	out := eventlog.NewWriter(os.Stdout)
+	defer out.Close()
+	log, err := eventlog.New(out, s.Log.Level)
 	if err != nil {
 		return err
 	}
-	return in.Run(ctx)
-}
-
-// newLogger writes one line of key=value pairs an event. The formatter quotes values,
-// so text from callers cannot forge a line.
-func newLogger(level string) *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(os.Stderr)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
-	if l, err := logrus.ParseLevel(level); err == nil {
-		log.SetLevel(l)
+	in, err := entry.New(s, log)
+	if err != nil {
+		return err
 	}
-	return log
+	return in.Run(ctx)
 }
