soak: choose the ports of all instances together

They are now drawn together, below the ports of outgoing connections. Ruled out: the daemon, whose log says "address already in use" in its first line.

--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -23,10 +24,10 @@
 
 // instance is one process of the daemon, started again after each end.
 type instance struct {
-	name                       string
-	callers, operations, peers string // addresses
-	store                      *proxy
-	daemon, dir                string
+	addresses
+	name        string
+	store       *proxy
+	daemon, dir string
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -39,38 +40,46 @@
 // span is a time in which an instance is harmed. An open one has no end yet.
 type span struct{ from, to time.Time }
 
-// freePort returns a loopback address that was free a moment ago, for TCP and UDP.
-func freePort() (string, error) {
-	for range 20 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+const (
+	// firstPort and lastPort bound the ports of the instances. They are below those that the
+	// system gives to outgoing connections, one of which could hold a port while its instance
+	// is down.
+	firstPort, lastPort = 20000, 32000
+)
+
+// freePorts returns n different loopback addresses that are free for TCP and UDP.
+func freePorts(n int) ([]string, error) {
+	var out []string
+	first := rand.IntN(lastPort - firstPort)
+	for i := range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(first+i)%(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", errors.Wrap(err, "find a free port")
+			continue
 		}
-		address := l.Addr().String()
 		u, err := net.ListenPacket("udp", address)
 		l.Close()
-		if err == nil {
-			u.Close()
-			return address, nil
+		if err != nil {
+			continue
+		}
+		u.Close()
+		if out = append(out, address); len(out) == n {
+			return out, nil
 		}
 	}
-	return "", errors.New("no port is free for TCP and UDP")
+	return nil, errors.Errorf("fewer than %d ports are free for TCP and UDP", n)
 }
 
-func newInstance(o Options, name string, seeds []string, peers string, store *proxy) (*instance, error) {
-	in := &instance{name: name, daemon: o.Daemon, dir: o.Dir, peers: peers, store: store}
-	var err error
-	if in.callers, err = freePort(); err != nil {
-		return nil, err
-	}
-	if in.operations, err = freePort(); err != nil {
-		return nil, err
-	}
+// addresses are where one instance listens.
+type addresses struct{ callers, operations, peers string }
+
+func newInstance(o Options, name string, at addresses, seeds []string, store *proxy) (*instance, error) {
+	in := &instance{name: name, daemon: o.Daemon, dir: o.Dir, addresses: at, store: store}
 	quoted := strings.Join(seeds, `", "`)
 	text := fmt.Sprintf("instance: %s\nfailure_domain: zone\ncallers: {address: %s}\noperations: {address: %s}\nready_path: /ready\n"+
 		"freshness: %s\nplatform: {address: %s}\npeers: {address: %s, gossip: %s, seeds: [\"%s\"], network: yuccabridge fault soak}\n"+
 		"retries: {ratio: 0.2, window: 10s, slack: 56}\ngrace: %s\ndrain_delay: 300ms\n",
-		in.name, in.callers, in.operations, freshness, store.address(), peers, peers, quoted, grace)
+		in.name, in.callers, in.operations, freshness, store.address(), in.peers, in.peers, quoted, grace)
 	return in, errors.Wrap(os.WriteFile(in.settings(), []byte(text), 0o600), "write settings")
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -125,20 +125,18 @@
 		w.upstreams = append(w.upstreams, u)
 		w.store.Put("servers/"+u.Name, u.entry("ready"))
 	}
-	var seeds []string
-	for range o.Instances {
-		address, err := freePort()
-		if err != nil {
-			return nil, err
-		}
-		seeds = append(seeds, address)
+	ports, err := freePorts(3 * o.Instances)
+	if err != nil {
+		return nil, err
 	}
+	seeds := ports[:o.Instances]
 	for i := range o.Instances {
 		p, err := newProxy(w.store.Address())
 		if err != nil {
 			return nil, errors.Wrap(err, "start proxy")
 		}
-		in, err := newInstance(o, fmt.Sprintf("front-%d", i), seeds, seeds[i], p)
+		at := addresses{peers: ports[i], callers: ports[o.Instances+2*i], operations: ports[o.Instances+2*i+1]}
+		in, err := newInstance(o, fmt.Sprintf("front-%d", i), at, seeds, p)
 		if err != nil {
 			return nil, err
 		}
