One copy of what two paths, the soak and the demo had each

The soak named the platform's headers and keys, and the demo, the soak and the tests each built callers' requests and a configuration from them: standin.Request, Configuration and Publication now do, so that the names stay in platform/. Both daemons opened their listeners and ran their tickers with the same code: caller.Open and periodic.Run. The soak kept three lists of times of harm: type spans.

No behaviour changes; tests keep their assertions. Measured: tests of the packages touched pass uncached.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -13,6 +13,7 @@
 	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/configsync"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
+	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/platformapi"
 	"github.com/yuccabridge/yuccabridge/internal/transport/platform"
@@ -69,7 +70,7 @@
 // run advances the machine until ctx ends.
 func (c *configuration) run(ctx context.Context) error {
 	c.carryOut(c.machine.SetMembers(c.in.now(), []configsync.Peer{c.self}))
-	return every(ctx, configTick, func() { c.carryOut(c.machine.Tick(c.in.now())) })
+	return periodic.Run(ctx, configTick, func() { c.carryOut(c.machine.Tick(c.in.now())) })
 }
 
 // setMembers tells the machine which instances are live.
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	mathrand "math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"strings"
@@ -23,6 +22,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/pressure"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
+	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
@@ -64,13 +64,7 @@
 
 	callers    *fasthttp.Server
 	operations *fasthttp.Server
-	listeners  listeners
-}
-
-// listeners are the open sockets.
-type listeners struct {
-	callers    net.Listener
-	operations net.Listener
+	sockets    caller.Sockets
 }
 
 // New opens the instance's sockets and reads its first configuration where it comes
@@ -109,31 +103,19 @@
 			return nil, err
 		}
 	}
-	if err := in.listen(); err != nil {
+	var err error
+	if in.sockets, err = caller.Open(s.Callers.Address, s.Operations.Address, s.Limits.WriteTimeout.Std()); err != nil {
 		return nil, err
 	}
 	close(in.serving)
 	return in, nil
 }
 
-func (in *Instance) listen() error {
-	callers, err := net.Listen("tcp", in.settings.Callers.Address)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	in.listeners.callers = caller.Listener{Listener: callers, WriteTimeout: in.settings.Limits.WriteTimeout.Std()}
-	if in.listeners.operations, err = net.Listen("tcp", in.settings.Operations.Address); err != nil {
-		in.listeners.callers.Close()
-		return errors.Wrap(err, "listen for operations")
-	}
-	return nil
-}
-
 // CallersAddress is the address that callers reach.
-func (in *Instance) CallersAddress() string { return in.listeners.callers.Addr().String() }
+func (in *Instance) CallersAddress() string { return in.sockets.Callers.Addr().String() }
 
 // OperationsAddress is the address that operators reach.
-func (in *Instance) OperationsAddress() string { return in.listeners.operations.Addr().String() }
+func (in *Instance) OperationsAddress() string { return in.sockets.Operations.Addr().String() }
 
 // PeerAddress is the TCP address that other instances reach.
 func (in *Instance) PeerAddress() string {
@@ -259,15 +241,15 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return errors.Wrap(in.callers.Serve(in.listeners.callers), "serve callers") })
-	group.Go(func() error { return errors.Wrap(in.operations.Serve(in.listeners.operations), "serve operations") })
-	group.Go(func() error { return every(work, tickInterval, in.tickPools) })
-	group.Go(func() error { return every(work, caller.WatchInterval, in.watcher.Check) })
-	group.Go(func() error { return every(work, loadInterval, func() { in.pollLoads(work) }) })
-	group.Go(func() error { return every(work, placementTick, func() { in.placement.tick(work) }) })
+	group.Go(func() error { return errors.Wrap(in.callers.Serve(in.sockets.Callers), "serve callers") })
+	group.Go(func() error { return errors.Wrap(in.operations.Serve(in.sockets.Operations), "serve operations") })
+	group.Go(func() error { return periodic.Run(work, tickInterval, in.tickPools) })
+	group.Go(func() error { return periodic.Run(work, caller.WatchInterval, in.watcher.Check) })
+	group.Go(func() error { return periodic.Run(work, loadInterval, func() { in.pollLoads(work) }) })
+	group.Go(func() error { return periodic.Run(work, placementTick, func() { in.placement.tick(work) }) })
 	if in.peers != nil {
 		group.Go(func() error { return in.peers.run(work) })
-		group.Go(func() error { return every(work, valuesInterval, in.reportValues) })
+		group.Go(func() error { return periodic.Run(work, valuesInterval, in.reportValues) })
 	}
 	if in.config != nil {
 		group.Go(func() error { return in.config.run(work) })
@@ -322,17 +304,3 @@
 		p.pollLoads(ctx)
 	}
 }
-
-// every runs fn at the interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, fn func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			fn()
-		}
-	}
-}
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -16,6 +16,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/pressure"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/scheduler"
+	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/platformapi"
 	"github.com/yuccabridge/yuccabridge/internal/transport/platform"
@@ -194,7 +195,7 @@
 
 func (in *Instance) readInstances(ctx context.Context) error {
 	r := &instanceReader{in: in, client: in.config.platform, rng: in.random("instances")}
-	return every(ctx, instancesInterval, r.poll)
+	return periodic.Run(ctx, instancesInterval, r.poll)
 }
 
 // poll reads the list when this instance is a reader and passes on what leaves.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -11,6 +11,7 @@
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
+	"github.com/yuccabridge/yuccabridge/internal/periodic"
 )
 
 const (
@@ -57,7 +58,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return f.follow(ctx) })
 	group.Go(func() error {
-		return every(ctx, feedTick, func() { f.deliver(f.replica.Tick(f.g.now()), "grace") })
+		return periodic.Run(ctx, feedTick, func() { f.deliver(f.replica.Tick(f.g.now()), "grace") })
 	})
 	return group.Wait()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	mathrand "math/rand/v2"
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
+	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
@@ -53,11 +53,9 @@
 
 	callers    *fasthttp.Server
 	operations *fasthttp.Server
-	listeners  listeners
+	sockets    caller.Sockets
 }
 
-type listeners struct{ callers, operations net.Listener }
-
 // New opens the sockets of an instance.
 func New(s *settings.Gateway, p Protocols, log *logrus.Logger) (*Gateway, error) {
 	g := &Gateway{
@@ -68,36 +66,22 @@
 	g.feed = newFeed(g)
 	g.callers = g.newCallersServer()
 	g.operations = g.newOperationsServer()
-	if err := g.listen(); err != nil {
+	var err error
+	if g.sockets, err = caller.Open(s.Callers.Address, s.Operations.Address, writeTimeout); err != nil {
 		return nil, err
 	}
-	var err error
 	if g.peers, err = newPeers(g); err != nil {
-		g.listeners.callers.Close()
-		g.listeners.operations.Close()
+		g.sockets.Close()
 		return nil, err
 	}
 	return g, nil
 }
 
-func (g *Gateway) listen() error {
-	callers, err := net.Listen("tcp", g.settings.Callers.Address)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	g.listeners.callers = callerListener{Listener: caller.Listener{Listener: callers, WriteTimeout: writeTimeout}, g: g}
-	if g.listeners.operations, err = net.Listen("tcp", g.settings.Operations.Address); err != nil {
-		callers.Close()
-		return errors.Wrap(err, "listen for operations")
-	}
-	return nil
-}
-
 // CallersAddress is the address that callers reach.
-func (g *Gateway) CallersAddress() string { return g.listeners.callers.Addr().String() }
+func (g *Gateway) CallersAddress() string { return g.sockets.Callers.Addr().String() }
 
 // OperationsAddress is the address for readiness and metrics.
-func (g *Gateway) OperationsAddress() string { return g.listeners.operations.Addr().String() }
+func (g *Gateway) OperationsAddress() string { return g.sockets.Operations.Addr().String() }
 
 // GossipAddress is the address that other instances join through; empty without peers.
 func (g *Gateway) GossipAddress() string {
@@ -192,10 +176,12 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return errors.Wrap(g.callers.Serve(g.listeners.callers), "serve callers") })
-	group.Go(func() error { return errors.Wrap(g.operations.Serve(g.listeners.operations), "serve operations") })
-	group.Go(func() error { return every(work, advanceInterval, g.advance) })
-	group.Go(func() error { return every(work, caller.WatchInterval, g.watcher.Check) })
+	group.Go(func() error {
+		return errors.Wrap(g.callers.Serve(callerListener{Listener: g.sockets.Callers, g: g}), "serve callers")
+	})
+	group.Go(func() error { return errors.Wrap(g.operations.Serve(g.sockets.Operations), "serve operations") })
+	group.Go(func() error { return periodic.Run(work, advanceInterval, g.advance) })
+	group.Go(func() error { return periodic.Run(work, caller.WatchInterval, g.watcher.Check) })
 	group.Go(func() error { return g.feed.run(work) })
 	if g.peers != nil {
 		group.Go(func() error { return g.peers.run(work) })
@@ -270,17 +256,3 @@
 		g.log.WithFields(logrus.Fields{"event": eventlog.OperationsListenerFailed, "error": err.Error()}).Warn("operations listener could not be closed")
 	}
 }
-
-// every runs fn at the interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, fn func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			fn()
-		}
-	}
-}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
+	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
 	"github.com/yuccabridge/yuccabridge/internal/transport/peer"
 )
@@ -149,7 +150,7 @@
 // otherwise.
 func (p *peers) pullLoop(ctx context.Context) error {
 	calm := 0
-	return every(ctx, pullInterval, func() {
+	return periodic.Run(ctx, pullInterval, func() {
 		calm++
 		if p.needsPeers() || calm >= calmPulls {
 			calm = 0
--- /dev/null
+++ b/internal/periodic/periodic.go
@@ -0,0 +1,21 @@
+// Package periodic runs work at an interval.
+package periodic
+
+import (
+	"context"
+	"time"
+)
+
+// Run calls fn at the interval until ctx ends.
+func Run(ctx context.Context, interval time.Duration, fn func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			fn()
+		}
+	}
+}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -23,7 +23,7 @@
 
 // checkNow checks what can be told as soon as the answer is there.
 func (w *world) checkNow(o observation) {
-	calm := w.instances[o.instance].calm(o.sent, margin)
+	calm := w.instances[o.instance].troubles.calm(o.sent, margin)
 	if calm && o.took > routeTimeout+lateness {
 		w.violate("answered late: %v", o)
 	}
@@ -97,7 +97,7 @@
 			w.violate("an order ran %d times: %v", n, o)
 		case promisesNotRun(o.status) && n > 0:
 			w.violate("said not to have run, ran %d times: %v", n, o)
-		case o.status == 0 && o.reused && n > 0 && w.instances[o.instance].calm(o.sent, margin):
+		case o.status == 0 && o.reused && n > 0 && w.instances[o.instance].troubles.calm(o.sent, margin):
 			w.violate("connection closed on a request that was passed on: %v", o)
 		}
 	}
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -93,15 +93,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerLimit)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { o.reused = i.Reused }})
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+in.callers+path+o.id, strings.NewReader("body of "+o.id))
+	r, err := standin.Request{Address: in.callers, Host: hostName, Method: http.MethodPost, Path: path + o.id, ID: o.id, Key: key,
+		Patience: callerPatience, Body: "body of " + o.id}.Build(ctx)
 	if err != nil {
 		o.err = err
 		return o
 	}
-	r.Host = hostName
-	r.Header["Attempt-Id"] = []string{o.id}
-	r.Header["Deadline-Ms"] = []string{fmt.Sprint(callerPatience.Milliseconds())}
-	r.Header.Set("Authorization", "Bearer "+key)
 	res, err := c.transport.RoundTrip(r)
 	if err != nil {
 		o.err, o.took = err, time.Since(o.sent)
@@ -109,7 +106,7 @@
 	}
 	defer res.Body.Close()
 	o.status, o.took = res.StatusCode, time.Since(o.sent)
-	o.signed = res.Header.Get("Server-Signature") != ""
+	o.signed = standin.Signed(res.Header)
 	text, err := io.ReadAll(res.Body)
 	o.body, o.err = string(text), err
 	return o
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -29,17 +29,15 @@
 	store       *proxy
 	daemon, dir string
 
+	troubles spans // when callers may see the process fail
+
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	ended    chan struct{} // closed when cmd has ended
 	expected bool          // the end was asked for
-	troubles []span        // when callers may see the process fail
 	exits    []string      // ends that nobody asked for
 }
 
-// span is a time in which an instance is harmed. An open one has no end yet.
-type span struct{ from, to time.Time }
-
 const (
 	// firstPort and lastPort bound the ports of the instances. They are below those that the
 	// system gives to outgoing connections, one of which could hold a port while its instance
@@ -140,28 +138,3 @@
 		<-ended
 	}
 }
-
-// harmed begins a time in which callers may see the instance fail; the result ends it.
-func (in *instance) harmed() func() {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	i := len(in.troubles)
-	in.troubles = append(in.troubles, span{from: time.Now()})
-	return func() {
-		in.mu.Lock()
-		defer in.mu.Unlock()
-		in.troubles[i].to = time.Now()
-	}
-}
-
-// calm reports whether nothing harmed the instance from a time on, less a margin.
-func (in *instance) calm(from time.Time, margin time.Duration) bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for _, s := range in.troubles {
-		if s.to.IsZero() || s.to.After(from.Add(-margin)) {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -107,7 +107,7 @@
 }
 
 func newWorld(o Options) (*world, error) {
-	w := &world{o: o, store: standin.NewStore(), linkHarm: map[int][]span{}, faulting: make([]sync.Mutex, o.Instances), applied: map[string]int{}}
+	w := &world{o: o, store: standin.NewStore(), linkHarm: make([]spans, o.Instances), faulting: make([]sync.Mutex, o.Instances), applied: map[string]int{}}
 	w.mu.Lock()
 	w.publish()
 	w.mu.Unlock()
@@ -123,7 +123,7 @@
 		u := &upstream{Server: s, proxy: p, rng: rand.New(rand.NewPCG(o.Seed, uint64(i)))}
 		s.Behave(u.behave)
 		w.upstreams = append(w.upstreams, u)
-		w.store.Put("servers/"+u.Name, u.entry("ready"))
+		w.store.PutServer(u.Server, u.publication(false))
 	}
 	ports, err := freePorts(3 * o.Instances)
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,11 +49,10 @@
 	}
 	defer ran.Close()
 	post := func(id string) {
-		r, err := http.NewRequest(http.MethodPost, "http://"+ran.Address()+orderPrefix+id, strings.NewReader("body"))
+		r, err := standin.Request{Address: ran.Address(), Method: http.MethodPost, Path: orderPrefix + id, ID: id, Body: "body"}.Build(t.Context())
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.Header["Attempt-Id"] = []string{id}
 		res, err := http.DefaultClient.Do(r)
 		if err != nil {
 			t.Fatal(err)
@@ -64,7 +63,7 @@
 	post("twice")
 	post("refused")
 	old := time.Now().Add(-time.Minute)
-	w := &world{instances: []*instance{{name: "front-0"}}, upstreams: []*upstream{{Server: ran}}, linkHarm: map[int][]span{},
+	w := &world{instances: []*instance{{name: "front-0"}}, upstreams: []*upstream{{Server: ran}}, linkHarm: make([]spans, 1),
 		routes: []published{{name: "gone", added: old, removed: old.Add(time.Second)}, {name: "there", added: old}}}
 	whole := wholeStream()
 	for _, c := range []struct {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -51,10 +51,9 @@
 	return b
 }
 
-func (u *upstream) entry(state string) map[string]any {
-	e := u.Entry(serviceName, "zone", state, 16)
-	e["address"] = u.proxy.address()
-	return e
+// publication is what the upstream publishes: it is reached through its proxy.
+func (u *upstream) publication(leaving bool) standin.Publication {
+	return standin.Publication{Address: u.proxy.address(), Service: serviceName, Domain: "zone", Slots: 16, Leaving: leaving}
 }
 
 const (
@@ -64,6 +63,8 @@
 	orderPrefix  = "/order/"
 	streamPrefix = "/stream/"
 	routeTimeout = 1500 * time.Millisecond
+	answerTarget = 300 * time.Millisecond
+	pauseTarget  = 200 * time.Millisecond
 	standingKey  = "key-that-stays"
 	// shownRoutes is the number of added routes that are kept.
 	shownRoutes = 3
@@ -82,13 +83,14 @@
 	upstreams []*upstream
 	instances []*instance
 
+	storeHarm spans   // of all instances
+	linkHarm  []spans // by instance
+
 	mu          sync.Mutex
 	version     int
 	routes      []published
 	keys        []published
-	storeHarm   []span         // of all instances
-	linkHarm    map[int][]span // by instance
-	faulting    []sync.Mutex   // one process fault at a time, by instance
+	faulting    []sync.Mutex // one process fault at a time, by instance
 	applied     map[string]int
 	violations  []string
 	storeBroken int // store faults that run at present
@@ -108,22 +110,16 @@
 // publish writes the configuration. The caller holds mu.
 func (w *world) publish() {
 	w.version++
-	route := func(name, prefix, kind string, more map[string]any) map[string]any {
-		r := map[string]any{"name": name, "hostname": hostName, "path-prefix": prefix, "kind": kind, "timeout-ms": routeTimeout.Milliseconds(),
-			"target-latency-ms": 300, "priority": 1, "service": serviceName, "max-attempts": 2}
-		for key, value := range more {
-			r[key] = value
-		}
-		return r
-	}
-	routes := []map[string]any{
-		route("lookup", lookupPrefix, "idempotent", nil),
-		route("order", orderPrefix, "non_idempotent", nil),
-		route("stream", streamPrefix, "streaming", map[string]any{"resumable": true, "target-gap-ms": 200}),
+	route := func(name, prefix, kind string) standin.Route {
+		return standin.Route{Name: name, Host: hostName, Prefix: prefix, Kind: kind, Service: serviceName,
+			Timeout: routeTimeout, Target: answerTarget, Priority: 1, MaxAttempts: 2}
 	}
+	stream := route("stream", streamPrefix, "streaming")
+	stream.Resumable, stream.PauseTarget = true, pauseTarget
+	routes := []standin.Route{route("lookup", lookupPrefix, "idempotent"), route("order", orderPrefix, "non_idempotent"), stream}
 	for _, r := range w.routes {
 		if r.removed.IsZero() {
-			routes = append(routes, route(r.name, "/"+r.name+"/", "idempotent", nil))
+			routes = append(routes, route(r.name, "/"+r.name+"/", "idempotent"))
 		}
 	}
 	keys := []string{standingKey}
@@ -132,10 +128,8 @@
 			keys = append(keys, k.name)
 		}
 	}
-	w.store.Put("op/config", map[string]any{"version": w.version, "routes": routes,
-		"services": []map[string]any{{"name": serviceName, "health-path": "/health", "max-conns": 400}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants":  []map[string]any{{"name": "team", "api-keys": keys}}})
+	w.store.PutConfiguration(standin.Configuration{Version: w.version, Routes: routes, Services: []standin.Service{{Name: serviceName}},
+		Team: "team", Keys: keys})
 }
 
 func (w *world) changeRoutes() {
@@ -159,33 +153,12 @@
 	w.publish()
 }
 
-// harmStore begins a fault of the store for all instances; the result ends it.
-func (w *world) harmStore() func() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	i := len(w.storeHarm)
-	w.storeHarm = append(w.storeHarm, span{from: time.Now()})
-	return func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.storeHarm[i].to = time.Now()
-	}
-}
-
 // stable is how long an instance must have reached the store before it is counted on.
 const stable = 3 * time.Second
 
 // inTouch reports whether instance i ran and reached the store for the last while.
 func (w *world) inTouch(i int, at time.Time) bool {
-	w.mu.Lock()
-	spans := append(append([]span(nil), w.storeHarm...), w.linkHarm[i]...)
-	w.mu.Unlock()
-	for _, s := range spans {
-		if s.to.IsZero() || s.to.After(at.Add(-stable)) {
-			return false
-		}
-	}
-	return w.instances[i].calm(at, stable)
+	return w.storeHarm.calm(at, stable) && w.linkHarm[i].calm(at, stable) && w.instances[i].troubles.calm(at, stable)
 }
 
 // apply performs one fault from its beginning to its end.
@@ -211,13 +184,13 @@
 	case harmStoreLink:
 		w.harmLink(i, f, hold)
 	case failStore:
-		end := w.harmStore()
+		end := w.storeHarm.begin()
 		w.storeFails(1)
 		hold()
 		w.storeFails(-1)
 		end()
 	case dropHistory:
-		end := w.harmStore()
+		end := w.storeHarm.begin()
 		w.store.DropHistory(w.changeRoutes)
 		end()
 	case changeRoutes:
@@ -225,11 +198,11 @@
 	case revokeKey:
 		w.revokeKey()
 	case upstreamLeaves:
-		w.store.Put("servers/"+u.Name, u.entry("draining"))
+		w.store.PutServer(u.Server, u.publication(true))
 		hold()
-		w.store.Delete("servers/" + u.Name)
+		w.store.RemoveServer(u.Server)
 		hold()
-		w.store.Put("servers/"+u.Name, u.entry("ready"))
+		w.store.PutServer(u.Server, u.publication(false))
 	case upstreamBreaks:
 		u.breaks.Add(1)
 		hold()
@@ -258,16 +231,10 @@
 }
 
 func (w *world) harmLink(i int, f fault, hold func()) {
-	w.mu.Lock()
-	n := len(w.linkHarm[i])
-	w.linkHarm[i] = append(w.linkHarm[i], span{from: time.Now()})
-	w.mu.Unlock()
+	defer w.linkHarm[i].begin()()
 	w.instances[i].store.set(f.mode)
 	hold()
 	w.instances[i].store.set(passing)
-	w.mu.Lock()
-	w.linkHarm[i][n].to = time.Now()
-	w.mu.Unlock()
 }
 
 func (w *world) harmProcess(i int, f fault, hold func()) {
@@ -278,8 +245,7 @@
 		in.signal(syscall.SIGHUP, false)
 		return
 	}
-	end := in.harmed()
-	defer end()
+	defer in.troubles.begin()()
 	switch f.kind {
 	case pauseProcess:
 		in.signal(syscall.SIGSTOP, false)
