--- a/internal/coordination/dispatch/fleet_test.go
+++ b/internal/coordination/dispatch/fleet_test.go
@@ -56,15 +56,9 @@
 		if now < 9*time.Second {
 			rate *= 2.9
 		}
-		for range w.poisson(rate) {
-			w.submit(now, w.request(now, long, "a"))
-		}
-		for range w.poisson(292) {
-			w.submit(now, w.request(now, question, "b"))
-		}
-		for range w.poisson(105) {
-			w.submit(now, w.request(now, instruction, "c"))
-		}
+		w.arrive(now, rate, long, "a")
+		w.arrive(now, 292, question, "b")
+		w.arrive(now, 105, instruction, "c")
 	})
 	n := w.served(long.class, from, to)
 	t.Logf("long prompts: %+v, %.2f on time", n, w.onTime(long.class, from, to))
@@ -100,9 +94,7 @@
 				}
 			}
 		}
-		for range w.poisson(33) {
-			w.submit(now, w.request(now, longPrompts, "a"))
-		}
+		w.arrive(now, 33, longPrompts, "a")
 	})
 }
 
@@ -136,9 +128,7 @@
 	moved := func(engines int, rate float64) time.Duration {
 		w := newWorld(engines)
 		w.run(20*time.Second, func(now time.Duration) {
-			for range w.poisson(rate) {
-				w.submit(now, w.request(now, longPrompts, "a"))
-			}
+			w.arrive(now, rate, longPrompts, "a")
 			if b := w.ds[0].Border(now); b.ForStreams > engines/4 {
 				w.movedAt = now
 			}
--- a/internal/coordination/dispatch/replay_test.go
+++ b/internal/coordination/dispatch/replay_test.go
@@ -22,15 +22,9 @@
 		if now > warm && now < warm+9*time.Second {
 			long *= 2
 		}
-		for range w.poisson(long) {
-			w.submit(now, w.request(now, longPrompts, "a"))
-		}
-		for range w.poisson(31.4) {
-			w.submit(now, w.request(now, questions, "b"))
-		}
-		for range w.poisson(25.6) {
-			w.submit(now, w.request(now, instructions, "c"))
-		}
+		w.arrive(now, long, longPrompts, "a")
+		w.arrive(now, 31.4, questions, "b")
+		w.arrive(now, 25.6, instructions, "c")
 	})
 	for _, class := range []string{"instruction", "question", "dossier"} {
 		got := w.onTime(class, warm, end-5*time.Second)
@@ -46,9 +40,7 @@
 func TestSessionsStayWhereTheirPromptIsCached(t *testing.T) {
 	w := newWorld(18)
 	w.run(16*time.Second, func(now time.Duration) {
-		for range w.poisson(24.7) {
-			w.submit(now, w.request(now, longPrompts, "a"))
-		}
+		w.arrive(now, 24.7, longPrompts, "a")
 	})
 	homes := map[uint64]map[string]bool{}
 	for _, r := range w.all {
@@ -112,13 +104,9 @@
 func TestTeamWithEightTimesItsUsualDoesNotStarveTheOthers(t *testing.T) {
 	w := newWorld(2)
 	w.run(44*time.Second, func(now time.Duration) {
-		for range w.poisson(24) {
-			w.submit(now, w.request(now, longPrompts, "large"))
-		}
+		w.arrive(now, 24, longPrompts, "large")
 		for i := range 3 {
-			for range w.poisson(3) {
-				w.submit(now, w.request(now, longPrompts, fmt.Sprint("small-", i)))
-			}
+			w.arrive(now, 3, longPrompts, fmt.Sprint("small-", i))
 		}
 	})
 	served, asked := map[string]int{}, map[string]int{}
@@ -149,12 +137,8 @@
 func TestUrgentRequestsAreNotRejectedBehindLessUrgentOnes(t *testing.T) {
 	w := newWorld(4)
 	w.run(8*time.Second, func(now time.Duration) {
-		for range w.poisson(60) {
-			w.submit(now, w.request(now, longPrompts, "a"))
-		}
-		for range w.poisson(6) {
-			w.submit(now, w.request(now, instructions, "b"))
-		}
+		w.arrive(now, 60, longPrompts, "a")
+		w.arrive(now, 6, instructions, "b")
 	})
 	rejected := map[string]int{}
 	for _, r := range w.all {
--- a/internal/coordination/dispatch/sim_test.go
+++ b/internal/coordination/dispatch/sim_test.go
@@ -299,6 +299,13 @@
 	w.take(now, w.ds[r.at].Submit(now, r.Request))
 }
 
+// arrive submits the requests of a class that arrive in one tick.
+func (w *simWorld) arrive(now time.Duration, rate float64, s shape, team string) {
+	for range w.poisson(rate) {
+		w.submit(now, w.request(now, s, team))
+	}
+}
+
 func (w *simWorld) take(now time.Duration, x Decision) {
 	r := w.waiting[x.ID]
 	if r == nil || x.Grant == nil && x.Rejection == nil {
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -25,7 +25,6 @@
 	current int64 // number of the newest slice
 	firsts  [slices + 1]int
 	retries [slices + 1]int
-	denied  uint64
 }
 
 // NewWindow returns a window of the given length.
@@ -60,7 +59,6 @@
 	defer w.mu.Unlock()
 	i := w.advance(now)
 	if !w.open(now) {
-		w.denied++
 		return false
 	}
 	w.retries[i]++
@@ -90,10 +88,3 @@
 	}
 	return float64(retries+1) <= w.ratio*float64(firsts)+float64(slack)
 }
-
-// Denied returns the number of retries that were refused.
-func (w *Window) Denied() uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.denied
-}
