gateway: log why a request waits and how full its engine is

Change: both events carry route and rank; request_queued carries the reason (slot, backlog, queue), the upstream and its load, request_placed the load and the slots. A decision to wait states its reason. New histogram gateway_queue_seconds by kind and priority. Ruled out: a metric for preemptions; the engines do not report them to the instances.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -128,8 +128,8 @@
 	d.updateSplit(now)
 }
 
-// Submit decides a new request. The decision is empty if the request waits; a later call of
-// Advance then returns its decision.
+// Submit decides a new request. If the request waits, a later call of Advance returns its
+// grant or rejection.
 func (d *Dispatcher) Submit(now time.Duration, r Request) Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -146,17 +146,17 @@
 	d.queue.Push(&w.Entry)
 	d.waiting[r.ID] = w
 	if victim := d.queue.Victim(); victim != nil {
-		return d.rejectVictim(now, victim.Value, r.ID)
+		return d.rejectVictim(now, victim.Value, decision)
 	}
 	return decision
 }
 
 // rejectVictim rejects the victim of a full queue. If the victim is not the arriving request,
-// it is rejected by the next call of Advance.
-func (d *Dispatcher) rejectVictim(now time.Duration, victim *waitingRequest, arriving uint64) Decision {
-	if victim.request.ID != arriving {
+// whose decision is to wait, it is rejected by the next call of Advance.
+func (d *Dispatcher) rejectVictim(now time.Duration, victim *waitingRequest, waiting Decision) Decision {
+	if victim.request.ID != waiting.ID {
 		victim.request.Deadline = now
-		return Decision{ID: arriving}
+		return waiting
 	}
 	d.removeWaiting(victim)
 	return d.reject(now, &victim.request, ReasonQueueFull, 0)
@@ -295,28 +295,38 @@
 	if now+predicted > r.Deadline && !idleWithoutPrompts {
 		return d.reject(now, r, ReasonDeadline, predicted)
 	}
-	if d.mustWait(now, r, &c, queueDelay) {
-		return Decision{ID: r.ID}
+	if reason := d.waitReason(now, r, &c, queueDelay); reason != "" {
+		return Decision{ID: r.ID, Wait: Wait{Reason: reason, Upstream: c.upstream.ID, Load: c.upstream.load()}}
 	}
 	return d.grantUpstream(now, r, c)
 }
 
-// mustWait reports whether the request must wait in the dispatcher.
-func (d *Dispatcher) mustWait(now time.Duration, r *Request, c *candidate, queueDelay time.Duration) bool {
+// waitReason returns why the request must wait in the dispatcher; it is empty if the request
+// can be placed.
+func (d *Dispatcher) waitReason(now time.Duration, r *Request, c *candidate, queueDelay time.Duration) WaitReason {
 	if c.upstream.KVCapacityTokens == 0 {
-		return c.upstream.local.InFlight >= c.upstream.Slots
+		if c.upstream.local.InFlight >= c.upstream.Slots {
+			return WaitSlot
+		}
+		return ""
 	}
 	if c.upstream.load() >= d.requestLimit(r, c.upstream) {
-		return true // it would wait for a slot or preempt another request
+		return WaitSlot // at the upstream it would wait for a slot or preempt another request
 	}
 	if !d.isLongPrompt(r) {
-		return false
+		return ""
 	}
 	limit := r.Target - now
 	if time.Duration(c.upstream.Slots)*minLongPrefillTime > limit {
 		limit = time.Duration(maxWaitShare * float64(limit))
 	}
-	return queueDelay > 0 || c.predictedWait > max(limit, minWaitLimit)
+	switch {
+	case queueDelay > 0:
+		return WaitQueue
+	case c.predictedWait > max(limit, minWaitLimit):
+		return WaitBacklog
+	}
+	return ""
 }
 
 // predictedQueueDelay is the predicted delay by waiting requests that are served first: those
@@ -376,7 +386,7 @@
 			d.unreportedWork = append(d.unreportedWork, Work{Upstream: u.tag, Prefill: c.work, Priority: r.Priority, Long: d.isLongPrompt(r), Session: sessionPart(r.Prefix)})
 		}
 	}
-	return Decision{ID: r.ID, Grant: &Grant{Upstream: u.Upstream, Token: d.lastToken, Wait: c.predictedWait, Work: c.work, Cached: c.cachedTokens, Preferred: c.preferred}}
+	return Decision{ID: r.ID, Grant: &Grant{Upstream: u.Upstream, Token: d.lastToken, Wait: c.predictedWait, Work: c.work, Cached: c.cachedTokens, Preferred: c.preferred, Load: u.load() - 1}}
 }
 
 // reject returns a rejection with a retry delay.
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -74,6 +74,8 @@
 	Cached int
 	// Preferred reports whether this is the upstream selected by the hash of the session.
 	Preferred bool
+	// Load is the number of requests of all instances at the upstream, without this one.
+	Load int
 }
 
 // Rejection describes a request that was not sent to any upstream.
@@ -84,12 +86,35 @@
 	Predicted time.Duration
 }
 
+// WaitReason is the cause for which a request waits in the dispatcher.
+type WaitReason string
+
+// Reasons for waiting.
+const (
+	// WaitSlot means that the selected upstream has as many requests as it may receive.
+	WaitSlot WaitReason = "slot"
+	// WaitBacklog means that the selected upstream is predicted to start the request too late.
+	WaitBacklog WaitReason = "backlog"
+	// WaitQueue means that other requests that are served first are waiting.
+	WaitQueue WaitReason = "queue"
+)
+
+// Wait describes a request that waits in the dispatcher.
+type Wait struct {
+	Reason WaitReason
+	// Upstream is the upstream that would receive the request.
+	Upstream string
+	// Load is the number of requests of all instances at that upstream.
+	Load int
+}
+
 // Decision is the outcome for a request. At most one of Grant and Rejection is set; neither
-// is set while the request waits.
+// is set while the request waits, which Wait then describes.
 type Decision struct {
 	ID        uint64
 	Grant     *Grant
 	Rejection *Rejection
+	Wait      Wait
 }
 
 // Status is the outcome of a request at an upstream.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,7 +63,7 @@
 	ex.lastUpstream = grant.Upstream.ID
 	ex.logEntry(eventlog.RequestPlaced).WithFields(logrus.Fields{
 		"upstream": grant.Upstream.ID, "address": grant.Upstream.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
-		"priority": ex.priority, "cached": grant.Cached, "home": grant.Preferred, "prompt": ex.request.PromptTokens, "output": ex.request.MaxOutputTokens, "attempt": ex.sentAttempts + 1,
+		"route": ex.route.Name, "rank": ex.queueRank(), "priority": ex.priority, "load": grant.Load, "slots": grant.Upstream.Slots, "cached": grant.Cached, "home": grant.Preferred, "prompt": ex.request.PromptTokens, "output": ex.request.MaxOutputTokens, "attempt": ex.sentAttempts + 1,
 	}).Info("request placed")
 	ex.gateway.quarantine.Started(a.startedAt, ex.fingerprint, ex.team, grant.Upstream.ID)
 	if err := a.run(); err != nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -336,16 +336,22 @@
 	return ex.gateway.log.WithFields(logrus.Fields{"event": event, "request": ex.request.ID, "age_ms": (ex.gateway.now() - ex.arrived).Milliseconds()})
 }
 
-func (ex *exchange) logQueued(r dispatch.Request) {
+func (ex *exchange) logQueued(r dispatch.Request, wait dispatch.Wait) {
 	ex.logEntry(eventlog.RequestQueued).WithFields(logrus.Fields{
-		"service": ex.service.name, "priority": r.Priority, "team": r.Team, "prompt": r.Prompt,
+		"service": ex.service.name, "route": ex.route.Name, "rank": r.Rank, "priority": r.Priority, "team": r.Team, "prompt": r.Prompt,
 		"left_ms": (r.Deadline - ex.gateway.now()).Milliseconds(), "waiting": ex.service.dispatcher.Waiting(),
+		"reason": string(wait.Reason), "upstream": wait.Upstream, "load": wait.Load,
 	}).Info("request queued")
 }
 
+// recordQueueTime records how long the request waited in the dispatcher.
+func (ex *exchange) recordQueueTime(waited time.Duration) {
+	ex.gateway.metrics.queueSeconds.WithLabelValues(ex.route.Kind.String(), strconv.Itoa(ex.priority)).Observe(waited.Seconds())
+}
+
 func (ex *exchange) logRejected(r *dispatch.Rejection) {
 	ex.logEntry(eventlog.RequestRejected).WithFields(logrus.Fields{
-		"service": ex.service.name, "priority": ex.priority, "team": ex.team, "reason": string(r.Reason),
+		"service": ex.service.name, "route": ex.route.Name, "rank": ex.queueRank(), "priority": ex.priority, "team": ex.team, "reason": string(r.Reason),
 		"predicted_ms": r.Predicted.Milliseconds(), "target_ms": ex.route.LatencyTarget.Milliseconds(),
 		"retry_after_ms": r.RetryAfter.Milliseconds(), "prompt": ex.request.PromptTokens,
 	}).Warn("request rejected without running")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 type metrics struct {
 	registry             *prometheus.Registry
 	firstOutputSeconds   *prometheus.HistogramVec
+	queueSeconds         *prometheus.HistogramVec
 	requests             *prometheus.CounterVec
 	errorResponses       *prometheus.CounterVec
 	attempts             *prometheus.CounterVec
@@ -24,12 +25,14 @@
 	m := &metrics{registry: prometheus.NewRegistry()}
 	m.firstOutputSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "gateway_first_output_seconds",
 		Help: "Time from a request's arrival to its answer or first event.", Buckets: latencyBuckets}, []string{"kind", "priority"})
+	m.queueSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: "gateway_queue_seconds",
+		Help: "Time that a request that could not be placed at once waited in the dispatcher.", Buckets: latencyBuckets}, []string{"kind", "priority"})
 	m.requests = counter("gateway_requests_total", "Requests by how they ended.", "kind", "priority", "outcome")
 	m.errorResponses = counter("gateway_refused_total", "Answers of the instance's own by code.", "code")
 	m.attempts = counter("gateway_attempts_total", "Sendings to upstreams by how they ended.", "outcome")
 	m.resumes = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_resumes_total", Help: "Streams that went on at another upstream."})
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_configuration_version", Help: "Version of the configuration in force."})
-	m.registry.MustRegister(m.firstOutputSeconds, m.requests, m.errorResponses, m.attempts, m.resumes, m.configurationVersion)
+	m.registry.MustRegister(m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.resumes, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -84,7 +84,9 @@
 	s.mu.Unlock()
 	decision := s.dispatcher.Submit(ex.gateway.now(), r)
 	if decision.Grant == nil && decision.Rejection == nil {
-		ex.logQueued(r)
+		ex.logQueued(r, decision.Wait)
+		queuedAt := ex.gateway.now()
+		defer func() { ex.recordQueueTime(ex.gateway.now() - queuedAt) }()
 		select {
 		case decision = <-waiter:
 		case <-ex.callCtx.Done():
