dispatch: the class of a request decides whether its prompt is long

Cause: a prompt counted as long by its own size. Questions from about 4,000 tokens shared the upstreams for long prompts with the least urgent class and were rejected for the backlog there, although the upstreams for questions would have started them at once. The class of fault: a pool chosen by a property of the single request mixes classes of different urgency. Prompts of several chunks pay the penalty of long prompts on upstreams with latency-sensitive streams.

--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// longPrefillThreshold is the prefill time, with nothing cached, from which a prompt
-	// counts as long: upstreams process it in at least two chunks, interleaved with tokens of
-	// other requests, and its attention makes these chunks slower.
-	longPrefillThreshold = 110 * time.Millisecond
 	// noSlotPenalty and, for each request above the limit, excessRequestPenalty are added for
 	// an upstream without a free slot: a further request waits or preempts a running one.
 	noSlotPenalty        = 2 * time.Second
@@ -85,7 +81,7 @@
 func (d *Dispatcher) choose(now time.Duration, r *Request) (best candidate, ok bool) {
 	medians := d.medians(now)
 	for pass := range 3 {
-		long := d.isLongPrompt(r)
+		long := r.long
 		for i, u := range d.rankedBySession(r, pass, long) {
 			c := d.evaluate(now, u, r, i == 0, medians)
 			if i == 0 {
@@ -134,7 +130,7 @@
 	if c.upstream.load() >= d.requestLimit(r, c.upstream) {
 		return false
 	}
-	if d.isLongPrompt(r) {
+	if r.long {
 		return now+c.timeToFirstOutput()+c.failurePenalty <= r.Target
 	}
 	return c.predictedWait+c.failurePenalty < maxIdleWait
@@ -223,7 +219,7 @@
 		c.cost += noSlotPenalty + time.Duration(excess)*excessRequestPenalty
 	}
 	switch {
-	case d.isLongPrompt(r):
+	case r.long, !isLatencySensitive(r) && c.work >= longPrefillThreshold:
 		c.cost += d.longPromptPenalty(u)
 	case isLatencySensitive(r) && u.forLong:
 		c.cost += streamAmongLongPenalty
@@ -274,11 +270,6 @@
 	return r.InterTokenTarget > 0 && r.InterTokenTarget <= sensitiveInterTokenTarget
 }
 
-// isLongPrompt reports whether the prefill delays streams on the same upstream.
-func (d *Dispatcher) isLongPrompt(r *Request) bool {
-	return prefillTime(d.tokensPerMS, r.Prompt, 0) >= longPrefillThreshold
-}
-
 // sessionID returns the ID of the last shared part of the prompt, which identifies the
 // session.
 func sessionID(prefix []Part) uint64 {
@@ -309,7 +300,7 @@
 // requestLimit is the number of requests from which the upstream counts as full. A stream must
 // not wait for a slot; a long prompt may.
 func (d *Dispatcher) requestLimit(r *Request, u *upstream) int {
-	if d.isLongPrompt(r) {
+	if r.long {
 		return int(longRequestsPerSlot * float64(u.Slots))
 	}
 	return u.Slots
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -56,6 +56,7 @@
 	demand                demand
 	split                 split
 	recentRanks           recentRanks
+	classPrompts          classPrompts
 
 	queue            *fairqueue.Queue[*waitingRequest]
 	waiting          map[uint64]*waitingRequest
@@ -99,7 +100,8 @@
 	return &Dispatcher{
 		options: o, rng: rng, tokensPerMS: o.TokensPerMS,
 		upstreams: map[string]*upstream{}, domainAnsweredAt: map[string]time.Duration{}, waiting: map[uint64]*waitingRequest{}, grants: map[uint64]*grant{},
-		queue: fairqueue.New[*waitingRequest](o.QueueLimit, 0, 1),
+		classPrompts: newClassPrompts(),
+		queue:        fairqueue.New[*waitingRequest](o.QueueLimit, 0, 1),
 	}
 }
 
@@ -132,6 +134,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.recentRanks.observe(now, r.Rank)
+	r.long = d.classifyPrompt(now, &r)
 	decision := d.decideArrival(now, &r)
 	if decision.Grant != nil || decision.Rejection != nil {
 		return decision
@@ -271,7 +274,7 @@
 // it. Short prompts are not rejected for this reason because they cost little.
 func (d *Dispatcher) decideArrival(now time.Duration, r *Request) Decision {
 	queueDelay := d.predictedQueueDelay(r)
-	if d.isLongPrompt(r) && !r.Resubmitted && len(r.Exclude) == 0 && d.recentRanks.isLeastUrgent(now, r.Rank) {
+	if r.long && !r.Resubmitted && len(r.Exclude) == 0 && d.recentRanks.isLeastUrgent(now, r.Rank) {
 		if c, ok := d.choose(now, r); ok && c.upstream.KVCapacityTokens > 0 && now+queueDelay+c.timeToFirstOutput() > r.Target && c.predictedWait+queueDelay > c.work {
 			return d.reject(now, r, ReasonTarget, queueDelay+c.timeToFirstOutput())
 		}
@@ -311,7 +314,7 @@
 	if c.upstream.load() >= d.requestLimit(r, c.upstream) {
 		return WaitSlot // at the upstream it would wait for a slot or preempt another request
 	}
-	if !d.isLongPrompt(r) {
+	if !r.long {
 		return ""
 	}
 	limit := r.Target - now
@@ -377,11 +380,11 @@
 		u.local.Streams++
 	}
 	if u.KVCapacityTokens > 0 {
-		d.demand.addWork(now, c.work, d.isLongPrompt(r))
+		d.demand.addWork(now, c.work, r.long)
 		u.addWork(now, r.Rank, c.work)
 		u.cachePrefix(now, sharedParts(r.Prefix))
 		if len(d.unreportedWork) < maxUnreportedWork {
-			d.unreportedWork = append(d.unreportedWork, Work{Upstream: u.tag, Prefill: c.work, Rank: r.Rank, Long: d.isLongPrompt(r), Session: sessionPart(r.Prefix)})
+			d.unreportedWork = append(d.unreportedWork, Work{Upstream: u.tag, Prefill: c.work, Rank: r.Rank, Long: r.long, Session: sessionPart(r.Prefix)})
 		}
 	}
 	return Decision{ID: r.ID, Grant: &Grant{Upstream: u.Upstream, Token: d.lastToken, Wait: c.predictedWait, Work: c.work, Cached: c.cachedTokens, Preferred: c.preferred, Load: u.load() - 1}}
--- a/internal/coordination/dispatch/doc.go
+++ b/internal/coordination/dispatch/doc.go
@@ -6,8 +6,9 @@
 //
 // # Terms
 //
-// A prompt is long if its prefill would take longPrefillThreshold or more with nothing cached,
-// otherwise it is short. A stream is latency-sensitive if it has an inter-token target of at most
+// A prompt is long if the prefill of its class's mean prompt would take longPrefillThreshold or
+// more with nothing cached, or its own longOutlierThreshold or more; otherwise it is short. A
+// stream is latency-sensitive if it has an inter-token target of at most
 // sensitiveInterTokenTarget. The split is the division of the upstreams into those for long
 // prompts and those for streams and other short prompts.
 //
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -48,6 +48,8 @@
 	Resubmitted bool
 	// Exclude lists upstreams to which the request has already been sent.
 	Exclude []string
+
+	long bool // a long prompt, as classified on arrival
 }
 
 // Reason is the cause of a rejection.
