replica: a peer's copy omits entries whose removal is deferred

Cause: after an outage a removal is deferred for 1.6 s. The copy that an instance hands to a peer in that time held the entry and the revision behind its removal. The reader kept the entry and watched from that revision on, so that no later watch reported the removal: it went on choosing an upstream that had left, until the next full read. Change: the copy leaves such entries out. A reader with an outage of its own defers the removal by its own state, any other applies it at once, as it would from the platform. Measured: TestRemovalDeferredAtAPeerReachesReadersOfItsCopy failed before (the reader kept the entry) and passes. Ruled out: handing over the deferred removals with the copy (a reader without an outage would defer what it has no reason to defer).

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -178,14 +178,16 @@
 	return r.unavailable
 }
 
-// Snapshot returns the content sorted by key, including entries whose removal is
-// deferred.
+// Snapshot returns the content sorted by key, without entries whose removal is deferred: each
+// reader of the copy defers their removal by its own outages.
 func (r *Replica) Snapshot() Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	snapshot := Snapshot{Revision: r.revision, Items: make([]Item, 0, len(r.items))}
 	for _, item := range r.items {
-		snapshot.Items = append(snapshot.Items, item)
+		if !r.deferredRemovals[item.Key] {
+			snapshot.Items = append(snapshot.Items, item)
+		}
 	}
 	slices.SortFunc(snapshot.Items, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
 	return snapshot
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// Guards against an entry that stays at an instance for good because it was read from a peer
+// that still defers its removal: the revision of the peer's copy is behind the removal, so no
+// later watch reports it.
+func TestRemovalDeferredAtAPeerReachesReadersOfItsCopy(t *testing.T) {
+	before := Snapshot{Revision: 5, Items: []Item{newItem("a", 3), newItem("b", 4)}}
+	peer, reader := New(Options{GracePeriod: gracePeriod}), New(Options{GracePeriod: gracePeriod})
+	peer.ApplySnapshot(0, before)
+	reader.ApplySnapshot(0, before)
+	peer.MarkUnavailable()
+	peer.MarkAvailable(10 * time.Second)
+	peer.ApplyChanges(10*time.Second, []Change{{Item: newItem("a", 6), Deleted: true}}, 6)
+	reader.ApplySnapshot(10*time.Second, peer.Snapshot())
+	if remaining := itemKeys(reader.Snapshot()); !slices.Equal(remaining, []string{"b"}) {
+		t.Errorf("the reader of the peer's copy has %v, want [b]", remaining)
+	}
+	if got := peer.ApplyDueRemovals(10*time.Second + gracePeriod); len(got) != 1 || got[0].Key != "a" {
+		t.Errorf("changes at the peer after the grace period: %v, want the removal of a", got)
+	}
+}
+
 // Guards against a replica that reverts to an older state when an older answer or a
 // peer's older copy arrives late.
 func TestOlderSnapshotChangesNothing(t *testing.T) {
