entry: record a crash in whatever order the engine's connection and listener end

Cause: a pooled connection breaks as the engine crashes, the engine still accepts a dial, and the request is sent again on a fresh connection, whose dial is refused. The refused dial replaced the first failure, and a refused dial is no crash. An engine that accepted a dial but answered nothing counted as running, too. The class of fault: the last error hides what an earlier one proved, and a dial is taken for a sign of life. Change: a resend that could not be dialled leaves the first failure in place; an engine runs if it answers a load query in the incarnation in which the attempt started. The check goes on if the caller leaves meanwhile. Why it works: once bytes were sent and the connection broke, only an answer of the same incarnation clears the engine, so a refused or unanswered check counts in every order. Ruled out: counting each lost connection as a crash (a reset on the network would isolate every request that ran there).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -50,13 +51,16 @@
 func (a *attempt) send(call upstream.Call) error {
 	response, err := a.client.Do(a.request.ctx, call)
 	var f *upstream.Failure
-	if errors.As(err, &f) && f.LostConnection() && !call.FreshConnection && a.client.Reachable(a.request.ctx) && !a.upstreamRestarted() {
+	if errors.As(err, &f) && f.LostConnection() && !call.FreshConnection && a.upstreamRuns() {
 		// The upstream is running and has only closed a pooled connection.
 		call.FreshConnection = true
-		response, err = a.client.Do(a.request.ctx, call)
+		var resendErr error
+		if response, resendErr = a.client.Do(a.request.ctx, call); !dialFailed(resendErr) {
+			err = resendErr
+		}
 	}
 	if err != nil {
-		return err
+		return err // the first failure if the resend was not sent: it is needed to detect a crash
 	}
 	if !a.matchesRequestID(string(response.Response.Header.Peek(headerRequestID))) {
 		response.Release(false)
@@ -151,24 +155,30 @@
 // in the quarantine for the requests that were running there.
 func (a *attempt) detectCrash(err error) bool {
 	var f *upstream.Failure
-	if !errors.As(err, &f) || f.Phase == upstream.PhaseDial {
-		return false
-	}
-	if a.client.Reachable(a.request.ctx) && !a.upstreamRestarted() {
+	if !errors.As(err, &f) || dialFailed(err) || a.upstreamRuns() {
 		return false
 	}
 	a.recordCrash()
 	return true
 }
 
-// upstreamRestarted reports whether the upstream's incarnation has changed since the
-// attempt started.
-func (a *attempt) upstreamRestarted() bool {
+// upstreamRuns reports whether the upstream still runs in the incarnation in which the attempt
+// started. A connection that it accepts does not show this, because an engine that goes down
+// may still accept some; it must answer a load query. A caller that leaves meanwhile does not
+// make it look down.
+func (a *attempt) upstreamRuns() bool {
+	ctx := context.WithoutCancel(a.request.ctx)
 	if a.request.pool.kind != modelPool {
-		return false
+		return a.client.Reachable(ctx)
 	}
-	current := a.request.pool.refreshLoad(a.request.ctx, a.pick.Upstream, true)
-	return a.incarnation != "" && current != "" && current != a.incarnation
+	current := a.request.pool.refreshLoad(ctx, a.pick.Upstream, true)
+	return current != "" && (a.incarnation == "" || current == a.incarnation)
+}
+
+// dialFailed reports whether the upstream could not be reached, so that nothing was sent.
+func dialFailed(err error) bool {
+	var f *upstream.Failure
+	return errors.As(err, &f) && f.Phase == upstream.PhaseDial
 }
 
 // recordCrash reports the crash, identified by the incarnation at the start of the
