gateway: confirm a crash after any lost connection, pooled or not

A request that crashes upstreams was resent to one after the other. Cause: a failure on a pooled connection counts as a failed request, since the upstream may have closed an idle connection, and only unreachable upstreams were checked for a crash. Change: each connection that ends without a complete answer after bytes were sent is followed by a dial; a refused dial records the crash and ejects the upstream, an accepted one is kept for the next request. Evidence: TestRequestThatCrashesUpstreamsIsRefusedAfterTwo, 4 upstreams with pooled connections: the request ran 12 times before, at most 2 times after. Ruled out: a load query as on the entry path (the users' engines price it as a probe).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -213,7 +213,10 @@
 	case a.sendState == maybeSent:
 		ex.mayHaveRun = true
 	}
-	crashed := (status == dispatch.Unreachable || status == dispatch.NoResponse) && a.sendState == maybeSent && a.confirmCrash()
+	crashed := status != dispatch.Cancelled && a.sendState == maybeSent && lostConnection(err) && a.confirmCrash()
+	if crashed && status == dispatch.Failed {
+		status = dispatch.Unreachable
+	}
 	ex.logEntry(eventlog.AttemptFailed).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "verdict": a.responseKind.String(), "sent": a.sendState == maybeSent, "crashed": crashed,
 		"after_ms": (ex.gateway.now() - a.startedAt).Milliseconds(), "error": err.Error(),
@@ -241,12 +244,20 @@
 	return dispatch.Failed
 }
 
-// confirmCrash dials the upstream. If it cannot be reached, the crash is recorded against
-// the requests that were running there, and confirmCrash returns true.
+// lostConnection reports whether the connection to the upstream ended, pooled or not, rather
+// than a time limit of this instance.
+func lostConnection(err error) bool {
+	var failure *upstream.Failure
+	return errors.As(err, &failure) && (!failure.Timeout || failure.ConnectionTimedOut())
+}
+
+// confirmCrash dials the upstream; the connection is kept for the next request. If the upstream
+// cannot be reached, the crash is recorded against the requests that were running there, and
+// confirmCrash returns true.
 func (a *attempt) confirmCrash() bool {
 	dialCtx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	if a.exchange.service.clientFor(a.grant.Upstream).Reachable(dialCtx) {
+	if a.exchange.service.clientFor(a.grant.Upstream).Warm(dialCtx) == nil {
 		return false
 	}
 	id := quarantine.CrashID{Upstream: a.grant.Upstream.ID, Incarnation: a.grant.Upstream.ID}
