gateway: log the inputs of each retry decision and each recorded crash

The logs showed a denied retry without the numbers that denied it, nothing for an allowed one, and nothing of what an instance knows of requests that crash upstreams. Now retry_allowed and retry_denied carry the window and the share of the slack with the number of instances, crash_recorded and crashes_received show who knew of a crash when, and /metrics and /state show the share. No decision changes.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -74,8 +74,22 @@
 	return w.hasBudget(now)
 }
 
-// hasBudget reports whether one more retry stays within the bound.
-func (w *Window) hasBudget(now time.Duration) bool {
+// Usage is the state of a [Window] at one time.
+type Usage struct {
+	FirstAttempts int // in the window
+	Retries       int // in the window
+	Slack         int // retries that are allowed regardless of the first attempts
+}
+
+// Usage returns the first attempts and retries that the next decision takes into account.
+func (w *Window) Usage(now time.Duration) Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	return w.usage(now)
+}
+
+func (w *Window) usage(now time.Duration) Usage {
 	firstAttempts, retries := 0, 0
 	for i := range w.firstAttempts {
 		firstAttempts += w.firstAttempts[i]
@@ -88,5 +102,11 @@
 	if now < w.bucketLength*bucketCount {
 		slack = 0
 	}
-	return float64(retries+1) <= w.ratio*float64(firstAttempts)+float64(slack)
+	return Usage{FirstAttempts: firstAttempts, Retries: retries, Slack: slack}
+}
+
+// hasBudget reports whether one more retry stays within the bound.
+func (w *Window) hasBudget(now time.Duration) bool {
+	u := w.usage(now)
+	return float64(u.Retries+1) <= w.ratio*float64(u.FirstAttempts)+float64(u.Slack)
 }
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -53,8 +53,15 @@
 	RequestPlaced Event = "request_placed"
 	// AttemptFailed is logged when an attempt fails.
 	AttemptFailed Event = "attempt_failed"
+	// RetryAllowed is logged when the retry budget allows a further attempt.
+	RetryAllowed Event = "retry_allowed"
 	// RetryDenied is logged when the retry budget allows no further attempt.
 	RetryDenied Event = "retry_denied"
+	// CrashRecorded is logged when the crash of an upstream is recorded against the requests that
+	// were running there.
+	CrashRecorded Event = "crash_recorded"
+	// CrashesReceived is logged when a peer reports requests that crash upstreams.
+	CrashesReceived Event = "crashes_received"
 	// MismatchedResponse is logged when a response to another request is dropped.
 	MismatchedResponse Event = "foreign_answer"
 	// StreamResumed is logged when a stream is resumed at another upstream.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -261,7 +261,10 @@
 		return false
 	}
 	id := quarantine.CrashID{Upstream: a.grant.Upstream.ID, Incarnation: a.grant.Upstream.ID}
-	a.exchange.gateway.broadcastSuspicions(a.exchange.gateway.quarantine.UpstreamCrashed(a.exchange.gateway.now(), id))
+	suspicions := a.exchange.gateway.quarantine.UpstreamCrashed(a.exchange.gateway.now(), id)
+	a.exchange.logEntry(eventlog.CrashRecorded).WithFields(logrus.Fields{"upstream": id.Upstream, "incarnation": id.Incarnation,
+		"suspects": len(suspicions)}).Warn("crash of an upstream recorded")
+	a.exchange.gateway.broadcastSuspicions(suspicions)
 	return true
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -227,11 +227,23 @@
 	if ex.sentAttempts == 0 {
 		return len(ex.triedUpstreams) < maxFailedDials
 	}
-	if !ex.service.budget.Allow(ex.gateway.now()) {
-		ex.logEntry(eventlog.RetryDenied).Warn("retry budget exhausted")
-		return false
+	allowed := ex.service.budget.Allow(ex.gateway.now())
+	ex.logRetryDecision(allowed)
+	return allowed
+}
+
+// logRetryDecision logs and counts a decision of the retry budget, with its inputs.
+func (ex *exchange) logRetryDecision(allowed bool) {
+	usage := ex.service.budget.Usage(ex.gateway.now())
+	fields := logrus.Fields{"service": ex.service.name, "first_attempts": usage.FirstAttempts, "retries": usage.Retries,
+		"slack": usage.Slack, "instances": ex.gateway.instanceCount()}
+	if allowed {
+		ex.gateway.metrics.retries.WithLabelValues("allowed").Inc()
+		ex.logEntry(eventlog.RetryAllowed).WithFields(fields).Info("retry allowed")
+		return
 	}
-	return true
+	ex.gateway.metrics.retries.WithLabelValues("denied").Inc()
+	ex.logEntry(eventlog.RetryDenied).WithFields(fields).Warn("retry budget exhausted")
 }
 
 // maxFailedDials bounds the number of upstreams that are dialed without success for one
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,8 @@
 	requests             *prometheus.CounterVec
 	errorResponses       *prometheus.CounterVec
 	attempts             *prometheus.CounterVec
+	retries              *prometheus.CounterVec
+	retrySlack           prometheus.Gauge
 	resumes              prometheus.Counter
 	configurationVersion prometheus.Gauge
 }
@@ -30,9 +32,11 @@
 	m.requests = counter("gateway_requests_total", "Requests by how they ended.", "kind", "rank", "outcome")
 	m.errorResponses = counter("gateway_refused_total", "Answers of the instance's own by code.", "code")
 	m.attempts = counter("gateway_attempts_total", "Sendings to upstreams by how they ended.", "outcome")
+	m.retries = counter("gateway_retries_total", "Decisions of the retry budget.", "decision")
+	m.retrySlack = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_retry_slack", Help: "Share of this instance in the retries of one window that need no requests."})
 	m.resumes = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_resumes_total", Help: "Streams that went on at another upstream."})
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_configuration_version", Help: "Version of the configuration in force."})
-	m.registry.MustRegister(m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.resumes, m.configurationVersion)
+	m.registry.MustRegister(m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -230,6 +230,7 @@
 		if err := msgpack.Unmarshal(m.Payload, &suspicions); err != nil {
 			return nil, errors.Wrap(err, "suspicions")
 		}
+		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": from.Name, "suspects": len(suspicions)}).Info("crashes received from a peer")
 		p.gateway.quarantine.Merge(p.gateway.now(), suspicions)
 		return nil, nil
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/retry"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
@@ -198,6 +199,7 @@
 type ServiceState struct {
 	Name      string                   `json:"name"`
 	Waiting   int                      `json:"waiting"`
+	Retries   retry.Usage              `json:"retries"`
 	Upstreams []dispatch.UpstreamState `json:"upstreams"`
 }
 
@@ -214,7 +216,7 @@
 	}
 	now := g.now()
 	for _, svc := range g.sortedServices() {
-		state.Services = append(state.Services, ServiceState{Name: svc.name, Waiting: svc.dispatcher.Waiting(), Upstreams: svc.dispatcher.Snapshot(now)})
+		state.Services = append(state.Services, ServiceState{Name: svc.name, Waiting: svc.dispatcher.Waiting(), Retries: svc.budget.Usage(now), Upstreams: svc.dispatcher.Snapshot(now)})
 	}
 	return state
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -73,7 +73,9 @@
 // retrySlack returns this instance's share of the retries that are allowed regardless of
 // the number of requests.
 func (g *Gateway) retrySlack() int {
-	return int(retryRatioFraction*float64(g.settings.Retries.Slack)) / max(minSlackInstances, g.instanceCount())
+	share := int(retryRatioFraction*float64(g.settings.Retries.Slack)) / max(minSlackInstances, g.instanceCount())
+	g.metrics.retrySlack.Set(float64(share))
+	return share
 }
 
 // acquire submits a request to the dispatcher and waits while it is queued.
