soak: record arrivals at upstreams and check the bounds on retries

The soak ran real processes but checked none of the four parts of the rule that the users saw broken: its upstreams recorded executions, not arrivals, and nothing knew the window. Upstreams now record every request that they read, rejected ones too. A run checks the retry bound over each window, the number of upstreams, the deadlines, and requests that crash upstreams, and reports the slack that was used. The mixed plan draws as before, so its seeds keep their meaning. No logic of the daemon changes.

--- a/cmd/yuccabridge/soak.go
+++ b/cmd/yuccabridge/soak.go
@@ -16,6 +16,7 @@
 func newSoakCommand() *cobra.Command {
 	var options soak.Options
 	var runs int
+	var faults string
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Run real instances under injected faults and check the guarantees",
@@ -28,6 +29,10 @@
 			if options.Instances < 1 || options.Upstreams < 1 || options.Duration <= 0 || runs < 1 {
 				return errors.New("--instances, --upstreams, --duration and --runs must be positive")
 			}
+			options.Faults = soak.Faults(faults)
+			if options.Faults != soak.MixedFaults && options.Faults != soak.RetryFaults || options.Rate < 0 {
+				return errors.Errorf("--faults must be %s or %s, and --rate must not be negative", soak.MixedFaults, soak.RetryFaults)
+			}
 			if options.Seed == 0 {
 				options.Seed = rand.Uint64N(1 << 32)
 			}
@@ -62,6 +67,8 @@
 	flags.DurationVar(&options.Duration, "duration", 20*time.Second, "duration of the fault injection in each run")
 	flags.IntVar(&options.Instances, "instances", 4, "number of instances")
 	flags.IntVar(&options.Upstreams, "upstreams", 6, "number of upstreams")
+	flags.StringVar(&faults, "faults", string(soak.MixedFaults), "fault plan: mixed, or retries (several upstreams fail, pause or crash)")
+	flags.Float64Var(&options.Rate, "rate", 0, "requests per second of all callers; 0: each pauses for 10 ms on average")
 	flags.StringVar(&options.Daemon, "daemon", "yuccabridged", "path or name of the daemon executable")
 	flags.StringVar(&options.Dir, "dir", "soak", "directory for settings and logs")
 	return cmd
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -42,6 +42,7 @@
 	signed        bool
 	body          string
 	err           error // from the connection or from reading the body
+	connected     bool  // a connection to the instance was obtained
 	connReused    bool  // the connection had served a request before
 }
 
@@ -55,12 +56,14 @@
 	instance  int
 	number    int
 	sequence  int
+	pause     time.Duration // mean pause between two requests
 	transport *http.Transport
 	rng       *rand.Rand
 }
 
 func newCaller(tb *testbed, instance, number int, seed uint64) *caller {
 	return &caller{testbed: tb, instance: instance, number: number, rng: rand.New(rand.NewPCG(seed, uint64(instance*callersPerInstance+number+2))),
+		pause:     tb.options.callerPause(),
 		transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}}
 }
 
@@ -69,7 +72,7 @@
 	for ctx.Err() == nil {
 		path, key := c.chooseRequest()
 		out <- c.send(path, key)
-		time.Sleep(time.Duration(c.rng.Int64N(int64(20 * time.Millisecond))))
+		sleepContext(ctx, time.Duration(c.rng.Int64N(int64(2*c.pause))))
 	}
 }
 
@@ -90,15 +93,30 @@
 	return path, key
 }
 
-func (c *caller) send(path, key string) observation {
+// send sends a request to a path of its own below the prefix.
+func (c *caller) send(prefix, key string) observation {
+	id := c.nextID()
+	return c.sendAs(id, prefix, key, prefix+id, "body of "+id)
+}
+
+// sendUnchanged sends a request that differs from other requests to the path only by its ID.
+func (c *caller) sendUnchanged(path, key string) observation {
+	return c.sendAs(c.nextID(), path, key, path, path)
+}
+
+func (c *caller) nextID() string {
 	c.sequence++
+	return fmt.Sprintf("%d-%d-%d", c.instance, c.number, c.sequence)
+}
+
+func (c *caller) sendAs(id, prefix, key, path, body string) observation {
 	in := c.testbed.instances[c.instance]
-	o := observation{id: fmt.Sprintf("%d-%d-%d", c.instance, c.number, c.sequence), path: path, key: key, instance: c.instance, sent: time.Now()}
+	o := observation{id: id, path: prefix, key: key, instance: c.instance, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { o.connReused = i.Reused }})
-	r, err := standin.Request{Address: in.callers, Host: hostName, Method: http.MethodPost, Path: path + o.id, ID: o.id, APIKey: key,
-		Timeout: requestTimeout, Body: "body of " + o.id}.Build(ctx)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { o.connected, o.connReused = true, i.Reused }})
+	r, err := standin.Request{Address: in.callers, Host: hostName, Method: http.MethodPost, Path: path, ID: o.id, APIKey: key,
+		Timeout: requestTimeout, Body: body}.Build(ctx)
 	if err != nil {
 		o.err = err
 		return o
@@ -111,8 +129,8 @@
 	defer res.Body.Close()
 	o.status, o.duration = res.StatusCode, time.Since(o.sent)
 	o.signed = standin.HasSignature(res.Header)
-	body, err := io.ReadAll(res.Body)
-	o.body, o.err = string(body), err
+	received, err := io.ReadAll(res.Body)
+	o.body, o.err = string(received), err
 	return o
 }
 
@@ -127,6 +145,9 @@
 			callers.Go(func() { c.run(ctx, out) })
 		}
 	}
+	if tb.options.Faults == RetryFaults {
+		callers.Go(func() { tb.startCrashingCaller(ctx, seed, out) })
+	}
 	go func() {
 		callers.Wait()
 		close(out)
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -13,6 +13,10 @@
 //
 // # Seeds
 //
+// The retry plan ([RetryFaults]) makes several upstreams at a time fail, reject or pause, starts a
+// part of the instances after the load, and sends requests that crash upstreams. With a low rate
+// of requests the fixed part of the retry bound is used up first.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -25,6 +29,10 @@
 //   - A running instance responds within the timeout of the route and does not close a
 //     connection without a response to a request that it has read.
 //   - An instance that reaches the store applies added routes and revoked keys in time.
+//   - In each retry window the upstreams get no more arrivals beyond the first of each request
+//     than the published bound allows, whatever the faults.
+//   - A request runs at no more upstreams than its route allows, is given no later deadline than
+//     its caller's, and crashes no further upstreams once all instances could know that it does.
 //   - After the last fault every instance is ready, has the latest configuration and serves
 //     every kind of request.
 //   - No process exits unexpectedly.
--- a/internal/soak/faultintervals.go
+++ b/internal/soak/faultintervals.go
@@ -8,20 +8,23 @@
 // faultIntervals records the intervals during which faults are active. They may overlap. The
 // zero value is empty. It is safe for concurrent use.
 type faultIntervals struct {
-	mu       sync.Mutex
-	endTimes []time.Time // zero while the fault is active
+	mu        sync.Mutex
+	intervals []interval
 }
 
+// interval is the time of one fault. end is zero while the fault is active.
+type interval struct{ start, end time.Time }
+
 // begin records the start of a fault. The returned function records its end.
 func (f *faultIntervals) begin() func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	i := len(f.endTimes)
-	f.endTimes = append(f.endTimes, time.Time{})
+	i := len(f.intervals)
+	f.intervals = append(f.intervals, interval{start: time.Now()})
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.endTimes[i] = time.Now()
+		f.intervals[i].end = time.Now()
 	}
 }
 
@@ -29,8 +32,20 @@
 func (f *faultIntervals) inactiveBefore(at time.Time, period time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, end := range f.endTimes {
-		if end.IsZero() || end.After(at.Add(-period)) {
+	for _, i := range f.intervals {
+		if i.end.IsZero() || i.end.After(at.Add(-period)) {
+			return false
+		}
+	}
+	return true
+}
+
+// inactiveBetween reports whether no fault has been active between two times.
+func (f *faultIntervals) inactiveBetween(from, to time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range f.intervals {
+		if i.start.Before(to) && (i.end.IsZero() || i.end.After(from)) {
 			return false
 		}
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,11 +24,20 @@
 	breakResponses     // responses are interrupted
 	rejectRequests     // requests are rejected as not run
 	sendStaleResponses // responses to other requests are sent first
-	faultKindCount     // number of kinds
+	// The kinds from here on concern several upstreams and are drawn only by retry plans.
+	breakMany     // most responses are interrupted
+	rejectMany    // most requests are rejected as not run
+	pauseMany     // upstreams read nothing and then go on with all that has arrived
+	delayInstance // an instance starts only after the load
+	faultKindCount
+
+	// mixedKindCount is the number of kinds that mixed plans draw.
+	mixedKindCount = breakMany
 )
 
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
-	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray"}
+	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
+	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -36,10 +45,14 @@
 	kind            faultKind
 	target          int       // index of an instance or upstream, modulo their number
 	mode            proxyMode // of the proxy, for link faults
+	share           float64   // of the upstreams, for faults of several
 }
 
 func (f fault) String() string {
 	s := fmt.Sprintf("%6.2fs %-16s target=%d for %.2fs", f.start.Seconds(), faultKindNames[f.kind], f.target, f.duration.Seconds())
+	if f.share > 0 {
+		s += fmt.Sprintf(" share=%.2f", f.share)
+	}
 	if f.kind == disruptUpstreamLink || f.kind == disruptStoreLink {
 		s += " " + f.mode.String()
 	}
@@ -60,6 +73,13 @@
 
 // newFaultPlan generates the faults of a run from the seed.
 func newFaultPlan(seed uint64, o Options) []fault {
+	if o.Faults == RetryFaults {
+		return newRetryPlan(seed, o)
+	}
+	return newMixedPlan(seed, o)
+}
+
+func newMixedPlan(seed uint64, o Options) []fault {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var plan []fault
 	for at := time.Duration(0); ; {
@@ -67,7 +87,7 @@
 		if at >= o.Duration {
 			return plan
 		}
-		f := fault{start: at, kind: faultKind(rng.IntN(int(faultKindCount))), mode: modeStall + proxyMode(rng.IntN(int(modeDelay)))}
+		f := fault{start: at, kind: faultKind(rng.IntN(int(mixedKindCount))), mode: modeStall + proxyMode(rng.IntN(int(modeDelay)))}
 		f.duration = minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		f.target = rng.IntN(o.Instances * o.Upstreams)
 		plan = append(plan, f)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -31,12 +31,12 @@
 
 // proxy is a TCP proxy that forwards connections to one address. It is safe for concurrent use.
 type proxy struct {
-	listener net.Listener
-	target   string
+	target string
 
-	mu    sync.Mutex
-	mode  proxyMode
-	conns map[*net.TCPConn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	mode     proxyMode
+	conns    map[*net.TCPConn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -45,11 +45,38 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, conns: map[*net.TCPConn]bool{}}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
+
+// refuse resets all connections and refuses new ones, as when the target's process ends.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener.Close()
+	for c := range p.conns {
+		resetConn(c)
+	}
+}
+
+// resume accepts connections again at the same address.
+func (p *proxy) resume() error {
+	l, err := net.Listen("tcp", p.address())
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 func (p *proxy) setMode(m proxyMode) {
 	p.mu.Lock()
@@ -70,13 +97,15 @@
 }
 
 func (p *proxy) close() {
+	p.mu.Lock()
 	p.listener.Close()
+	p.mu.Unlock()
 	p.setMode(modeReset)
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -22,12 +22,39 @@
 	Seed uint64
 	// Duration is the time during which faults start.
 	Duration time.Duration
+	// Faults selects the fault plan; by default [MixedFaults].
+	Faults Faults
+	// Rate is the number of requests per second of all callers together; 0 means that each
+	// caller pauses for 10 ms on average.
+	Rate float64
 	// Instances and Upstreams are the numbers of instances and upstreams.
 	Instances, Upstreams int
 	// Daemon is the path of the daemon binary, Dir the directory of settings and log files.
 	Daemon, Dir string
 }
 
+// Faults selects a kind of fault plan.
+type Faults string
+
+// Kinds of fault plans.
+const (
+	// MixedFaults draws faults of all kinds, one instance or upstream at a time.
+	MixedFaults Faults = "mixed"
+	// RetryFaults makes instances use up the retry budget, and sends requests that crash
+	// upstreams.
+	RetryFaults Faults = "retries"
+)
+
+// callerPause returns the mean pause of a caller between two requests.
+func (o Options) callerPause() time.Duration {
+	if o.Rate <= 0 {
+		return defaultCallerPause
+	}
+	return time.Duration(float64(o.Instances*callersPerInstance) / o.Rate * float64(time.Second))
+}
+
+const defaultCallerPause = 10 * time.Millisecond
+
 // Report is the result of a run.
 type Report struct {
 	Options    Options
@@ -35,17 +62,26 @@
 	Outcomes   map[string]int // by status, or "no answer" or "broken off"
 	Faults     map[string]int // by kind
 	Violations []string
+	// RetrySlackUsed is the part of the retry slack that was used in the worst window.
+	RetrySlackUsed float64
 }
 
 // Command returns the command line that repeats the run.
 func (r Report) Command() string {
-	return fmt.Sprintf("yuccabridge soak --seed %d --duration %v --instances %d --upstreams %d", r.Options.Seed, r.Options.Duration, r.Options.Instances, r.Options.Upstreams)
+	command := fmt.Sprintf("yuccabridge soak --seed %d --duration %v --instances %d --upstreams %d", r.Options.Seed, r.Options.Duration, r.Options.Instances, r.Options.Upstreams)
+	if r.Options.Faults == RetryFaults {
+		command += fmt.Sprintf(" --faults %s", r.Options.Faults)
+	}
+	if r.Options.Rate > 0 {
+		command += fmt.Sprintf(" --rate %g", r.Options.Rate)
+	}
+	return command
 }
 
 // String returns the report as text.
 func (r Report) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s\n%d requests:%s\nfaults:%s\n", r.Command(), r.Requests, formatCounts(r.Outcomes), formatCounts(r.Faults))
+	fmt.Fprintf(&b, "%s\n%d requests:%s\nfaults:%s\nretry slack used: %.1f of %d\n", r.Command(), r.Requests, formatCounts(r.Outcomes), formatCounts(r.Faults), r.RetrySlackUsed, retrySlack)
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise was broken\n")
 	}
@@ -75,16 +111,30 @@
 		return Report{}, err
 	}
 	defer tb.close()
-	for _, in := range tb.instances {
+	plan := newFaultPlan(o.Seed, o)
+	startDelays := tb.startDelays(plan)
+	for i, in := range tb.instances {
+		if startDelays[i] > 0 {
+			continue
+		}
 		if err := in.start(); err != nil {
 			return Report{}, err
 		}
 	}
-	for _, in := range tb.instances {
+	for i, in := range tb.instances {
+		if startDelays[i] > 0 {
+			continue
+		}
 		if !in.awaitReady(startTimeout) {
 			return Report{}, errors.Errorf("%s is not ready %v after its start, see %s", in.name, startTimeout, in.logFile())
 		}
 	}
+	var delayedStarts sync.WaitGroup
+	for i, delay := range startDelays {
+		if delay > 0 {
+			tb.startLater(ctx, i, delay, &delayedStarts)
+		}
+	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	received := tb.startLoad(loadCtx, o.Seed)
@@ -97,12 +147,14 @@
 		}
 		close(collected)
 	}()
-	tb.injectFaults(ctx, newFaultPlan(o.Seed, o))
+	tb.injectFaults(ctx, plan)
+	delayedStarts.Wait()
 	sleepContext(ctx, recoveryTime)
 	tb.checkRecovery()
 	stopLoad()
 	<-collected
 	tb.checkExecutions(observations)
+	tb.checkRetries(observations)
 	return tb.report(observations), ctx.Err()
 }
 
@@ -122,9 +174,10 @@
 			return nil, errors.Wrap(err, "start proxy")
 		}
 		u := &upstream{Upstream: s, proxy: p, rng: rand.New(rand.NewPCG(o.Seed, uint64(i)))}
+		u.publish = func() { tb.store.PutUpstream(u.Upstream, u.registration(false)) }
 		s.SetBehaviour(u.behaviour)
 		tb.upstreams = append(tb.upstreams, u)
-		tb.store.PutUpstream(u.Upstream, u.registration(false))
+		u.publish()
 	}
 	ports, err := freePorts(3 * o.Instances)
 	if err != nil {
@@ -146,6 +199,36 @@
 	return tb, nil
 }
 
+// startDelays returns how long after the load each instance starts.
+func (tb *testbed) startDelays(plan []fault) []time.Duration {
+	delays := make([]time.Duration, len(tb.instances))
+	for _, f := range plan {
+		if f.kind == delayInstance {
+			delays[f.target] = f.duration
+		}
+	}
+	return delays
+}
+
+// startLater starts an instance after a delay. Other process faults of it wait until it is ready.
+func (tb *testbed) startLater(ctx context.Context, i int, delay time.Duration, pending *sync.WaitGroup) {
+	in := tb.instances[i]
+	tb.processFaultMu[i].Lock()
+	end := in.processFaults.begin()
+	pending.Go(func() {
+		defer tb.processFaultMu[i].Unlock()
+		defer end()
+		sleepContext(ctx, delay)
+		if err := in.start(); err != nil {
+			tb.addViolation("%v", err)
+			return
+		}
+		if !in.awaitReady(startTimeout) {
+			tb.addViolation("%s is not ready %v after its start", in.name, startTimeout)
+		}
+	})
+}
+
 // injectFaults applies the faults of the plan and returns when the last one has ended.
 func (tb *testbed) injectFaults(ctx context.Context, plan []fault) {
 	start := time.Now()
@@ -199,7 +282,7 @@
 const finalCallerNumber = 99
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
@@ -237,6 +320,9 @@
 		in.storeProxy.close()
 	}
 	for _, u := range tb.upstreams {
+		u.mu.Lock()
+		u.closed = true
+		u.mu.Unlock()
 		u.proxy.close()
 		u.Close()
 	}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -18,8 +18,16 @@
 	*standin.Upstream
 	proxy                                                *proxy
 	activeBreaks, activeRejections, activeStaleResponses atomic.Int32
-	rng                                                  *rand.Rand
-	mu                                                   sync.Mutex
+	activeFaultsOfMany                                   atomic.Int32 // raise the share of affected requests
+	activePauses                                         atomic.Int32
+	bornMS                                               atomic.Int64 // Unix time of the last start after a crash
+	linkFaults                                           faultIntervals
+	publish                                              func() // publishes the registration
+
+	mu           sync.Mutex
+	rng          *rand.Rand
+	down, closed bool
+	endPause     func()
 }
 
 const (
@@ -29,11 +37,21 @@
 	breakAfterEvents = 3
 	// faultyRequestShare is the fraction of requests that an active upstream fault affects.
 	faultyRequestShare = 0.4
+	// faultyShareOfMany replaces faultyRequestShare while several upstreams have the fault.
+	faultyShareOfMany = 0.85
 )
 
 func (u *upstream) behaviour(execution standin.Execution) standin.Behaviour {
+	if crashesUpstreams(execution.URI) {
+		go u.crash()
+		return standin.Behaviour{BreakAfter: 1}
+	}
+	share := faultyRequestShare
+	if u.activeFaultsOfMany.Load() > 0 {
+		share = faultyShareOfMany
+	}
 	u.mu.Lock()
-	faulty := u.rng.Float64() < faultyRequestShare
+	faulty := u.rng.Float64() < share
 	u.mu.Unlock()
 	b := standin.Behaviour{Delay: responseDelay}
 	if strings.HasPrefix(execution.URI, streamPrefix) {
@@ -54,7 +72,11 @@
 // registration returns the upstream's registration. It has the address of the proxy, so that all
 // connections pass through it.
 func (u *upstream) registration(leaving bool) standin.Registration {
-	return standin.Registration{Address: u.proxy.address(), Service: serviceName, FailureDomain: "zone", Slots: 16, Leaving: leaving}
+	r := standin.Registration{Address: u.proxy.address(), Service: serviceName, FailureDomain: "zone", Slots: 16, Leaving: leaving}
+	if ms := u.bornMS.Load(); ms > 0 {
+		r.Born = time.UnixMilli(ms)
+	}
+	return r
 }
 
 const (
@@ -96,6 +118,7 @@
 	processFaultMu      []sync.Mutex // by instance; serializes process faults
 	faultCounts         map[string]int
 	violations          []string
+	retryUsage          retryUsage
 	activeStoreFailures int // overlapping store failures
 }
 
@@ -184,6 +207,7 @@
 	case killProcess, pauseProcess, stopProcess, reloadProcess:
 		tb.applyProcessFault(i, f, waitForEnd)
 	case disruptUpstreamLink:
+		defer u.linkFaults.begin()()
 		u.proxy.setMode(f.mode)
 		waitForEnd()
 		u.proxy.setMode(modePass)
@@ -209,6 +233,9 @@
 		tb.store.RemoveUpstream(u.Upstream)
 		waitForEnd()
 		tb.store.PutUpstream(u.Upstream, u.registration(false))
+	case breakMany, rejectMany, pauseMany:
+		tb.applyFaultToMany(f, waitForEnd)
+	case delayInstance: // applied at the start of the run
 	case breakResponses:
 		u.activeBreaks.Add(1)
 		waitForEnd()
@@ -224,6 +251,43 @@
 	}
 }
 
+// applyFaultToMany applies a fault to a share of the upstreams at the same time.
+func (tb *testbed) applyFaultToMany(f fault, waitForEnd func()) {
+	adjust := func(delta int32) {
+		for i := range int(f.share * float64(len(tb.upstreams))) {
+			u := tb.upstreams[(f.target+i)%len(tb.upstreams)]
+			switch f.kind {
+			case breakMany:
+				u.activeFaultsOfMany.Add(delta)
+				u.activeBreaks.Add(delta)
+			case rejectMany:
+				u.activeFaultsOfMany.Add(delta)
+				u.activeRejections.Add(delta)
+			case pauseMany:
+				u.pause(delta)
+			}
+		}
+	}
+	adjust(1)
+	waitForEnd()
+	adjust(-1)
+}
+
+// pause changes the number of active pauses. A paused upstream accepts connections and reads
+// nothing; then it goes on with all that has arrived, as a process does after SIGCONT.
+func (u *upstream) pause(delta int32) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch n := u.activePauses.Add(delta); {
+	case n > 0 && delta > 0 && n == 1:
+		u.endPause = u.linkFaults.begin()
+		u.proxy.setMode(modeStall)
+	case n == 0:
+		u.proxy.setMode(modePass)
+		u.endPause()
+	}
+}
+
 // adjustStoreFailures changes the number of active store failures. They may overlap, so the store
 // recovers only when the last one ends.
 func (tb *testbed) adjustStoreFailures(delta int) {
