--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -57,7 +57,8 @@
 			return
 		}
 		if err := u.proxy.resume(); err != nil {
-			return // the port is taken; the upstream stays down
+			u.reportError(err)
+			return
 		}
 		u.down = false
 		u.bornMS.Store(time.Now().UnixMilli())
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -45,6 +45,10 @@
 	firstPort, lastPort = 20000, 32000
 )
 
+// anyLoopbackPort lets the kernel choose a port, for listeners that are never closed and opened
+// again.
+const anyLoopbackPort = "127.0.0.1:0"
+
 // freePorts returns n distinct loopback addresses whose ports are free for TCP and UDP.
 func freePorts(n int) ([]string, error) {
 	var out []string
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -27,6 +27,8 @@
 	forwardDelay = 80 * time.Millisecond
 	// holdPollInterval is the interval at which held data checks the mode again.
 	holdPollInterval = 2 * time.Millisecond
+	// resumeAttempts bounds the attempts to listen at an address again.
+	resumeAttempts = 500
 )
 
 // proxy is a TCP proxy that forwards connections to one address. It is safe for concurrent use.
@@ -39,8 +41,9 @@
 	conns    map[*net.TCPConn]bool
 }
 
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy starts a proxy that listens at an address and forwards to the target.
+func newProxy(address, target string) (*proxy, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -65,9 +68,17 @@
 	}
 }
 
-// resume accepts connections again at the same address.
+// resume accepts connections again at the same address. Connections that are still closing may
+// hold the address for a moment.
 func (p *proxy) resume() error {
-	l, err := net.Listen("tcp", p.address())
+	var l net.Listener
+	var err error
+	for range resumeAttempts {
+		if l, err = net.Listen("tcp", p.address()); err == nil {
+			break
+		}
+		time.Sleep(holdPollInterval)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -164,28 +164,30 @@
 	tb.mu.Lock()
 	tb.publish()
 	tb.mu.Unlock()
+	ports, err := freePorts(3*o.Instances + o.Upstreams)
+	if err != nil {
+		return nil, err
+	}
+	ports, upstreamPorts := ports[:3*o.Instances], ports[3*o.Instances:]
 	for i := range o.Upstreams {
 		s, err := standin.NewUpstream(fmt.Sprintf("i-%02d", i))
 		if err != nil {
 			return nil, errors.Wrap(err, "start upstream")
 		}
-		p, err := newProxy(s.Address())
+		p, err := newProxy(upstreamPorts[i], s.Address())
 		if err != nil {
 			return nil, errors.Wrap(err, "start proxy")
 		}
 		u := &upstream{Upstream: s, proxy: p, rng: rand.New(rand.NewPCG(o.Seed, uint64(i)))}
 		u.publish = func() { tb.store.PutUpstream(u.Upstream, u.registration(false)) }
+		u.reportError = func(err error) { tb.addViolation("%s cannot start again: %v", u.Name, err) }
 		s.SetBehaviour(u.behaviour)
 		tb.upstreams = append(tb.upstreams, u)
 		u.publish()
 	}
-	ports, err := freePorts(3 * o.Instances)
-	if err != nil {
-		return nil, err
-	}
 	seeds := ports[:o.Instances]
 	for i := range o.Instances {
-		p, err := newProxy(tb.store.Address())
+		p, err := newProxy(anyLoopbackPort, tb.store.Address())
 		if err != nil {
 			return nil, errors.Wrap(err, "start proxy")
 		}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -23,6 +23,7 @@
 	bornMS                                               atomic.Int64 // Unix time of the last start after a crash
 	linkFaults                                           faultIntervals
 	publish                                              func() // publishes the registration
+	reportError                                          func(error)
 
 	mu           sync.Mutex
 	rng          *rand.Rand
