gateway: instances that missed the broadcast of a crash learn of it from peers

Cause: a crash is broadcast once, when it happens. An instance that is cut off loses the broadcast the same way. internal/entry hands its suspicions to an instance that joins; the gateway had a second implementation without this.

A pull, which instances send to a random peer every 3 s (every 300 ms without the platform), now carries a digest of the known crashes, and the answer the crashes if the digests differ. An instance also pulls from peers at once that return from a partition, and from those that it meets when it has just started.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Defaults and limits of a Quarantine.
@@ -183,6 +186,25 @@
 	return suspicions
 }
 
+// Digest returns a hash of all unexpired crashes. Instances that know the same crashes have the
+// same digest; it is 0 without crashes.
+func (q *Quarantine) Digest(now time.Duration) uint64 {
+	var digest uint64
+	for _, suspicion := range q.Snapshot(now) {
+		for _, c := range suspicion.Crashes {
+			digest ^= xxhash.Sum64String(fmt.Sprint(uint64(suspicion.Fingerprint), suspicion.Cleared, len(c.Upstream), c.Upstream, c.Incarnation))
+		}
+	}
+	return digest
+}
+
+// Latest returns at most limit unexpired suspicions, those with the latest crashes first.
+func (q *Quarantine) Latest(now time.Duration, limit int) []Suspicion {
+	suspicions := q.Snapshot(now)
+	slices.SortFunc(suspicions, func(a, b Suspicion) int { return cmp.Compare(a.Age, b.Age) })
+	return suspicions[:min(len(suspicions), limit)]
+}
+
 // Len returns the number of entries, including cleared and expired ones not yet removed.
 func (q *Quarantine) Len() int {
 	n := 0
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,6 +30,14 @@
 	// idlePullIntervals is the number of pull intervals between requests while the platform
 	// is available: the connection to it may have failed without an error.
 	idlePullIntervals = 10
+	// joinPullTime is how long after its start an instance pulls from each peer that it learns
+	// of, because it knows nothing of what was broadcast before.
+	joinPullTime = 10 * time.Second
+	// maxQueuedPulls bounds the peers from which an instance pulls out of turn; any of them
+	// knows what the others on its side of a partition know.
+	maxQueuedPulls = 4
+	// maxSuspicionsPerPull keeps an answer far below the frame size limit.
+	maxSuspicionsPerPull = 512
 )
 
 // sharedDomain is the membership domain of all instances: there are few enough of them to
@@ -44,14 +52,19 @@
 	gossip     *peer.Gossip
 	node       *peer.Node
 	reports    *reportExchange
+	pullQueue  chan membership.Member // peers to pull from out of turn
 }
 
-// pullMessage requests a snapshot newer than a revision.
-type pullMessage struct{ Revision uint64 }
+// pullMessage requests what the peer knows beyond this instance: a snapshot newer than a
+// revision, and the requests that crash upstreams if their digest differs.
+type pullMessage struct{ Revision, CrashDigest uint64 }
 
 // pushMessage is the answer to a pullMessage. Snapshot is nil if the peer has nothing
 // newer.
-type pushMessage struct{ Snapshot *replica.Snapshot }
+type pushMessage struct {
+	Snapshot   *replica.Snapshot
+	Suspicions []quarantine.Suspicion
+}
 
 // newPeers opens the sockets for peers; it returns nil if the settings do not configure
 // peers.
@@ -64,7 +77,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers.network")
 	}
-	p := &peers{gateway: g, self: membership.Member{Name: g.settings.Instance, Domain: sharedDomain}}
+	p := &peers{gateway: g, self: membership.Member{Name: g.settings.Instance, Domain: sharedDomain}, pullQueue: make(chan membership.Member, maxQueuedPulls)}
 	rand.Read(p.self.Incarnation.Process[:])
 	p.node, err = peer.Listen(peer.Options{
 		Self:           peerwire.Identity{Name: p.self.Name, Domain: p.self.Domain, Process: p.self.Incarnation.Process},
@@ -102,6 +115,7 @@
 	switch a := action.(type) {
 	case membership.StateChanged:
 		p.forgetIfDead(a)
+		p.queuePull(a)
 		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.PeerChanged, "peer": a.Member.Name, "process": a.Member.Incarnation.Process.String(),
 			"state": a.Member.State.String(), "previous": a.Previous.String()}).Info("peer changed")
 	case membership.Paused:
@@ -109,6 +123,20 @@
 	}
 }
 
+// queuePull arranges a pull from a peer that may know of broadcasts that did not reach this
+// instance: it was cut off, or this instance has just started. A broadcast is not repeated.
+func (p *peers) queuePull(change membership.StateChanged) {
+	returned := change.Previous == membership.Dead
+	joining := change.Previous == 0 && p.gateway.now() < joinPullTime
+	if !change.Member.Live() || !returned && !joining {
+		return
+	}
+	select {
+	case p.pullQueue <- change.Member:
+	default:
+	}
+}
+
 // forgetIfDead discards the reported load of a peer that has become dead.
 func (p *peers) forgetIfDead(change membership.StateChanged) {
 	if change.Member.State != membership.Dead {
@@ -136,6 +164,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.gossip.Run(ctx) })
 	group.Go(func() error { return p.pullLoop(ctx) })
+	group.Go(func() error { return p.pullQueued(ctx) })
 	group.Go(func() error { return p.reports.run(ctx) })
 	return group.Wait()
 }
@@ -156,22 +185,31 @@
 		intervals++
 		if p.platformUnavailable() || intervals >= idlePullIntervals {
 			intervals = 0
-			p.pull(ctx)
+			if live := p.livePeers(); len(live) > 0 {
+				p.pull(ctx, live[mathrand.IntN(len(live))])
+			}
 		}
 	})
 }
 
+// pullQueued pulls from the peers in the pull queue.
+func (p *peers) pullQueued(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case member := <-p.pullQueue:
+			p.pull(ctx, member)
+		}
+	}
+}
+
 func (p *peers) platformUnavailable() bool {
 	return p.gateway.platformWatcher.replica.Unavailable() || !p.gateway.platformWatcher.hasSnapshot()
 }
 
-func (p *peers) pull(ctx context.Context) {
-	live := p.livePeers()
-	if len(live) == 0 {
-		return
-	}
-	member := live[mathrand.IntN(len(live))]
-	var request pullMessage
+func (p *peers) pull(ctx context.Context, member membership.Member) {
+	request := pullMessage{CrashDigest: p.gateway.quarantine.Digest(p.gateway.now())}
 	request.Revision, _ = p.gateway.platformWatcher.replica.Revision()
 	payload, err := msgpack.Marshal(request)
 	if err != nil {
@@ -198,6 +236,15 @@
 	if reply.Snapshot != nil {
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
 	}
+	if len(reply.Suspicions) > 0 {
+		p.mergeSuspicions(reply.Suspicions, member.Name)
+	}
+}
+
+// mergeSuspicions adds the suspicions of a peer.
+func (p *peers) mergeSuspicions(suspicions []quarantine.Suspicion, peer string) {
+	p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": peer, "suspects": len(suspicions)}).Info("crashes received from a peer")
+	p.gateway.quarantine.Merge(p.gateway.now(), suspicions)
 }
 
 func (p *peers) logCallFailure(call, name string, err error) {
@@ -230,8 +277,7 @@
 		if err := msgpack.Unmarshal(m.Payload, &suspicions); err != nil {
 			return nil, errors.Wrap(err, "suspicions")
 		}
-		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": from.Name, "suspects": len(suspicions)}).Info("crashes received from a peer")
-		p.gateway.quarantine.Merge(p.gateway.now(), suspicions)
+		p.mergeSuspicions(suspicions, from.Name)
 		return nil, nil
 	}
 	return nil, errors.Errorf("unexpected message of type %s from %s", m.Type(), from.Name)
@@ -242,7 +288,11 @@
 	if err := msgpack.Unmarshal(m.Payload, &request); err != nil {
 		return nil, errors.Wrap(err, "pull")
 	}
-	payload, err := msgpack.Marshal(pushMessage{Snapshot: p.gateway.platformWatcher.snapshotNewerThan(request.Revision)})
+	reply := pushMessage{Snapshot: p.gateway.platformWatcher.snapshotNewerThan(request.Revision)}
+	if now := p.gateway.now(); p.gateway.quarantine.Digest(now) != request.CrashDigest {
+		reply.Suspicions = p.gateway.quarantine.Latest(now, maxSuspicionsPerPull)
+	}
+	payload, err := msgpack.Marshal(reply)
 	if err != nil {
 		return nil, errors.Wrap(err, "push")
 	}
