gateway: crashes of an upstream that starts again under its ID count separately

Cause: a crash was identified by the upstream's ID alone, but an upstream may start again under its ID, and instances merge crashes by identity, so the second one counted as the first. The class: an identifier that outlives what it identifies.

--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -12,6 +12,7 @@
 // Upstream describes an upstream as published by the platform.
 type Upstream struct {
 	ID, Address      string
+	Incarnation      string `json:",omitempty"` // changes when the upstream starts again under its ID
 	Domain           string // failure domain
 	Slots            int    // maximum number of concurrent requests
 	KVCapacityTokens int    `json:"Memory"` // KV cache capacity; 0 for upstreams without prompts
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"strconv"
@@ -260,7 +261,7 @@
 	if a.exchange.service.clientFor(a.grant.Upstream).Warm(dialCtx) == nil {
 		return false
 	}
-	id := quarantine.CrashID{Upstream: a.grant.Upstream.ID, Incarnation: a.grant.Upstream.ID}
+	id := quarantine.CrashID{Upstream: a.grant.Upstream.ID, Incarnation: cmp.Or(a.grant.Upstream.Incarnation, a.grant.Upstream.ID)}
 	suspicions := a.exchange.gateway.quarantine.UpstreamCrashed(a.exchange.gateway.now(), id)
 	a.exchange.logEntry(eventlog.CrashRecorded).WithFields(logrus.Fields{"upstream": id.Upstream, "incarnation": id.Incarnation,
 		"suspects": len(suspicions)}).Warn("crash of an upstream recorded")
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -120,8 +120,10 @@
 // Upstream is a published upstream.
 type Upstream struct {
 	ID, Service, Address, FailureDomain string
-	Slots                               int
-	Leaving                             bool
+	// Incarnation changes when the upstream starts again under its ID; it may be empty.
+	Incarnation string
+	Slots       int
+	Leaving     bool
 }
 
 // routingTable is an immutable configuration indexed for request lookups.
