dispatch: an upstream that starts again under its ID keeps no learned state

Callers waited for the re-reading of prompts that were predicted as cached. Found while looking for the cause of the crashes that count as one: the dispatcher kept cache, failures and ejection of the process before, as an upstream was the same while its ID and address were. It now compares the start as well. TestRestartedUpstreamKeepsNoLearnedState failed before (ejected, 3,000 tokens taken as cached).

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -105,14 +105,15 @@
 	}
 }
 
-// Update replaces the list of upstreams. Upstreams that remain keep their learned state.
+// Update replaces the list of upstreams. Upstreams that remain keep their learned state, unless
+// they have started again.
 func (d *Dispatcher) Update(now time.Duration, list []Upstream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := make(map[string]*upstream, len(list))
 	for _, published := range list {
 		u := d.upstreams[published.ID]
-		if u == nil || u.Address != published.Address || u.KVCapacityTokens != published.KVCapacityTokens {
+		if u == nil || u.Address != published.Address || u.Incarnation != published.Incarnation || u.KVCapacityTokens != published.KVCapacityTokens {
 			u = newUpstream(published)
 		}
 		u.Upstream = published
