retry: shares of the slack follow the number of instances

Cause: an instance computed its share of the slack once, when it created a service, mostly before it knew its peers, and divided by eight at least. The class: a share of a common limit that is fixed while the number of those who share it changes.

The share is now computed for each decision (retry.Slack), from all instances that may run: those that are dead without having announced their leave may be behind a partition and count while their tombstone is kept, those that left count for one window. An instance takes none until it has joined and the others have had a window and 5 s to give up their part. So the shares add up to the slack at most in every window, without messages.

TestSlackSharesAddUpToTheSlack fails with the old division (63 of 56) and without the 5 s (57 of 56); TestRetrySlackSharesFollowTheNumberOfInstances with the old division (60 of 56). The test of the first window moved from Window to Slack with the division; it checks the same and more.

Remains: instances that start together behind a partition, and know no one on the other side, count themselves only.

--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -185,6 +185,27 @@
 	return list
 }
 
+// Instances returns the number of instances of a domain that may be running or have been running
+// within the period before now, including this one. Processes of the same name count once. A
+// member that is dead without having announced its leave may be behind a partition and counts
+// while its tombstone is kept. The result is 0 until this process has joined through a seed.
+func (m *Machine) Instances(now time.Duration, domainName string, period time.Duration) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := m.domains[domainName]
+	if d == nil || !m.joined && len(m.opts.Seeds) > 0 {
+		return 0
+	}
+	names := make(map[string]struct{}, len(d.members))
+	for _, member := range d.members {
+		if member.State == Dead && member.announcedLeave && now-member.stateSince > period {
+			continue
+		}
+		names[member.Name] = struct{}{}
+	}
+	return len(names)
+}
+
 // Member returns the record of a process, and false if the process is unknown.
 func (m *Machine) Member(p Process) (Member, bool) {
 	m.mu.Lock()
--- a/internal/coordination/retry/doc.go
+++ b/internal/coordination/retry/doc.go
@@ -9,5 +9,7 @@
 // so that retries cannot multiply the load on upstreams that are already failing. The
 // bucket starts full, so that a class with few requests can retry its first failures.
 //
-// A [Window] bounds the retries in a sliding time window.
+// A [Window] bounds the retries in a sliding time window. Its bound has a part that grows with the
+// first attempts and a fixed part, the slack. The slack belongs to all instances together; [Slack]
+// divides it among them.
 package retry
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -15,12 +15,10 @@
 //
 // retries are allowed. Unlike a [Budget], it keeps the unused retries of the whole window, without
 // a burst limit, so that all requests that an upstream loses in one crash can be sent again.
-// Slack is granted only after the first full window, so that repeated restarts of a process
-// permit no more retries than continuous operation. It is safe for concurrent use.
+// It is safe for concurrent use.
 type Window struct {
 	mu            sync.Mutex
 	ratio         float64
-	slack         int
 	bucketLength  time.Duration
 	newestBucket  int64 // number of the newest bucket since time zero
 	firstAttempts [bucketCount + 1]int
@@ -28,8 +26,8 @@
 }
 
 // NewWindow returns a window of the given length.
-func NewWindow(ratio float64, slack int, length time.Duration) *Window {
-	return &Window{ratio: ratio, slack: max(slack, 0), bucketLength: max(length/bucketCount, 1)}
+func NewWindow(ratio float64, length time.Duration) *Window {
+	return &Window{ratio: ratio, bucketLength: max(length/bucketCount, 1)}
 }
 
 // advance clears the buckets that have left the window and returns the index of the newest one.
@@ -54,12 +52,12 @@
 	w.firstAttempts[w.advance(now)]++
 }
 
-// Allow reports whether a retry is permitted. If so, it counts the retry.
-func (w *Window) Allow(now time.Duration) bool {
+// Allow reports whether a retry is permitted with the slack. If so, it counts the retry.
+func (w *Window) Allow(now time.Duration, slack int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	i := w.advance(now)
-	if !w.hasBudget(now) {
+	if !w.hasBudget(slack) {
 		return false
 	}
 	w.retries[i]++
@@ -67,18 +65,17 @@
 }
 
 // Available reports whether Allow would succeed now.
-func (w *Window) Available(now time.Duration) bool {
+func (w *Window) Available(now time.Duration, slack int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	return w.hasBudget(now)
+	return w.hasBudget(slack)
 }
 
 // Usage is the state of a [Window] at one time.
 type Usage struct {
 	FirstAttempts int // in the window
 	Retries       int // in the window
-	Slack         int // retries that are allowed regardless of the first attempts
 }
 
 // Usage returns the first attempts and retries that the next decision takes into account.
@@ -86,10 +83,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	return w.usage(now)
+	return w.usage()
 }
 
-func (w *Window) usage(now time.Duration) Usage {
+func (w *Window) usage() Usage {
 	firstAttempts, retries := 0, 0
 	for i := range w.firstAttempts {
 		firstAttempts += w.firstAttempts[i]
@@ -98,15 +95,11 @@
 	// The oldest bucket may lie partly outside the window. To keep the bound, its first
 	// attempts are not counted, but its retries are.
 	firstAttempts -= w.firstAttempts[(w.newestBucket+1)%(bucketCount+1)]
-	slack := w.slack
-	if now < w.bucketLength*bucketCount {
-		slack = 0
-	}
-	return Usage{FirstAttempts: firstAttempts, Retries: retries, Slack: slack}
+	return Usage{FirstAttempts: firstAttempts, Retries: retries}
 }
 
 // hasBudget reports whether one more retry stays within the bound.
-func (w *Window) hasBudget(now time.Duration) bool {
-	u := w.usage(now)
-	return float64(u.Retries+1) <= w.ratio*float64(u.FirstAttempts)+float64(u.Slack)
+func (w *Window) hasBudget(slack int) bool {
+	u := w.usage()
+	return float64(u.Retries+1) <= w.ratio*float64(u.FirstAttempts)+float64(slack)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,7 +178,7 @@
 // canRetryServerError reports whether a 5xx response may be discarded in favor of a retry.
 // It does not take a retry from the budget; that happens when the request is sent again.
 func (ex *exchange) canRetryServerError() bool {
-	return ex.route.Retryable() && ex.countedAttempts < ex.route.MaxAttempts && ex.service.budget.Available(ex.gateway.now()) && ex.gateway.now() < ex.deadline
+	return ex.route.Retryable() && ex.countedAttempts < ex.route.MaxAttempts && ex.service.retryAvailable(ex.gateway) && ex.gateway.now() < ex.deadline
 }
 
 func (a *attempt) readBody() ([]byte, error) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -227,16 +227,17 @@
 	if ex.sentAttempts == 0 {
 		return len(ex.triedUpstreams) < maxFailedDials
 	}
-	allowed := ex.service.budget.Allow(ex.gateway.now())
-	ex.logRetryDecision(allowed)
+	slack := ex.gateway.retrySlack()
+	allowed := ex.service.budget.Allow(ex.gateway.now(), slack)
+	ex.logRetryDecision(allowed, slack)
 	return allowed
 }
 
 // logRetryDecision logs and counts a decision of the retry budget, with its inputs.
-func (ex *exchange) logRetryDecision(allowed bool) {
+func (ex *exchange) logRetryDecision(allowed bool, slack int) {
 	usage := ex.service.budget.Usage(ex.gateway.now())
 	fields := logrus.Fields{"service": ex.service.name, "first_attempts": usage.FirstAttempts, "retries": usage.Retries,
-		"slack": usage.Slack, "instances": ex.gateway.instanceCount()}
+		"slack": slack, "instances": ex.gateway.retryingInstances()}
 	if allowed {
 		ex.gateway.metrics.retries.WithLabelValues("allowed").Inc()
 		ex.logEntry(eventlog.RetryAllowed).WithFields(fields).Info("retry allowed")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,12 +95,13 @@
 // now returns the monotonic time since the start of the instance.
 func (g *Gateway) now() time.Duration { return time.Since(g.startedAt) }
 
-// instanceCount returns the number of live instances, including this one.
-func (g *Gateway) instanceCount() int {
+// retryingInstances returns the number of instances that may have sent retries within the
+// retry window, including this one; 0 if it is not known.
+func (g *Gateway) retryingInstances() int {
 	if g.peers == nil {
 		return 1
 	}
-	return len(g.peers.livePeers()) + 1
+	return g.peers.membership.Instances(g.now(), sharedDomain, g.settings.Retries.Window.Std())
 }
 
 // applyConfiguration activates a configuration unless its version is not newer than the
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -197,10 +197,12 @@
 
 // ServiceState is the state of one service.
 type ServiceState struct {
-	Name      string                   `json:"name"`
-	Waiting   int                      `json:"waiting"`
-	Retries   retry.Usage              `json:"retries"`
-	Upstreams []dispatch.UpstreamState `json:"upstreams"`
+	Name    string      `json:"name"`
+	Waiting int         `json:"waiting"`
+	Retries retry.Usage `json:"retries"`
+	// RetrySlack is this instance's share of the retries that need no requests.
+	RetrySlack int                      `json:"retry_slack"`
+	Upstreams  []dispatch.UpstreamState `json:"upstreams"`
 }
 
 // State returns the current state of the instance.
@@ -216,7 +218,7 @@
 	}
 	now := g.now()
 	for _, svc := range g.sortedServices() {
-		state.Services = append(state.Services, ServiceState{Name: svc.name, Waiting: svc.dispatcher.Waiting(), Retries: svc.budget.Usage(now), Upstreams: svc.dispatcher.Snapshot(now)})
+		state.Services = append(state.Services, ServiceState{Name: svc.name, Waiting: svc.dispatcher.Waiting(), Retries: svc.budget.Usage(now), RetrySlack: g.retrySlack(), Upstreams: svc.dispatcher.Snapshot(now)})
 	}
 	return state
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -53,31 +53,33 @@
 		name: name,
 		dispatcher: dispatch.New(dispatch.Options{Domain: g.settings.FailureDomain, TokensPerMS: g.settings.PromptTokensPerMS},
 			rand.New(rand.NewPCG(g.seed, xxhash.Sum64String(name)))),
-		budget:  retry.NewWindow(retryRatioFraction*g.settings.Retries.Ratio, g.retrySlack(), g.settings.Retries.Window.Std()),
+		budget:  retry.NewWindow(retryRatioFraction*g.settings.Retries.Ratio, g.settings.Retries.Window.Std()),
 		clients: map[string]*upstream.Client{},
 		waiters: map[uint64]chan dispatch.Decision{},
 	}
 }
 
-const (
-	// retryRatioFraction is the fraction of the published retry ratio that an instance
-	// uses. The remainder allows for differences between instances in request counts and
-	// window boundaries.
-	retryRatioFraction = 0.8
-	// minSlackInstances is the minimum number of instances among which the retry slack is
-	// divided, so that the total stays within the limit even while an instance knows only a
-	// few others.
-	minSlackInstances = 8
-)
+// retryRatioFraction is the fraction of the published retry ratio and slack that the instances
+// use. The remainder allows for differences between instances in request counts and window
+// boundaries.
+const retryRatioFraction = 0.8
 
 // retrySlack returns this instance's share of the retries that are allowed regardless of
-// the number of requests.
+// the number of requests. It changes with the number of instances.
 func (g *Gateway) retrySlack() int {
-	share := int(retryRatioFraction*float64(g.settings.Retries.Slack)) / max(minSlackInstances, g.instanceCount())
+	share := g.retrySlackAt(g.now())
 	g.metrics.retrySlack.Set(float64(share))
 	return share
 }
 
+func (g *Gateway) retrySlackAt(uptime time.Duration) int {
+	slack := retry.Slack{Total: int(retryRatioFraction * float64(g.settings.Retries.Slack)), Window: g.settings.Retries.Window.Std()}
+	return slack.Share(uptime, g.retryingInstances())
+}
+
+// retryAvailable reports whether the budget would allow a retry now.
+func (s *service) retryAvailable(g *Gateway) bool { return s.budget.Available(g.now(), g.retrySlack()) }
+
 // acquire submits a request to the dispatcher and waits while it is queued.
 func (s *service) acquire(ex *exchange, r dispatch.Request) dispatch.Decision {
 	waiter := make(chan dispatch.Decision, 1)
