retry: a retry counts when it arrives, not when it is allowed

Upstreams could get the retries of several windows in one.

Cause: the window counted a retry when it was allowed. Until it arrives it may wait in the dispatcher. And where its first attempt was given up at a paused upstream, that attempt is the repeat: the upstream reads it from its sockets when it goes on, together with all others, although the connections have long been closed. The class: an event that is accounted for when it is decided instead of when it takes effect.

A retry now counts in every window until its arrival is known: while it is not sent, and while an attempt that ended without an answer or the loss of its connection may still be read. The upstream's next answer settles it, the loss of the upstream for 30 s drops it, a retry that is never sent is given back. A failed dial after a retry costs no second one.

TestArrivalsStayWithinTheBound fails when retries count as they are allowed, and when unread attempts are left out (5 of 4 each). TestRetriesCountUntilAPausedUpstreamGoesOn checks the same through sockets: before, the retries had left the window when the upstream read the attempts.

--- a/internal/coordination/retry/slack_test.go
+++ b/internal/coordination/retry/slack_test.go
@@ -74,7 +74,12 @@
 		for now := time.Duration(0); now < end; now += step {
 			for _, in := range fleet {
 				share := Slack{Total: total, Window: windowLength}.Share(now-in.startedAt, in.known(now, fleet))
-				for in.running(now) && in.window.Allow(now, share) {
+				for in.running(now) {
+					r := in.window.Allow(now, share)
+					if r == nil {
+						break
+					}
+					in.window.Sent(now, r)
 					retries = append(retries, now)
 				}
 			}
--- a/internal/coordination/retry/window_test.go
+++ b/internal/coordination/retry/window_test.go
@@ -33,7 +33,8 @@
 				firstAttempts = append(firstAttempts, now)
 				continue
 			}
-			if w.Allow(now, slack) {
+			if r := w.Allow(now, slack); r != nil {
+				w.Sent(now, r)
 				retries = append(retries, now)
 				if float64(countInWindow(retries)) > ratio*float64(countInWindow(firstAttempts))+slack {
 					t.Fatalf("at %v: %d retries for %d first attempts in the window", now, countInWindow(retries), countInWindow(firstAttempts))
@@ -52,7 +53,8 @@
 	}
 	allowed := 0
 	for range 50 {
-		if w.Allow(5*time.Second, 0) {
+		if r := w.Allow(5*time.Second, 0); r != nil {
+			w.Sent(5*time.Second, r)
 			allowed++
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,6 +95,7 @@
 	response, err := ex.service.clientFor(a.grant.Upstream).Do(ex.callCtx, upstream.Call{
 		Request:       req,
 		HeaderTimeout: a.responseTimeout(),
+		BeforeSend:    func() bool { ex.recordSending(); return true },
 		IsForeign: func(header *fasthttp.ResponseHeader) bool {
 			matches := ex.gateway.adapter.Upstream.MatchesRequest(header, ex.request.ID)
 			if !matches {
@@ -104,6 +105,7 @@
 		},
 	})
 	a.recordSend(err)
+	a.recordReading(err)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -36,6 +36,7 @@
 	sentAttempts    int      // attempts of which a byte may have been sent
 	countedAttempts int      // sentAttempts that count against the route's MaxAttempts
 	mayHaveRun      bool
+	retries         retryState
 	progress        streamProgress
 	outcome         string
 	lastUpstream    string // of the last attempt
@@ -221,36 +222,6 @@
 	return ex.upstreamError(a)
 }
 
-// allowRetry takes a retry from the budget, unless no byte of the request has been sent
-// yet: failed dials cost no retry and are bounded by maxFailedDials and the deadline.
-func (ex *exchange) allowRetry() bool {
-	if ex.sentAttempts == 0 {
-		return len(ex.triedUpstreams) < maxFailedDials
-	}
-	slack := ex.gateway.retrySlack()
-	allowed := ex.service.budget.Allow(ex.gateway.now(), slack)
-	ex.logRetryDecision(allowed, slack)
-	return allowed
-}
-
-// logRetryDecision logs and counts a decision of the retry budget, with its inputs.
-func (ex *exchange) logRetryDecision(allowed bool, slack int) {
-	usage := ex.service.budget.Usage(ex.gateway.now())
-	fields := logrus.Fields{"service": ex.service.name, "first_attempts": usage.FirstAttempts, "retries": usage.Retries,
-		"slack": slack, "instances": ex.gateway.retryingInstances()}
-	if allowed {
-		ex.gateway.metrics.retries.WithLabelValues("allowed").Inc()
-		ex.logEntry(eventlog.RetryAllowed).WithFields(fields).Info("retry allowed")
-		return
-	}
-	ex.gateway.metrics.retries.WithLabelValues("denied").Inc()
-	ex.logEntry(eventlog.RetryDenied).WithFields(fields).Warn("retry budget exhausted")
-}
-
-// maxFailedDials bounds the number of upstreams that are dialed without success for one
-// request.
-const maxFailedDials = 4
-
 // upstreamError returns the final error after a failed attempt.
 func (ex *exchange) upstreamError(a *attempt) *apierror.Error {
 	if ex.mayHaveRun {
@@ -329,6 +300,7 @@
 	if ex.conn != nil {
 		ex.conn.requestDone()
 	}
+	ex.settleRetries()
 	ex.logOutcome()
 }
 
