entry: instances that were cut off learn of crashes from peers

Each instance now sends its latest suspicions to one random instance every 3 s, if it has any. TestMissedSuspicionsReachPeers failed before (not seen in 30 s).

--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -251,6 +251,7 @@
 	if in.peers != nil {
 		group.Go(func() error { return in.peers.runGossip(runCtx) })
 		group.Go(func() error { return periodic.Run(runCtx, metadataInterval, in.publishMetadata) })
+		group.Go(func() error { return periodic.Run(runCtx, suspicionResendInterval, in.peers.resendSuspicions) })
 	}
 	if in.config != nil {
 		group.Go(func() error { return in.config.run(runCtx) })
