soak: judge crashing requests by when they were sent, for the whole run

The check counted arrivals later than 3 s after the third arrival. The check now takes the third crash, and the caller's time for what a paused upstream reads.

Each of two crashing requests now comes again until the end of the run instead of a third of it, as the callers of such requests do.

--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -10,8 +10,8 @@
 const (
 	// crashPrefix is the path prefix of requests that crash the upstream that executes them.
 	crashPrefix = lookupPrefix + "crashing-"
-	// crashingRequests is the number of such requests in a run; they follow one another.
-	crashingRequests = 3
+	// crashingRequests is the number of such requests in a run. Each comes again until the end.
+	crashingRequests = 2
 	// crashingInterval is the mean time between two sendings of such a request by its caller.
 	crashingInterval = 400 * time.Millisecond
 	// minRestart and maxRestart limit the time until a crashed upstream runs again.
@@ -27,27 +27,32 @@
 		callers[i] = newCaller(tb, i, crashingCallerNumber, seed)
 		defer callers[i].transport.CloseIdleConnections()
 	}
-	perRequest := tb.options.Duration / crashingRequests
-	for start := time.Now(); ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		sleepContext(ctx, time.Duration(rng.Int64N(int64(2*crashingInterval))))
-		number := min(time.Since(start)/perRequest, crashingRequests-1)
 		c := callers[rng.IntN(len(callers))]
-		out <- c.sendUnchanged(fmt.Sprintf("%s%d", crashPrefix, number), permanentKey)
+		out <- c.sendUnchanged(fmt.Sprintf("%s%d", crashPrefix, rng.IntN(crashingRequests)), permanentKey)
 	}
 }
 
 // crashingCallerNumber is the caller number of the caller of crashing requests.
 const crashingCallerNumber = 98
 
+// upstreamCrash is a crash of an upstream by a request to the path.
+type upstreamCrash struct {
+	path string
+	at   time.Time
+}
+
 // crash ends the connections of the upstream and refuses new ones until it runs again, under the
-// same name.
-func (u *upstream) crash() {
+// same name. The path is that of the request that causes it.
+func (u *upstream) crash(path string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.down {
 		return
 	}
 	u.down = true
+	u.crashes = append(u.crashes, upstreamCrash{path, time.Now()})
 	downTime := minRestart + time.Duration(u.rng.Int64N(int64(maxRestart-minRestart)))
 	u.proxy.refuse()
 	time.AfterFunc(downTime, func() {
--- a/internal/soak/retries.go
+++ b/internal/soak/retries.go
@@ -24,7 +24,7 @@
 	// deadlineTolerance is how much later than the caller's deadline an upstream may stop work.
 	deadlineTolerance = 500 * time.Millisecond
 	// toleratedCrashes is the number of upstreams that a request may crash, and the number of
-	// arrivals that are tolerated once every instance must know of these crashes.
+	// sendings that are tolerated once every instance must know of these crashes.
 	toleratedCrashes = 3
 )
 
@@ -152,35 +152,56 @@
 // checkCrashes checks that a request that has crashed several upstreams is not sent on by
 // instances that could have learned of it.
 func (tb *testbed) checkCrashes(observations []observation, arrivals map[string][]standin.Arrival) {
-	type sending struct {
-		standin.Arrival
-		instance *instance
-	}
-	sendings := map[string][]sending{}
+	late := map[string]int{}
 	for _, o := range observations {
 		if !crashesUpstreams(o.path) {
 			continue
 		}
+		known, ok := tb.lastToleratedCrash(o.path)
+		if !ok {
+			continue
+		}
 		for _, a := range arrivals[o.id] {
-			sendings[o.path] = append(sendings[o.path], sending{a, tb.instances[o.instance]})
+			sent := tb.sendingTime(o, a)
+			if sent.After(known.Add(stabilityPeriod)) && tb.instances[o.instance].processFaults.inactiveBetween(sent.Add(-stabilityPeriod), sent) {
+				late[o.path]++
+			}
 		}
 	}
-	for path, list := range sendings {
-		slices.SortFunc(list, func(a, b sending) int { return a.At.Compare(b.At) })
-		if len(list) <= toleratedCrashes {
-			continue
+	for path, n := range late {
+		if n > toleratedCrashes {
+			tb.addViolation("%s was sent to upstreams %d times later than %v after it had crashed %d", path, n, stabilityPeriod, toleratedCrashes)
 		}
-		late := 0
-		for _, s := range list[toleratedCrashes:] {
-			known := list[toleratedCrashes-1].At.Add(stabilityPeriod)
-			if s.At.After(known) && s.instance.processFaults.inactiveBetween(s.At.Add(-stabilityPeriod), s.At) {
-				late++
+	}
+}
+
+// lastToleratedCrash returns the time of the last crash by requests to the path that is tolerated;
+// ok is false if there are fewer crashes.
+func (tb *testbed) lastToleratedCrash(path string) (at time.Time, ok bool) {
+	var times []time.Time
+	for _, u := range tb.upstreams {
+		u.mu.Lock()
+		for _, c := range u.crashes {
+			if c.path == path {
+				times = append(times, c.at)
 			}
 		}
-		if late > toleratedCrashes {
-			tb.addViolation("%s crashed upstreams %d times, %d of them later than %v after the third", path, len(list), late, stabilityPeriod)
-		}
+		u.mu.Unlock()
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	if len(times) < toleratedCrashes {
+		return time.Time{}, false
+	}
+	return times[toleratedCrashes-1], true
+}
+
+// sendingTime estimates when an instance sent an attempt. An upstream that was paused may have read
+// it much later.
+func (tb *testbed) sendingTime(o observation, a standin.Arrival) time.Time {
+	if tb.upstreamByName(a.Upstream).linkFaults.inactiveBetween(o.sent, a.At) {
+		return a.At
 	}
+	return o.sent
 }
 
 // crashesUpstreams reports whether a request to the path crashes the upstream that executes it.
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -28,6 +28,7 @@
 	mu           sync.Mutex
 	rng          *rand.Rand
 	down, closed bool
+	crashes      []upstreamCrash
 	endPause     func()
 }
 
@@ -44,7 +45,7 @@
 
 func (u *upstream) behaviour(execution standin.Execution) standin.Behaviour {
 	if crashesUpstreams(execution.URI) {
-		go u.crash()
+		go u.crash(execution.URI)
 		return standin.Behaviour{BreakAfter: 1}
 	}
 	share := faultyRequestShare
