--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,6 +33,27 @@
 	}
 }
 
+// Guards against more retries than the published bound, and against requests that go on crashing
+// upstreams, with many instances that start, restart and are cut off while few requests arrive.
+func TestRetryBoundsHoldUnderFaults(t *testing.T) {
+	file, err := buildDaemon()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Seed: 31, Duration: 25 * time.Second, Instances: 28, Upstreams: 10, Faults: RetryFaults, Rate: 50, Daemon: file, Dir: t.TempDir()}
+	report, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	if report.RetrySlackUsed == 0 {
+		t.Error("no request was retried")
+	}
+}
+
 // regressionSeeds are the seeds that once violated a guarantee, with the cause. Every test run
 // repeats them.
 var regressionSeeds = []struct {
