--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -146,7 +146,7 @@
 		}
 	}
 	if tb.options.Faults == RetryFaults {
-		callers.Go(func() { tb.startCrashingCaller(ctx, seed, out) })
+		callers.Go(func() { tb.runCrashingCaller(ctx, seed, out) })
 	}
 	go func() {
 		callers.Wait()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -112,28 +112,9 @@
 	}
 	defer tb.close()
 	plan := newFaultPlan(o.Seed, o)
-	startDelays := tb.startDelays(plan)
-	for i, in := range tb.instances {
-		if startDelays[i] > 0 {
-			continue
-		}
-		if err := in.start(); err != nil {
-			return Report{}, err
-		}
-	}
-	for i, in := range tb.instances {
-		if startDelays[i] > 0 {
-			continue
-		}
-		if !in.awaitReady(startTimeout) {
-			return Report{}, errors.Errorf("%s is not ready %v after its start, see %s", in.name, startTimeout, in.logFile())
-		}
-	}
 	var delayedStarts sync.WaitGroup
-	for i, delay := range startDelays {
-		if delay > 0 {
-			tb.startLater(ctx, i, delay, &delayedStarts)
-		}
+	if err := tb.startInstances(ctx, tb.startDelays(plan), &delayedStarts); err != nil {
+		return Report{}, err
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
@@ -201,6 +182,31 @@
 	return tb, nil
 }
 
+// startInstances starts the instances and waits until those without a delay are ready.
+func (tb *testbed) startInstances(ctx context.Context, delays []time.Duration, delayed *sync.WaitGroup) error {
+	var started []*instance
+	for i, in := range tb.instances {
+		if delays[i] > 0 {
+			continue
+		}
+		if err := in.start(); err != nil {
+			return err
+		}
+		started = append(started, in)
+	}
+	for _, in := range started {
+		if !in.awaitReady(startTimeout) {
+			return errors.Errorf("%s is not ready %v after its start, see %s", in.name, startTimeout, in.logFile())
+		}
+	}
+	for i, delay := range delays {
+		if delay > 0 {
+			tb.startLater(ctx, i, delay, delayed)
+		}
+	}
+	return nil
+}
+
 // startDelays returns how long after the load each instance starts.
 func (tb *testbed) startDelays(plan []fault) []time.Duration {
 	delays := make([]time.Duration, len(tb.instances))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,20 +70,7 @@
 		t.Fatal(err)
 	}
 	defer upstreamStandin.Close()
-	post := func(id string) {
-		r, err := standin.Request{Address: upstreamStandin.Address(), Method: http.MethodPost, Path: orderPrefix + id, ID: id, Body: "body"}.Build(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
-		res, err := http.DefaultClient.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		res.Body.Close()
-	}
-	post("twice")
-	post("twice")
-	post("refused")
+	postAll(t, upstreamStandin, orderPrefix, requestTimeout, "twice", "twice", "refused")
 	past := time.Now().Add(-time.Minute)
 	tb := &testbed{instances: []*instance{{name: "front-0"}}, upstreams: []*upstream{{Upstream: upstreamStandin}}, linkFaults: make([]faultIntervals, 1),
 		routes: []publication{{name: "gone", publishedAt: past, removedAt: past.Add(time.Second)}, {name: "there", publishedAt: past}}}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -3,84 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/yuccabridge/yuccabridge/platform/standin"
 )
 
-// upstream is an upstream stand-in with its proxy and the numbers of its active faults.
-type upstream struct {
-	*standin.Upstream
-	proxy                                                *proxy
-	activeBreaks, activeRejections, activeStaleResponses atomic.Int32
-	activeFaultsOfMany                                   atomic.Int32 // raise the share of affected requests
-	activePauses                                         atomic.Int32
-	bornMS                                               atomic.Int64 // Unix time of the last start after a crash
-	linkFaults                                           faultIntervals
-	publish                                              func() // publishes the registration
-	reportError                                          func(error)
-
-	mu           sync.Mutex
-	rng          *rand.Rand
-	down, closed bool
-	crashes      []upstreamCrash
-	endPause     func()
-}
-
-const (
-	eventsPerStream  = 8
-	eventInterval    = 15 * time.Millisecond
-	responseDelay    = 8 * time.Millisecond
-	breakAfterEvents = 3
-	// faultyRequestShare is the fraction of requests that an active upstream fault affects.
-	faultyRequestShare = 0.4
-	// faultyShareOfMany replaces faultyRequestShare while several upstreams have the fault.
-	faultyShareOfMany = 0.85
-)
-
-func (u *upstream) behaviour(execution standin.Execution) standin.Behaviour {
-	if crashesUpstreams(execution.URI) {
-		go u.crash(execution.URI)
-		return standin.Behaviour{BreakAfter: 1}
-	}
-	share := faultyRequestShare
-	if u.activeFaultsOfMany.Load() > 0 {
-		share = faultyShareOfMany
-	}
-	u.mu.Lock()
-	faulty := u.rng.Float64() < share
-	u.mu.Unlock()
-	b := standin.Behaviour{Delay: responseDelay}
-	if strings.HasPrefix(execution.URI, streamPrefix) {
-		b.Events, b.Delay = eventsPerStream, eventInterval
-	}
-	switch {
-	case !faulty:
-	case u.activeRejections.Load() > 0:
-		b.NotRun = true
-	case u.activeBreaks.Load() > 0:
-		b.BreakAfter = breakAfterEvents
-	case u.activeStaleResponses.Load() > 0 && b.Events == 0:
-		b.StaleResponse = true
-	}
-	return b
-}
-
-// registration returns the upstream's registration. It has the address of the proxy, so that all
-// connections pass through it.
-func (u *upstream) registration(leaving bool) standin.Registration {
-	r := standin.Registration{Address: u.proxy.address(), Service: serviceName, FailureDomain: "zone", Slots: 16, Leaving: leaving}
-	if ms := u.bornMS.Load(); ms > 0 {
-		r.Born = time.UnixMilli(ms)
-	}
-	return r
-}
-
 const (
 	serviceName      = "svc"
 	hostName         = "soak.example"
@@ -275,21 +204,6 @@
 	adjust(-1)
 }
 
-// pause changes the number of active pauses. A paused upstream accepts connections and reads
-// nothing; then it goes on with all that has arrived, as a process does after SIGCONT.
-func (u *upstream) pause(delta int32) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	switch n := u.activePauses.Add(delta); {
-	case n > 0 && delta > 0 && n == 1:
-		u.endPause = u.linkFaults.begin()
-		u.proxy.setMode(modeStall)
-	case n == 0:
-		u.proxy.setMode(modePass)
-		u.endPause()
-	}
-}
-
 // adjustStoreFailures changes the number of active store failures. They may overlap, so the store
 // recovers only when the last one ends.
 func (tb *testbed) adjustStoreFailures(delta int) {
