dispatch: an upstream whose address belongs to another one is ejected

Callers got 503 "no upstream took the request" while other upstreams were free: a published address that had passed to another upstream answered 421 at once, which cost an attempt and a retry each, until the retry budget was used up.

Cause: a 421 counted like a refusal for lack of room, after which an upstream is used as before; without answers it has no latency and looks the fastest.

--- a/internal/coordination/dispatch/feedback.go
+++ b/internal/coordination/dispatch/feedback.go
@@ -107,6 +107,8 @@
 	case Refused:
 		d.recordAnswer(g)
 		u.addWork(now, g.rank, refusedDelay)
+	case Misdirected:
+		u.recordMisdirected(now)
 	case Cancelled:
 	}
 }
--- a/internal/coordination/dispatch/restart_test.go
+++ b/internal/coordination/dispatch/restart_test.go
@@ -30,3 +30,31 @@
 		t.Errorf("%+v, want no cached tokens", second.Grant)
 	}
 }
+
+// Guards against retries that are used up at an address that belongs to another upstream: until
+// the list is updated each request sent there is refused, and dials succeed.
+func TestMisdirectedUpstreamIsEjected(t *testing.T) {
+	const length = 10 * time.Second
+	d := New(Options{}, rand.New(rand.NewPCG(1, 1)))
+	d.Update(0, []Upstream{{ID: "gone", Slots: 4}, {ID: "b", Slots: 4}, {ID: "c", Slots: 4}})
+	misdirected := 0
+	for now := time.Duration(0); now < length; now += 10 * time.Millisecond {
+		for _, u := range d.ProbesDue(now) {
+			d.RecordProbe(now, u.ID, true)
+		}
+		g := d.Submit(now, Request{ID: uint64(now) + 1, Arrived: now, Target: now + time.Second, Deadline: now + time.Second}).Grant
+		if g == nil {
+			t.Fatal("no upstream was granted")
+		}
+		if g.Upstream.ID == "gone" {
+			misdirected++
+			d.Done(now, g.Token, Misdirected)
+			continue
+		}
+		d.FirstOutput(now, g.Token)
+		d.Done(now, g.Token, Succeeded)
+	}
+	if limit := int(length/maxBackoff) + 1; misdirected > limit {
+		t.Errorf("%d of %d requests were misdirected in %v, want at most %d", misdirected, length/(10*time.Millisecond), length, limit)
+	}
+}
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -140,6 +140,8 @@
 	NoResponse
 	// Refused means that the upstream did not execute the request.
 	Refused
+	// Misdirected means that another upstream answered: the published address is outdated.
+	Misdirected
 	// Cancelled means that the caller disconnected; it says nothing about the upstream.
 	Cancelled
 )
--- a/internal/coordination/dispatch/upstream.go
+++ b/internal/coordination/dispatch/upstream.go
@@ -205,4 +205,11 @@
 	u.nextProbeAt = now + min(backoff, maxBackoff)
 }
 
+// recordMisdirected ejects an upstream whose address belongs to another one. Dials succeed there, so
+// the first probe is late enough for the list of upstreams to be updated before.
+func (u *upstream) recordMisdirected(now time.Duration) {
+	u.connectFailures++
+	u.nextProbeAt = now + maxBackoff
+}
+
 func (u *upstream) recordReachable() { u.connectFailures, u.nextProbeAt = 0, 0 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -232,7 +232,10 @@
 	if a.exchange.callerClosed() {
 		return dispatch.Cancelled
 	}
-	if a.notRun() {
+	switch a.responseKind {
+	case ResponseMisdirected:
+		return dispatch.Misdirected
+	case ResponseNotRun:
 		return dispatch.Refused
 	}
 	var failure *upstream.Failure
@@ -294,5 +297,5 @@
 
 var outcomeLabels = map[dispatch.Status]string{
 	dispatch.Succeeded: "succeeded", dispatch.Failed: "failed", dispatch.Unreachable: "unreachable", dispatch.NoResponse: "silent",
-	dispatch.Refused: "refused", dispatch.Cancelled: "cancelled",
+	dispatch.Refused: "refused", dispatch.Misdirected: "misdirected", dispatch.Cancelled: "cancelled",
 }
