gateway: a stream that cannot begin before its caller leaves is rejected

Cause: callers wait less long for the first event than for the stream, and the dispatcher knew only the latter. A request that is predicted to begin later is rejected at once with a time to come back, and one that waits is rejected when it can no longer begin in time.

--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -38,6 +38,9 @@
 	LatencyTarget time.Duration
 	// InterTokenTarget is the longest pause between events of a stream that is on time.
 	InterTokenTarget time.Duration
+	// FirstOutputLimit is how long callers wait for the first event of a stream before they
+	// disconnect; 0 if only the timeout applies.
+	FirstOutputLimit time.Duration
 	// Priority is the priority of requests; 0 is the most urgent. It orders the requests of
 	// teams with equal priorities.
 	Priority int
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -197,7 +197,7 @@
 func (ex *exchange) newDispatchRequest() dispatch.Request {
 	r := dispatch.Request{
 		ID: ex.gateway.requestSequence.Add(1), Class: ex.route.Name, Team: ex.team, Rank: ex.rank,
-		Arrived: ex.arrived, Target: ex.arrived + ex.route.LatencyTarget, Deadline: ex.deadline,
+		Arrived: ex.arrived, Target: ex.arrived + ex.route.LatencyTarget, Deadline: ex.firstOutputDeadline(),
 		Prompt: ex.request.PromptTokens, Output: ex.request.MaxOutputTokens, Prefix: ex.request.PromptPrefix,
 		InterTokenTarget: ex.route.InterTokenTarget, Exclude: ex.triedUpstreams,
 	}
@@ -206,6 +206,15 @@
 	return r
 }
 
+// firstOutputDeadline returns the time after which the first output would reach no caller. A
+// stream that the caller has begun to receive is bound by the deadline of the request alone.
+func (ex *exchange) firstOutputDeadline() time.Duration {
+	if ex.route.FirstOutputLimit <= 0 || ex.progress.events > 0 {
+		return ex.deadline
+	}
+	return min(ex.deadline, ex.arrived+ex.route.FirstOutputLimit)
+}
+
 // checkRetry decides whether the request may be sent to another upstream. It returns the
 // final error if not.
 func (ex *exchange) checkRetry(a *attempt) *apierror.Error {
