--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -186,25 +187,32 @@
 	return suspicions
 }
 
-// Digest returns a hash of all unexpired crashes. Instances that know the same crashes have the
-// same digest; it is 0 without crashes.
-func (q *Quarantine) Digest(now time.Duration) uint64 {
+// Refused returns the suspicions of at most limit requests that are refused, with their open
+// crashes, those with the latest crashes first. They are what an instance must learn that has
+// missed the broadcasts; suspects, of which a crash leaves many, are not included.
+func (q *Quarantine) Refused(now time.Duration, limit int) []Suspicion {
+	var suspicions []Suspicion
+	for i := range q.shards {
+		s := &q.shards[i]
+		s.mu.Lock()
+		suspicions = s.appendRefused(now, suspicions)
+		s.mu.Unlock()
+	}
+	slices.SortFunc(suspicions, func(a, b Suspicion) int { return cmp.Compare(a.Age, b.Age) })
+	return suspicions[:min(len(suspicions), limit)]
+}
+
+// RefusedDigest returns a hash of all refused requests and their open crashes; 0 if there are none.
+func (q *Quarantine) RefusedDigest(now time.Duration) uint64 {
 	var digest uint64
-	for _, suspicion := range q.Snapshot(now) {
+	for _, suspicion := range q.Refused(now, math.MaxInt) {
 		for _, c := range suspicion.Crashes {
-			digest ^= xxhash.Sum64String(fmt.Sprint(uint64(suspicion.Fingerprint), suspicion.Cleared, len(c.Upstream), c.Upstream, c.Incarnation))
+			digest ^= xxhash.Sum64String(fmt.Sprint(uint64(suspicion.Fingerprint), len(c.Upstream), c.Upstream, c.Incarnation))
 		}
 	}
 	return digest
 }
 
-// Latest returns at most limit unexpired suspicions, those with the latest crashes first.
-func (q *Quarantine) Latest(now time.Duration, limit int) []Suspicion {
-	suspicions := q.Snapshot(now)
-	slices.SortFunc(suspicions, func(a, b Suspicion) int { return cmp.Compare(a.Age, b.Age) })
-	return suspicions[:min(len(suspicions), limit)]
-}
-
 // Len returns the number of entries, including cleared and expired ones not yet removed.
 func (q *Quarantine) Len() int {
 	n := 0
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -327,3 +327,26 @@
 		t.Errorf("%d entries after an oversized name, want 1", n)
 	}
 }
+
+// Guards against exchanges between instances that grow with the suspects of a crash, and against
+// instances that exchange what both already know.
+func TestRefusedLeavesSuspectsOut(t *testing.T) {
+	a, b := New(Options{}), New(Options{})
+	crash := func(upstream string) CrashID { return CrashID{Upstream: upstream, Incarnation: "1"} }
+	refused := Suspicion{Fingerprint: 1, Team: "x", Crashes: []CrashID{crash("i-a"), crash("i-b")}}
+	cleared := Suspicion{Fingerprint: 2, Team: "x", Crashes: []CrashID{crash("i-a"), crash("i-b")}, Cleared: true}
+	a.Merge(0, []Suspicion{refused, cleared, {Fingerprint: 3, Team: "x", Crashes: []CrashID{crash("i-a")}}})
+	if got := a.Refused(time.Second, 10); len(got) != 1 || got[0].Fingerprint != 1 || len(got[0].Crashes) != 2 {
+		t.Fatalf("%+v", got)
+	}
+	if a.RefusedDigest(0) == b.RefusedDigest(0) {
+		t.Error("the digest does not show that one instance refuses a request")
+	}
+	b.Merge(time.Second, a.Refused(time.Second, 10))
+	if b.Check(time.Second, 1) != Refuse || a.RefusedDigest(time.Second) != b.RefusedDigest(time.Second) {
+		t.Error("the instances differ after the exchange")
+	}
+	if got := a.Refused(DefaultLifetime, 10); len(got) != 0 || a.RefusedDigest(DefaultLifetime) != 0 {
+		t.Errorf("refused after the lifetime: %+v", got)
+	}
+}
--- a/internal/coordination/quarantine/shard.go
+++ b/internal/coordination/quarantine/shard.go
@@ -232,6 +232,23 @@
 	return suspicions
 }
 
+// appendRefused appends the suspicions of the refused requests of the shard.
+func (s *shard) appendRefused(now time.Duration, suspicions []Suspicion) []Suspicion {
+	for _, e := range s.entries {
+		if now-e.latestCrashAt >= s.lifetime || e.verdict() != Refuse {
+			continue
+		}
+		suspicion := Suspicion{Fingerprint: e.fingerprint, Team: e.team.name, Age: now - e.latestCrashAt}
+		for _, c := range e.crashes {
+			if !c.cleared {
+				suspicion.Crashes = append(suspicion.Crashes, c.id)
+			}
+		}
+		suspicions = append(suspicions, suspicion)
+	}
+	return suspicions
+}
+
 func (s *shard) addRun(f Fingerprint, team, upstream string) {
 	runs := s.running[upstream]
 	if runs == nil {
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -140,7 +140,7 @@
 	w.unread[upstream] = append(w.unread[upstream], unreadAttempt{retry: r, since: now})
 }
 
-// Answered records that the upstream has answered a request: it has read what was sent before.
+// Answered records output of the upstream: it is running and has read what was sent before.
 func (w *Window) Answered(now time.Duration, upstream string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/entry/dissemination.go
+++ b/internal/entry/dissemination.go
@@ -36,8 +36,8 @@
 	leavingListTTL = 10 * time.Second
 	// maxSuspicionsPerMessage keeps a message far below the frame size limit.
 	maxSuspicionsPerMessage = 512
-	// suspicionResendInterval is how often an instance sends its suspicions to one other
-	// instance. A broadcast does not reach instances that are cut off at that moment.
+	// suspicionResendInterval is how often an instance sends the requests that it refuses to one
+	// other instance. A broadcast does not reach instances that are cut off at that moment.
 	suspicionResendInterval = 3 * time.Second
 	// domainPressureSource is the peer name under which the schedulers record the merged
 	// pressure of the failure domain.
@@ -134,15 +134,15 @@
 	}
 }
 
-// resendSuspicions sends the latest suspicions to a random instance.
+// resendSuspicions sends the requests that are refused here to a random instance.
 func (g *peerGroup) resendSuspicions() {
 	members := g.liveMembers()
 	if len(members) == 0 {
 		return
 	}
-	latest := g.instance.quarantine.Latest(g.instance.now(), maxSuspicionsPerMessage)
-	if len(latest) > 0 {
-		g.sendSuspicions([]membership.Member{members[rand.IntN(len(members))]}, latest)
+	refused := g.instance.quarantine.Refused(g.instance.now(), maxSuspicionsPerMessage)
+	if len(refused) > 0 {
+		g.sendSuspicions([]membership.Member{members[rand.IntN(len(members))]}, refused)
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"math"
 	mathrand "math/rand/v2"
 	"net/netip"
 	"time"
@@ -56,8 +57,9 @@
 }
 
 // pullMessage requests what the peer knows beyond this instance: a snapshot newer than a
-// revision, and the requests that crash upstreams if their digest differs.
-type pullMessage struct{ Revision, CrashDigest uint64 }
+// revision, and the requests that are refused because they crash upstreams, if their digest
+// differs.
+type pullMessage struct{ Revision, RefusedDigest uint64 }
 
 // pushMessage is the answer to a pullMessage. Snapshot is nil if the peer has nothing
 // newer.
@@ -186,20 +188,25 @@
 		if p.platformUnavailable() || intervals >= idlePullIntervals {
 			intervals = 0
 			if live := p.livePeers(); len(live) > 0 {
-				p.pull(ctx, live[mathrand.IntN(len(live))])
+				revision, _ := p.gateway.platformWatcher.replica.Revision()
+				p.pull(ctx, live[mathrand.IntN(len(live))], revision)
 			}
 		}
 	})
 }
 
-// pullQueued pulls from the peers in the pull queue.
+// pullQueued pulls the refused requests, but no snapshots, from the peers in the pull queue.
 func (p *peers) pullQueued(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case member := <-p.pullQueue:
-			p.pull(ctx, member)
+			p.pull(ctx, member, math.MaxUint64)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pullInterval):
 		}
 	}
 }
@@ -208,9 +215,10 @@
 	return p.gateway.platformWatcher.replica.Unavailable() || !p.gateway.platformWatcher.hasSnapshot()
 }
 
-func (p *peers) pull(ctx context.Context, member membership.Member) {
-	request := pullMessage{CrashDigest: p.gateway.quarantine.Digest(p.gateway.now())}
-	request.Revision, _ = p.gateway.platformWatcher.replica.Revision()
+// pull requests what a peer knows beyond this instance, with a snapshot if the peer's is newer than
+// the revision.
+func (p *peers) pull(ctx context.Context, member membership.Member, revision uint64) {
+	request := pullMessage{Revision: revision, RefusedDigest: p.gateway.quarantine.RefusedDigest(p.gateway.now())}
 	payload, err := msgpack.Marshal(request)
 	if err != nil {
 		p.logCallFailure("pull", member.Name, err)
@@ -237,16 +245,11 @@
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
 	}
 	if len(reply.Suspicions) > 0 {
-		p.mergeSuspicions(reply.Suspicions, member.Name)
+		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": member.Name, "suspects": len(reply.Suspicions)}).Info("crashes received from a peer")
+		p.gateway.quarantine.Merge(p.gateway.now(), reply.Suspicions)
 	}
 }
 
-// mergeSuspicions adds the suspicions of a peer.
-func (p *peers) mergeSuspicions(suspicions []quarantine.Suspicion, peer string) {
-	p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": peer, "suspects": len(suspicions)}).Info("crashes received from a peer")
-	p.gateway.quarantine.Merge(p.gateway.now(), suspicions)
-}
-
 func (p *peers) logCallFailure(call, name string, err error) {
 	p.gateway.log.WithFields(logrus.Fields{"event": eventlog.PeerCallFailed, "call": call, "peer": name, "error": err.Error()}).Debug("peer call failed")
 }
@@ -277,7 +280,8 @@
 		if err := msgpack.Unmarshal(m.Payload, &suspicions); err != nil {
 			return nil, errors.Wrap(err, "suspicions")
 		}
-		p.mergeSuspicions(suspicions, from.Name)
+		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": from.Name, "suspects": len(suspicions)}).Debug("broadcast of a crash received")
+		p.gateway.quarantine.Merge(p.gateway.now(), suspicions)
 		return nil, nil
 	}
 	return nil, errors.Errorf("unexpected message of type %s from %s", m.Type(), from.Name)
@@ -289,8 +293,8 @@
 		return nil, errors.Wrap(err, "pull")
 	}
 	reply := pushMessage{Snapshot: p.gateway.platformWatcher.snapshotNewerThan(request.Revision)}
-	if now := p.gateway.now(); p.gateway.quarantine.Digest(now) != request.CrashDigest {
-		reply.Suspicions = p.gateway.quarantine.Latest(now, maxSuspicionsPerPull)
+	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
+		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
 	}
 	payload, err := msgpack.Marshal(reply)
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -101,8 +101,10 @@
 
 // buffer records an event and makes it available to Read.
 func (s *stream) buffer(event []byte) {
-	s.attempt.exchange.progress.record(s.attempt.exchange.gateway.now(), event)
-	s.body.SetReadTimeout(s.attempt.exchange.eventTimeout())
+	ex := s.attempt.exchange
+	ex.progress.record(ex.gateway.now(), event)
+	ex.service.budget.Answered(ex.gateway.now(), s.attempt.grant.Upstream.ID)
+	s.body.SetReadTimeout(ex.eventTimeout())
 	s.pending = append(s.pending[:0], event...)
 }
 
