dispatch: long prompts queue for less time at an engine that they share

Cause: up to 0.6 of their target of 2 s, long prompts wait at the engine instead of in the dispatcher, and what is less urgent waits behind them there. The engine is as busy with a shorter queue. Now it is 0.3. TestQuestionBehindLongPromptsStartsWithinItsCallersPatience failed before (1.31 s predicted, twice that is over 2.4 s).

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -15,8 +15,9 @@
 	defaultQueueLimit  = 512
 	// maxWaitShare is the share of the remaining time to its target that a long prompt may
 	// wait at an upstream; beyond that it waits in the dispatcher. It applies to upstreams
-	// that cannot process one long prompt per slot in the remaining time.
-	maxWaitShare = 0.6
+	// that cannot process one long prompt per slot in the remaining time. Short prompts of
+	// less urgent ranks wait behind the long ones there.
+	maxWaitShare = 0.3
 	// minLongPrefillTime is the minimum prefill time of a long prompt. An upstream that can
 	// process one long prompt per slot, a chunk each, within the target has a short queue
 	// while its slots suffice.
--- a/internal/coordination/dispatch/urgency_test.go
+++ b/internal/coordination/dispatch/urgency_test.go
@@ -183,3 +183,27 @@
 		t.Errorf("the question was rejected: %+v", *r.rejection)
 	}
 }
+
+// Guards against questions of a less urgent team that start after their callers have left, behind
+// the long prompts of a more urgent team: the engines of the users take up to twice as long as
+// predicted when they are overloaded.
+func TestQuestionBehindLongPromptsStartsWithinItsCallersPatience(t *testing.T) {
+	const overloadFactor = 2
+	d := New(Options{}, rand.New(rand.NewPCG(1, 1)))
+	d.Update(0, []Upstream{{ID: "engine", Slots: simSlots, KVCapacityTokens: simKVCapacity}})
+	for id := uint64(1); id <= 40; id++ {
+		d.Submit(0, Request{ID: id, Class: longPrompts.class, Team: "urgent", Rank: longPrompts.priority, Target: longPrompts.target, Deadline: longPrompts.deadline,
+			Prompt: 9000, Prefix: []Part{{ID: id, Tokens: 9000}}, InterTokenTarget: longPrompts.interTokenTarget})
+	}
+	if d.Waiting() == 0 {
+		t.Fatal("the load does not fill the engine's backlog")
+	}
+	decision := d.Submit(0, Request{ID: 100, Class: questions.class, Team: "usual", Rank: 3 + questions.priority, Target: questions.target, Deadline: questionPatience,
+		Prompt: 1800, Prefix: []Part{{ID: 100, Tokens: 1800}}, InterTokenTarget: questions.interTokenTarget})
+	if decision.Grant == nil {
+		t.Fatalf("%+v", decision)
+	}
+	if start := decision.Grant.Wait + decision.Grant.Work; overloadFactor*start > questionPatience {
+		t.Errorf("the question is predicted to start after %v; its caller leaves after %v", start, questionPatience)
+	}
+}
