gateway: log what distinguishes the hypotheses on crashing requests

The logs could not tell whether a crash was not recorded, recorded under another fingerprint, or known too late. attempt_failed now says whether the connection was lost and names the fingerprint, so the copies of one request can be joined; request_placed has the suspicion at the moment of sending; a refused request_ended names its fingerprint. No logic changes. Tests of gateway, quarantine and platform pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,7 +64,7 @@
 	ex.lastUpstream = grant.Upstream.ID
 	ex.logEntry(eventlog.RequestPlaced).WithFields(logrus.Fields{
 		"upstream": grant.Upstream.ID, "address": grant.Upstream.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
-		"route": ex.route.Name, "rank": ex.rank, "load": grant.Load, "slots": grant.Upstream.Slots, "cached": grant.Cached, "home": grant.Preferred, "prompt": ex.request.PromptTokens, "output": ex.request.MaxOutputTokens, "attempt": ex.sentAttempts + 1,
+		"route": ex.route.Name, "rank": ex.rank, "suspicion": ex.suspicion().String(), "load": grant.Load, "slots": grant.Upstream.Slots, "cached": grant.Cached, "home": grant.Preferred, "prompt": ex.request.PromptTokens, "output": ex.request.MaxOutputTokens, "attempt": ex.sentAttempts + 1,
 	}).Info("request placed")
 	ex.gateway.quarantine.Started(a.startedAt, ex.fingerprint, ex.team, grant.Upstream.ID)
 	if err := a.run(); err != nil {
@@ -221,7 +221,8 @@
 		status = dispatch.Unreachable
 	}
 	ex.logEntry(eventlog.AttemptFailed).WithFields(logrus.Fields{
-		"upstream": a.grant.Upstream.ID, "verdict": a.responseKind.String(), "sent": a.sendState == maybeSent, "crashed": crashed,
+		"upstream": a.grant.Upstream.ID, "verdict": a.responseKind.String(), "sent": a.sendState == maybeSent,
+		"connection_lost": lostConnection(err), "crashed": crashed, "fingerprint": ex.fingerprint.String(),
 		"after_ms": (ex.gateway.now() - a.startedAt).Milliseconds(), "error": err.Error(),
 	}).Warn("attempt failed")
 	a.finish(status, false)
@@ -269,7 +270,7 @@
 	id := quarantine.CrashID{Upstream: a.grant.Upstream.ID, Incarnation: cmp.Or(a.grant.Upstream.Incarnation, a.grant.Upstream.ID)}
 	suspicions := a.exchange.gateway.quarantine.UpstreamCrashed(a.exchange.gateway.now(), id)
 	a.exchange.logEntry(eventlog.CrashRecorded).WithFields(logrus.Fields{"upstream": id.Upstream, "incarnation": id.Incarnation,
-		"suspects": len(suspicions)}).Warn("crash of an upstream recorded")
+		"suspects": len(suspicions), "fingerprint": a.exchange.fingerprint.String()}).Warn("crash of an upstream recorded")
 	a.exchange.gateway.broadcastSuspicions(suspicions)
 	return true
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -164,7 +164,7 @@
 
 // acquireUpstream obtains a slot at an upstream from the dispatcher.
 func (ex *exchange) acquireUpstream() (*dispatch.Grant, *apierror.Error) {
-	if ex.gateway.quarantine.Check(ex.gateway.now(), ex.fingerprint) == quarantine.Refuse {
+	if ex.suspicion() == quarantine.Refuse {
 		e := apierror.New(apierror.RequestCrashesUpstreams, "this request crashed two upstreams; it is refused for a while")
 		return nil, ex.withRetryAfter(e)
 	}
@@ -184,6 +184,11 @@
 	return nil, ex.timeoutError()
 }
 
+// suspicion returns what is known of crashes of upstreams that ran this request.
+func (ex *exchange) suspicion() quarantine.Verdict {
+	return ex.gateway.quarantine.Check(ex.gateway.now(), ex.fingerprint)
+}
+
 func (ex *exchange) releaseGrant(grant *dispatch.Grant) {
 	if grant != nil {
 		ex.service.dispatcher.Done(ex.gateway.now(), grant.Token, dispatch.Cancelled)
@@ -349,6 +354,9 @@
 		fields["events"], fields["longest_pause_ms"] = ex.progress.events, ex.progress.longestPause.Milliseconds()
 		fields["first_event_ms"] = (ex.progress.firstAt - ex.arrived).Milliseconds()
 	}
+	if ex.outcome == string(apierror.RequestCrashesUpstreams) {
+		fields["fingerprint"] = ex.fingerprint.String()
+	}
 	ex.gateway.metrics.requests.WithLabelValues(kind, rank, ex.outcome).Inc()
 	if ex.outcome == outcomeServed {
 		ex.logEntry(eventlog.RequestEnded).WithFields(fields).Info("request completed")
