gateway: refuse a crashing request that has waited, too

Callers saw: copies of a request that crashes upstreams, sent at once, took down the upstreams that the others had left. Cause: the instance checked what is known of a request before it waits in the dispatcher and sent it after the wait, a decision older than the knowledge. Change: the check is repeated when the dispatcher grants an upstream; the grant is given back and the copy gets the 503 that the next one would get. Ruled out: a check before each dial as well; a dial lasts 300 ms at most. Copies that already run when the second crash happens are not stopped.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -165,14 +165,17 @@
 // acquireUpstream obtains a slot at an upstream from the dispatcher.
 func (ex *exchange) acquireUpstream() (*dispatch.Grant, *apierror.Error) {
 	if ex.suspicion() == quarantine.Refuse {
-		e := apierror.New(apierror.RequestCrashesUpstreams, "this request crashed two upstreams; it is refused for a while")
-		return nil, ex.withRetryAfter(e)
+		return nil, ex.crashesUpstreamsError()
 	}
 	decision := ex.service.acquire(ex, ex.newDispatchRequest())
 	switch {
 	case ex.callerClosed():
 		ex.releaseGrant(decision.Grant)
 		return nil, errCallerClosed
+	case decision.Grant != nil && ex.suspicion() == quarantine.Refuse:
+		// Other copies may have crashed upstreams while this one waited.
+		ex.releaseGrant(decision.Grant)
+		return nil, ex.crashesUpstreamsError()
 	case decision.Grant != nil:
 		return decision.Grant, nil
 	case decision.Rejection != nil:
@@ -184,6 +187,11 @@
 	return nil, ex.timeoutError()
 }
 
+// crashesUpstreamsError returns the final error of a request that is refused.
+func (ex *exchange) crashesUpstreamsError() *apierror.Error {
+	return ex.withRetryAfter(apierror.New(apierror.RequestCrashesUpstreams, "this request crashed two upstreams; it is refused for a while"))
+}
+
 // suspicion returns what is known of crashes of upstreams that ran this request.
 func (ex *exchange) suspicion() quarantine.Verdict {
 	return ex.gateway.quarantine.Check(ex.gateway.now(), ex.fingerprint)
