gateway: blame a crash also on requests that were given up before it

Callers saw: a request that crashes its upstream after its caller has left, or after its time limit, was sent on without end. Cause: the instance forgot a request as soon as it stopped waiting for it, and a crash was looked for only after a lost connection of a request in progress; a dial that found no listener proved nothing. An upstream need not notice that its caller is gone. Class of fault: a crash that no one is left to see. Change: a run that was given up stays a suspect for 10 s (256 a shard at most); a refused dial, also of a probe, records the crash. A run counts from its first byte, so that a request whose dial is refused isn't blamed itself. Ruled out: a dial after each abandoned request, since connections to upstreams are dear. Open: an instance learns of the crash only when it meets it itself, not by the report of a peer.

--- a/internal/coordination/quarantine/doc.go
+++ b/internal/coordination/quarantine/doc.go
@@ -6,6 +6,9 @@
 // A request is identified by a fingerprint, a keyed hash of team and body. When an
 // upstream crashes, the crash is recorded for every request that was running there:
 //
+// A request whose attempt was given up counts as running for another 10 seconds, because the
+// upstream may still work on it.
+//
 //   - with one open crash, the request runs isolated from other suspects (Suspect);
 //   - with two open crashes, the request is refused (Refuse) until its entry expires, 10
 //     minutes after the latest crash;
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -17,6 +17,13 @@
 	// DefaultMaxEntries is the default for the maximum number of entries of one instance.
 	DefaultMaxEntries = 4096
 
+	// abandonedRunLifetime is how long an upstream may work on a request after this instance
+	// has given the attempt up. Upstreams stop at the deadline that they were given; most
+	// deadlines are shorter.
+	abandonedRunLifetime = 10 * time.Second
+	// maxAbandonedRuns bounds the abandoned runs of one shard; the oldest are forgotten first.
+	maxAbandonedRuns = 256
+
 	// refusalThreshold is the number of open crashes at which a request is refused.
 	refusalThreshold = 2
 	// maxCrashesPerEntry is the maximum number of crashes that one entry keeps.
@@ -109,8 +116,8 @@
 }
 
 // Started records that a request of the team runs at the upstream. Each call must be
-// followed by one call of Completed or Aborted, unless UpstreamCrashed reports the
-// upstream.
+// followed by one call of Completed, Aborted or Abandoned, unless UpstreamCrashed reports
+// the upstream.
 func (q *Quarantine) Started(_ time.Duration, f Fingerprint, team, upstream string) {
 	s := q.lockShard(f)
 	defer s.mu.Unlock()
@@ -131,8 +138,8 @@
 	return []Suspicion{e.clearOpenCrashes(now)}
 }
 
-// Aborted records that a request ended without completing: it was cancelled, or failed
-// without a crash of the upstream. This does not show whether the request causes crashes,
+// Aborted records that a request ended without completing, and that the upstream does not
+// work on it: it was not sent, refused, or answered with an error. This does not show whether the request causes crashes,
 // so its entry does not change.
 func (q *Quarantine) Aborted(_ time.Duration, f Fingerprint, upstream string) {
 	s := q.lockShard(f)
@@ -140,15 +147,24 @@
 	s.removeRun(f, upstream)
 }
 
+// Abandoned records that this instance no longer waits for a request at which the upstream
+// may still work, because the caller left, a time limit expired or the connection was lost.
+// For abandonedRunLifetime the request is still a suspect if the upstream crashes.
+func (q *Quarantine) Abandoned(now time.Duration, f Fingerprint, upstream string) {
+	s := q.lockShard(f)
+	defer s.mu.Unlock()
+	s.abandonRun(now, f, upstream)
+}
+
 // UpstreamCrashed records a crash. It adds the crash to the entries of all requests that
-// run at the upstream and counts them as ended. The result must be sent to the peers
+// run at the upstream, or were abandoned there recently, and counts them as ended. The result must be sent to the peers
 // before the callers get their responses.
 func (q *Quarantine) UpstreamCrashed(now time.Duration, c CrashID) []Suspicion {
 	var suspicions []Suspicion
 	for i := range q.shards {
 		s := &q.shards[i]
 		s.mu.Lock()
-		for f, team := range s.takeRuns(c.Upstream) {
+		for f, team := range s.takeRuns(now, c.Upstream) {
 			s.recordCrash(now, f, team, crashRecord{id: c, occurredAt: now})
 			suspicions = append(suspicions, Suspicion{Fingerprint: f, Team: team, Crashes: []CrashID{c}})
 		}
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -350,3 +350,33 @@
 		t.Errorf("refused after the lifetime: %+v", got)
 	}
 }
+
+// Guards against abandoned runs that are blamed after their lifetime, twice for one crash, or
+// kept without limit.
+func TestAbandonedRunIsSuspectUntilItExpires(t *testing.T) {
+	q := New(Options{})
+	abandon := func(at time.Duration, f Fingerprint) {
+		q.Started(at, f, "team", "u")
+		q.Abandoned(at, f, "u")
+	}
+	abandon(0, 1)
+	abandon(0, 1) // two copies
+	abandon(5*time.Second, 2)
+	if s := q.UpstreamCrashed(abandonedRunLifetime, CrashID{"u", "1"}); len(s) != 1 || s[0].Fingerprint != 2 {
+		t.Errorf("suspects %v, want only request 2: the runs of request 1 have expired", s)
+	}
+	if s := q.UpstreamCrashed(abandonedRunLifetime, CrashID{"u", "2"}); len(s) != 0 {
+		t.Errorf("suspects %v of the next crash, want none", s)
+	}
+	for i := range 2 * maxAbandonedRuns {
+		abandon(20*time.Second, Fingerprint(i*shardCount))
+	}
+	if s := q.UpstreamCrashed(20*time.Second, CrashID{"u", "3"}); len(s) != maxAbandonedRuns {
+		t.Errorf("%d suspects, want the last %d of one shard", len(s), maxAbandonedRuns)
+	}
+	for i := range q.shards {
+		if s := &q.shards[i]; len(s.running) != 0 || len(s.abandoned) != 0 {
+			t.Errorf("shard %d still holds %d upstreams and %d runs", i, len(s.running), len(s.abandoned))
+		}
+	}
+}
--- a/internal/coordination/quarantine/shard.go
+++ b/internal/coordination/quarantine/shard.go
@@ -127,12 +127,20 @@
 	entries    map[Fingerprint]*entry
 	teams      map[string]*teamList
 	running    map[string]map[Fingerprint]*requestRuns // by upstream
+	abandoned  []abandonedRun                          // ordered by expiry
 }
 
 // requestRuns counts the copies of one request that are running at one upstream.
 type requestRuns struct {
 	team  string
-	count int
+	count int // including abandoned runs
+}
+
+// abandonedRun is a run that no longer has a caller. It is counted in running until it expires.
+type abandonedRun struct {
+	fingerprint Fingerprint
+	upstream    string
+	expiresAt   time.Duration
 }
 
 func (s *shard) init(lifetime time.Duration, maxEntries int) {
@@ -275,8 +283,32 @@
 	}
 }
 
-// takeRuns removes all running requests of an upstream and returns their teams.
-func (s *shard) takeRuns(upstream string) map[Fingerprint]string {
+// abandonRun counts a run as running until its lifetime has passed.
+func (s *shard) abandonRun(now time.Duration, f Fingerprint, upstream string) {
+	s.expireAbandonedRuns(now)
+	if s.running[upstream][f] == nil {
+		return // taken by a crash
+	}
+	if len(s.abandoned) == maxAbandonedRuns {
+		s.removeRun(s.abandoned[0].fingerprint, s.abandoned[0].upstream)
+		s.abandoned = s.abandoned[1:]
+	}
+	s.abandoned = append(s.abandoned, abandonedRun{fingerprint: f, upstream: upstream, expiresAt: now + abandonedRunLifetime})
+}
+
+func (s *shard) expireAbandonedRuns(now time.Duration) {
+	n := 0
+	for n < len(s.abandoned) && s.abandoned[n].expiresAt <= now {
+		s.removeRun(s.abandoned[n].fingerprint, s.abandoned[n].upstream)
+		n++
+	}
+	s.abandoned = s.abandoned[n:]
+}
+
+// takeRuns removes all running and abandoned requests of an upstream and returns their teams.
+func (s *shard) takeRuns(now time.Duration, upstream string) map[Fingerprint]string {
+	s.expireAbandonedRuns(now)
+	s.abandoned = slices.DeleteFunc(s.abandoned, func(r abandonedRun) bool { return r.upstream == upstream })
 	teams := make(map[Fingerprint]string, len(s.running[upstream]))
 	for f, r := range s.running[upstream] {
 		teams[f] = r.team
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,8 @@
 	sendState    sendState
 	responseKind ResponseKind
 	response     *upstream.Response
+	started      bool // the quarantine counts the request as running at the upstream
+	crashed      bool // the crash of the upstream has been recorded
 	delivered    bool
 	finished     bool
 }
@@ -66,7 +69,6 @@
 		"upstream": grant.Upstream.ID, "address": grant.Upstream.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
 		"route": ex.route.Name, "rank": ex.rank, "suspicion": ex.suspicion().String(), "load": grant.Load, "slots": grant.Upstream.Slots, "cached": grant.Cached, "home": grant.Preferred, "prompt": ex.request.PromptTokens, "output": ex.request.MaxOutputTokens, "attempt": ex.sentAttempts + 1,
 	}).Info("request placed")
-	ex.gateway.quarantine.Started(a.startedAt, ex.fingerprint, ex.team, grant.Upstream.ID)
 	if err := a.run(); err != nil {
 		a.recordFailure(err)
 	}
@@ -95,7 +97,7 @@
 	response, err := ex.service.clientFor(a.grant.Upstream).Do(ex.callCtx, upstream.Call{
 		Request:       req,
 		HeaderTimeout: a.responseTimeout(),
-		BeforeSend:    func() bool { ex.recordSending(); return true },
+		BeforeSend:    func() bool { a.recordSending(); return true },
 		IsForeign: func(header *fasthttp.ResponseHeader) bool {
 			matches := ex.gateway.adapter.Upstream.MatchesRequest(header, ex.request.ID)
 			if !matches {
@@ -216,13 +218,18 @@
 	case a.sendState == maybeSent:
 		ex.mayHaveRun = true
 	}
-	crashed := status != dispatch.Cancelled && a.sendState == maybeSent && lostConnection(err) && a.confirmCrash()
-	if crashed && status == dispatch.Failed {
+	switch {
+	case a.sendState == notSent && refusedConnection(err):
+		a.recordCrash()
+	case status != dispatch.Cancelled && a.sendState == maybeSent && lostConnection(err):
+		a.confirmCrash()
+	}
+	if a.crashed && status == dispatch.Failed {
 		status = dispatch.Unreachable
 	}
 	ex.logEntry(eventlog.AttemptFailed).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "verdict": a.responseKind.String(), "sent": a.sendState == maybeSent,
-		"connection_lost": lostConnection(err), "crashed": crashed, "fingerprint": ex.fingerprint.String(),
+		"connection_lost": lostConnection(err), "crashed": a.crashed, "fingerprint": ex.fingerprint.String(),
 		"after_ms": (ex.gateway.now() - a.startedAt).Milliseconds(), "error": err.Error(),
 	}).Warn("attempt failed")
 	a.finish(status, false)
@@ -258,21 +265,38 @@
 	return errors.As(err, &failure) && (!failure.Timeout || failure.ConnectionTimedOut())
 }
 
-// confirmCrash dials the upstream; the connection is kept for the next request. If the upstream
-// cannot be reached, the crash is recorded against the requests that were running there, and
-// confirmCrash returns true.
-func (a *attempt) confirmCrash() bool {
+// refusedConnection reports whether err means that a dial found no listener at the address: the process of the
+// upstream has ended.
+func refusedConnection(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// confirmCrash dials the upstream and records a crash if that fails; otherwise the connection is
+// kept for the next request.
+func (a *attempt) confirmCrash() {
 	dialCtx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	if a.exchange.service.clientFor(a.grant.Upstream).Warm(dialCtx) == nil {
-		return false
+	if a.exchange.service.clientFor(a.grant.Upstream).Warm(dialCtx) != nil {
+		a.recordCrash()
 	}
-	id := quarantine.CrashID{Upstream: a.grant.Upstream.ID, Incarnation: cmp.Or(a.grant.Upstream.Incarnation, a.grant.Upstream.ID)}
-	suspicions := a.exchange.gateway.quarantine.UpstreamCrashed(a.exchange.gateway.now(), id)
-	a.exchange.logEntry(eventlog.CrashRecorded).WithFields(logrus.Fields{"upstream": id.Upstream, "incarnation": id.Incarnation,
-		"suspects": len(suspicions), "fingerprint": a.exchange.fingerprint.String()}).Warn("crash of an upstream recorded")
-	a.exchange.gateway.broadcastSuspicions(suspicions)
-	return true
+}
+
+// recordCrash records the crash against the requests that were running at the upstream.
+func (a *attempt) recordCrash() {
+	a.crashed = true
+	a.exchange.gateway.recordCrash(a.grant.Upstream, a.exchange.logEntry(eventlog.CrashRecorded).WithField("fingerprint", a.exchange.fingerprint.String()))
+}
+
+// recordCrash records the crash of an upstream against the requests that were running there and
+// tells the other instances.
+func (g *Gateway) recordCrash(crashed dispatch.Upstream, entry *logrus.Entry) {
+	id := quarantine.CrashID{Upstream: crashed.ID, Incarnation: cmp.Or(crashed.Incarnation, crashed.ID)}
+	suspicions := g.quarantine.UpstreamCrashed(g.now(), id)
+	if len(suspicions) == 0 {
+		return
+	}
+	entry.WithFields(logrus.Fields{"upstream": id.Upstream, "incarnation": id.Incarnation, "suspects": len(suspicions)}).Warn("crash of an upstream recorded")
+	g.broadcastSuspicions(suspicions)
 }
 
 // finish releases the connection and the slot at the upstream; only the first call has an
@@ -287,10 +311,14 @@
 	}
 	ex := a.exchange
 	now := ex.gateway.now()
-	if status == dispatch.Succeeded {
+	switch {
+	case !a.started:
+	case status == dispatch.Succeeded:
 		ex.gateway.broadcastSuspicions(ex.gateway.quarantine.Completed(now, ex.fingerprint, a.grant.Upstream.ID))
-	} else {
+	case a.sendState == notSent, a.notRun(), a.crashed, complete:
 		ex.gateway.quarantine.Aborted(now, ex.fingerprint, a.grant.Upstream.ID)
+	default:
+		ex.gateway.quarantine.Abandoned(now, ex.fingerprint, a.grant.Upstream.ID)
 	}
 	ex.service.dispatcher.Done(now, a.grant.Token, status)
 	ex.gateway.metrics.attempts.WithLabelValues(outcomeLabels[status]).Inc()
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -57,8 +57,11 @@
 	ex.logEntry(eventlog.RetryDenied).WithFields(fields).Warn("retry budget exhausted")
 }
 
-// recordSending records that the first byte of an attempt is about to be sent.
-func (ex *exchange) recordSending() {
+// recordSending records that the first byte of the attempt is about to be sent.
+func (a *attempt) recordSending() {
+	ex := a.exchange
+	a.started = true
+	ex.gateway.quarantine.Started(ex.gateway.now(), ex.fingerprint, ex.team, a.grant.Upstream.ID)
 	if ex.retries.allowed != nil {
 		ex.service.budget.Sent(ex.gateway.now(), ex.retries.allowed)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -163,7 +163,10 @@
 			defer cancel()
 			err := s.clientFor(ejected).Warm(ctx)
 			s.dispatcher.RecordProbe(g.now(), ejected.ID, err == nil)
-			if err == nil {
+			switch {
+			case refusedConnection(err):
+				g.recordCrash(ejected, g.log.WithField("event", eventlog.CrashRecorded))
+			case err == nil:
 				g.log.WithFields(logrus.Fields{"event": eventlog.UpstreamReconnected, "service": s.name, "upstream": ejected.ID}).Info("ejected upstream accepts connections again")
 			}
 		}()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -161,7 +161,6 @@
 	next := &attempt{exchange: ex, grant: grant, startedAt: ex.gateway.now()}
 	ex.lastUpstream = grant.Upstream.ID
 	ex.logEntry(eventlog.StreamResumed).WithField("upstream", grant.Upstream.ID).WithField("after_event", lastID).Info("resuming stream at another upstream")
-	ex.gateway.quarantine.Started(next.startedAt, ex.fingerprint, ex.team, grant.Upstream.ID)
 	s.attempt = next
 	if err := next.send(&lastID); err != nil {
 		return nil, err
