gateway: a new process in an upstream's place proves that the old one crashed

Callers saw: a request that crashes an upstream which is back at once was sent on without end. Cause: a lost connection counts as a crash only if the next dial fails, so a process that a supervisor starts again within milliseconds counts as running. Change: when the platform publishes another incarnation under an upstream's ID, or another upstream at its address, and the old one had not announced that it leaves, the crash is recorded against the requests that were running there or given up less than 10 s before. Ruled out: counting each lost connection as a crash; a reset on the network would make suspects of all requests that ran there.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,7 +172,11 @@
 	}
 	now := g.now()
 	for name, s := range g.services {
-		s.updateUpstreams(now, upstreamsByService[name])
+		for _, replaced := range s.updateUpstreams(now, upstreamsByService[name]) {
+			if !replaced.Leaving {
+				g.recordCrash(replaced, g.log.WithField("event", eventlog.CrashRecorded))
+			}
+		}
 	}
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -41,9 +41,10 @@
 	dispatcher *dispatch.Dispatcher
 	budget     *retry.Window
 
-	mu      sync.Mutex
-	clients map[string]*upstream.Client
-	waiters map[uint64]chan dispatch.Decision
+	mu        sync.Mutex
+	published map[string]dispatch.Upstream // by ID
+	clients   map[string]*upstream.Client
+	waiters   map[uint64]chan dispatch.Decision
 
 	loggedStreamUpstreams int // as last logged by logUpstreamSplit; used by one goroutine only
 }
@@ -173,10 +174,13 @@
 	}
 }
 
-// clientFor returns the client for an upstream. Clients are keyed by ID and address because
+// clientKey identifies the client for an upstream. It contains the ID and the address because
 // an address may be reassigned to another upstream.
+func clientKey(u dispatch.Upstream) string { return u.ID + "@" + u.Address }
+
+// clientFor returns the client for an upstream.
 func (s *service) clientFor(target dispatch.Upstream) *upstream.Client {
-	key := target.ID + "@" + target.Address
+	key := clientKey(target)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.clients[key]
@@ -191,19 +195,30 @@
 }
 
 // updateUpstreams replaces the list of upstreams and closes the idle connections to removed
-// ones.
-func (s *service) updateUpstreams(now time.Duration, upstreams []dispatch.Upstream) {
+// ones. It returns the upstreams in the place of which another process runs now.
+func (s *service) updateUpstreams(now time.Duration, upstreams []dispatch.Upstream) (replaced []dispatch.Upstream) {
 	s.dispatcher.Update(now, upstreams)
-	published := map[string]bool{}
+	published, idByAddress, clientKeys := map[string]dispatch.Upstream{}, map[string]string{}, map[string]bool{}
 	for _, u := range upstreams {
-		published[u.ID+"@"+u.Address] = true
+		published[u.ID] = u
+		clientKeys[clientKey(u)] = true
+		idByAddress[u.Address] = u.ID
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for id, old := range s.published {
+		successor, sameID := published[id]
+		restarted := sameID && old.Incarnation != "" && successor.Incarnation != "" && successor.Incarnation != old.Incarnation
+		if idAtAddress := idByAddress[old.Address]; restarted || idAtAddress != "" && idAtAddress != id {
+			replaced = append(replaced, old)
+		}
+	}
+	s.published = published
 	for key, c := range s.clients {
-		if !published[key] {
+		if !clientKeys[key] {
 			c.Close()
 			delete(s.clients, key)
 		}
 	}
+	return replaced
 }
