gateway: keep the limit that an upstream states, in sum over all instances

Callers saw: nothing yet; the operators saw an upstream in need that had stated 2.3 requests a second get 39 in 4 s, 19 are allowed. Ruled out: a share for each instance; at a limit of 1 the first requests of 12 instances exceed it.

--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -82,7 +82,7 @@
 	medians := d.medians(now)
 	for pass := range 3 {
 		long := r.long
-		for i, u := range d.rankedBySession(r, pass, long) {
+		for i, u := range d.rankedBySession(now, r, pass, long) {
 			c := d.evaluate(now, u, r, i == 0, medians)
 			if i == 0 {
 				best, ok = c, true
@@ -98,7 +98,7 @@
 			return best, true
 		}
 		for _, u := range d.byHash {
-			if !d.eligible(u, r, pass) {
+			if !d.eligible(now, u, r, pass) {
 				continue
 			}
 			if c := d.evaluate(now, u, r, ok && u == best.upstream, medians); !ok || c.cost < best.cost {
@@ -108,6 +108,9 @@
 		if ok {
 			return best, true
 		}
+		if d.onlyLimited(r, pass) {
+			return best, false
+		}
 	}
 	return best, false
 }
@@ -115,7 +118,7 @@
 // emptyStreamUpstream returns an upstream for streams that runs no requests at all, for a long
 // prompt for which the upstreams for long prompts are busy.
 func (d *Dispatcher) emptyStreamUpstream(now time.Duration, r *Request, pass int, medians medians) (candidate, bool) {
-	for _, u := range d.rankedBySession(r, pass, false) {
+	for _, u := range d.rankedBySession(now, r, pass, false) {
 		if c := d.evaluate(now, u, r, false, medians); u.load() == 0 && c.idle() {
 			return c, true
 		}
@@ -144,7 +147,7 @@
 // rankedBySession returns the first upstreams on one side of the split in rendezvous hash
 // order for the request's session. The order is the same on all instances without
 // coordination.
-func (d *Dispatcher) rankedBySession(r *Request, pass int, long bool) []*upstream {
+func (d *Dispatcher) rankedBySession(now time.Duration, r *Request, pass int, long bool) []*upstream {
 	session := sessionID(r.Prefix)
 	if session == 0 {
 		return nil
@@ -153,7 +156,7 @@
 	var hashes [sessionCandidates]uint64
 	n := 0
 	for _, u := range d.byHash {
-		if u.forLong != long || !long && d.split.reservedUpstreams > 0 && u.reserved != isLatencySensitive(r) || !d.eligible(u, r, pass) {
+		if u.forLong != long || !long && d.split.reservedUpstreams > 0 && u.reserved != isLatencySensitive(r) || !d.eligible(now, u, r, pass) {
 			continue
 		}
 		h := rendezvousHash(session, u.nameHash)
@@ -172,9 +175,14 @@
 	return slices.Clone(list[:n])
 }
 
-// eligible reports whether the upstream may receive the request. The second pass includes
+// eligible reports whether the upstream may receive the request now. The second pass includes
 // ejected upstreams, the third pass also those in r.Exclude.
-func (d *Dispatcher) eligible(u *upstream, r *Request, pass int) bool {
+func (d *Dispatcher) eligible(now time.Duration, u *upstream, r *Request, pass int) bool {
+	return u.limiter.Permitted(now) && d.available(u, r, pass)
+}
+
+// available reports whether the upstream may receive the request, apart from its limit.
+func (d *Dispatcher) available(u *upstream, r *Request, pass int) bool {
 	if u.Leaving || pass < 2 && slices.Contains(r.Exclude, u.ID) {
 		return false
 	}
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -66,6 +66,9 @@
 	unreportedWork   []Work // for the next report to the peers
 	nextFullReportAt time.Duration
 	nextLateScanAt   time.Duration
+	instances        []uint64 // hashes of the names of all live instances, without duplicates
+	self             uint64   // hash of the name of this instance
+	leaving          bool     // this instance holds no limits any more
 	medianBuffer     []float64
 	cachedMedians    medians
 }
@@ -289,7 +292,7 @@
 func (d *Dispatcher) decide(now time.Duration, r *Request, queueDelay time.Duration) Decision {
 	c, ok := d.choose(now, r)
 	if !ok {
-		return d.reject(now, r, ReasonNoUpstream, 0)
+		return d.decideWithoutUpstream(now, r)
 	}
 	predicted := queueDelay + c.timeToFirstOutput()
 	// Use an upstream without prompts that has a free slot even if its recent response times
@@ -377,6 +380,7 @@
 		latencySensitive: isLatencySensitive(r), corrections: u.corrections[rankIndex(r.Rank)],
 	}
 	d.grants[d.lastToken] = g
+	u.limiter.Sent(now, d.lastToken)
 	u.local.InFlight++
 	if g.latencySensitive {
 		u.local.Streams++
--- a/internal/coordination/dispatch/doc.go
+++ b/internal/coordination/dispatch/doc.go
@@ -52,6 +52,11 @@
 //     requests. Upstreams that cannot be reached are ejected and probed with single connection
 //     attempts after an exponential backoff.
 //
+// An upstream that has stated a limit on requests per second receives requests from a few
+// instances only, at intervals; see package sharedlimit. The others skip it. If all available
+// upstreams have limits, a request waits while it is predicted to start before its target, and is
+// rejected otherwise.
+//
 // Upstreams of services without prompts are compared by requests in flight per slot and mean
 // response time.
 //
--- a/internal/coordination/dispatch/feedback.go
+++ b/internal/coordination/dispatch/feedback.go
@@ -12,6 +12,7 @@
 	}
 	g.answered = true
 	d.recordAnswer(g)
+	g.upstream.limiter.Answered(token)
 	elapsed := now - g.sentAt
 	if g.upstream.KVCapacityTokens == 0 {
 		d.updateResponseTimes(now, g, elapsed)
@@ -83,6 +84,11 @@
 	}
 	delete(d.grants, token)
 	u := g.upstream
+	if status == Succeeded || status == Refused {
+		u.limiter.Answered(token)
+	} else {
+		u.limiter.GivenUp(token)
+	}
 	u.local.InFlight--
 	if g.latencySensitive {
 		u.local.Streams--
@@ -196,6 +202,10 @@
 	Failures float64
 	Ejected  bool `json:"Aside"`
 	ForLong  bool
+	// Limit is the rate in requests per second that the upstream has stated for all instances;
+	// 0 if there is none. LimitHolder reports whether this instance sends to it meanwhile.
+	Limit       float64 `json:",omitempty"`
+	LimitHolder bool    `json:",omitempty"`
 }
 
 // Snapshot returns the state of all upstreams, ordered by nameHash.
@@ -207,6 +217,7 @@
 		out = append(out, UpstreamState{
 			Upstream: u.Upstream, InFlight: u.local.InFlight, Load: u.load(), Wait: u.predictedWait(now, Ranks), Slowness: u.slownessFactor(now, d.medians(now)),
 			Failures: u.failures.decayed(now), Ejected: u.ejected(), ForLong: u.forLong,
+			Limit: u.limiter.Limit().Rate, LimitHolder: u.limiter.Limited() && u.limiter.Holder(),
 		})
 	}
 	return out
--- /dev/null
+++ b/internal/coordination/dispatch/limits.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccabridge/yuccabridge/internal/coordination/sharedlimit"
+)
+
+// RecordLimit records that the upstream has answered, and the limit in requests per second that
+// the answer states; 0 if it states none. It reports whether the limit has changed.
+func (d *Dispatcher) RecordLimit(now time.Duration, token uint64, rate float64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.grants[token]
+	if g == nil {
+		return false
+	}
+	g.upstream.limiter.Answered(token)
+	if !g.upstream.limiter.Observe(now, g.sentAt, rate) {
+		return false
+	}
+	g.upstream.limitReported = false
+	d.placeInHolderOrder(now, g.upstream)
+	return true
+}
+
+// RecordNotSent records that no byte of the request was sent to its upstream.
+func (d *Dispatcher) RecordNotSent(token uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if g := d.grants[token]; g != nil {
+		g.upstream.limiter.NotSent(token)
+	}
+}
+
+// SetInstances sets the names of this instance and of the other live ones, among which the holders
+// of limits are chosen.
+func (d *Dispatcher) SetInstances(now time.Duration, self string, others []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.self = xxhash.Sum64String(self)
+	d.instances = append(d.instances[:0], d.self)
+	for _, name := range others {
+		d.instances = append(d.instances, xxhash.Sum64String(name))
+	}
+	slices.Sort(d.instances)
+	d.instances = slices.Compact(d.instances)
+	for _, u := range d.byHash {
+		if u.limiter.Limited() {
+			d.placeInHolderOrder(now, u)
+		}
+	}
+}
+
+// Leave ends the sending to limited upstreams because this instance leaves the fleet: another one
+// takes its place as soon as it learns of that.
+func (d *Dispatcher) Leave(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving = true
+	for _, u := range d.byHash {
+		if u.limiter.Limited() {
+			d.placeInHolderOrder(now, u)
+		}
+	}
+}
+
+// placeInHolderOrder updates the position of this instance in the order of the upstream's holders:
+// the live instances in rendezvous hash order.
+func (d *Dispatcher) placeInHolderOrder(now time.Duration, u *upstream) {
+	own, position := rendezvousHash(u.nameHash, d.self), 0
+	for _, instance := range d.instances {
+		if rendezvousHash(u.nameHash, instance) > own {
+			position++
+		}
+	}
+	if d.leaving {
+		position = math.MaxInt
+	}
+	u.limiter.SetPosition(now, position, len(d.instances))
+}
+
+// incarnationHash returns the low half of the hash of the upstream's incarnation.
+func (u *upstream) incarnationHash() uint32 { return uint32(xxhash.Sum64String(u.Incarnation)) }
+
+// onlyLimited reports whether there are upstreams that only their limits keep from receiving the
+// request in this pass. Upstreams of the next pass, which are most likely down, are no substitute.
+func (d *Dispatcher) onlyLimited(r *Request, pass int) bool {
+	for _, u := range d.byHash {
+		if u.limiter.Limited() && d.available(u, r, pass) {
+			return true
+		}
+	}
+	return false
+}
+
+// decideWithoutUpstream decides a request that no upstream may receive now. If limits are the
+// cause, it waits while this instance may send it before its target, and is rejected otherwise
+// with the time until the limits are predicted to allow it.
+func (d *Dispatcher) decideWithoutUpstream(now time.Duration, r *Request) Decision {
+	var held, all float64 // rates in requests per second: of this instance, of all
+	var next *upstream    // that this instance may send to first
+	var nextAt time.Duration
+	for _, u := range d.byHash {
+		if !u.limiter.Limited() || u.Leaving || u.ejected() {
+			continue
+		}
+		all += u.limiter.Limit().Rate
+		if at, ok := u.limiter.NextAt(now); ok {
+			held += 1 / u.limiter.Interval().Seconds()
+			if next == nil || at < nextAt {
+				next, nextAt = u, at
+			}
+		}
+	}
+	if all == 0 {
+		return d.reject(now, r, ReasonNoUpstream, 0)
+	}
+	if next != nil {
+		predicted := nextAt + time.Duration(float64(d.waitingBefore(r))/held*float64(time.Second))
+		if predicted <= min(r.Target, r.Deadline) {
+			return Decision{ID: r.ID, Wait: Wait{Reason: WaitLimit, Upstream: next.ID, Load: next.load()}}
+		}
+		return d.reject(now, r, ReasonLimit, predicted-now)
+	}
+	return d.reject(now, r, ReasonLimit, time.Duration(float64(1+len(d.waiting))/all*float64(time.Second)))
+}
+
+// waitingBefore returns the number of waiting requests that are served before the request.
+func (d *Dispatcher) waitingBefore(r *Request) int {
+	n := 0
+	for _, w := range d.waiting {
+		other := &w.request
+		if other.Rank < r.Rank || other.Rank == r.Rank && other.ID < r.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// StatedLimit returns the rate to be recorded for a limit that an upstream states.
+func StatedLimit(requestsPerSecond float64) float64 { return sharedlimit.StatedRate(requestsPerSecond) }
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -14,6 +14,10 @@
 	}
 	d.unreportedWork = nil
 	for _, u := range d.byHash {
+		if u.limiter.Limit().Version > 0 && (r.Full || !u.limitReported) {
+			u.limitReported = true
+			r.Limits = append(r.Limits, UpstreamLimit{Upstream: u.tag, Incarnation: u.incarnationHash(), Limit: u.limiter.Limit()})
+		}
 		u.local.Upstream = u.tag
 		if u.KVCapacityTokens > 0 && (u.local != u.reported || r.Full && u.local.InFlight > 0) {
 			u.reported = u.local
@@ -39,6 +43,11 @@
 		u.cacheSession(now, w.Session)
 		d.demand.addWork(now, w.Prefill, w.Long)
 	}
+	for _, l := range r.Limits {
+		if u := d.byTag[l.Upstream]; u != nil && l.Incarnation == u.incarnationHash() && u.limiter.Merge(now, l.Limit) {
+			d.placeInHolderOrder(now, u)
+		}
+	}
 	if r.Full {
 		d.clearPeerLoads(peer)
 	}
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/coordination/sharedlimit"
+)
 
 // Part is one segment of a prompt. Prompts that begin with the same parts share them in an
 // upstream's prefix cache.
@@ -65,6 +69,9 @@
 	ReasonTarget Reason = "target"
 	// ReasonDeadline means that the request is predicted to miss its deadline.
 	ReasonDeadline Reason = "deadline"
+	// ReasonLimit means that the available upstreams have stated limits that allow no further
+	// request in time.
+	ReasonLimit Reason = "limit"
 	// ReasonQueueFull means that the queue holds Options.QueueLimit requests and the request
 	// was selected for removal.
 	ReasonQueueFull Reason = "queue_full"
@@ -102,6 +109,9 @@
 	WaitSlot WaitReason = "slot"
 	// WaitBacklog means that the selected upstream is predicted to start the request too late.
 	WaitBacklog WaitReason = "backlog"
+	// WaitLimit means that the available upstreams have stated limits, and that the next request
+	// is allowed in time.
+	WaitLimit WaitReason = "limit"
 	// WaitQueue means that other requests that are served first are waiting.
 	WaitQueue WaitReason = "queue"
 )
@@ -176,10 +186,23 @@
 	Loads  []Load
 	// Full marks a report that lists all loads; upstreams not listed have none.
 	Full bool
+	// Limits are the limits stated by upstreams that have changed, or all in a full report.
+	Limits []UpstreamLimit
+}
+
+// UpstreamLimit is the limit that an upstream has stated.
+type UpstreamLimit struct {
+	Upstream Tag
+	// Incarnation is the low half of the hash of the upstream's incarnation: a limit ends when
+	// the upstream starts again.
+	Incarnation uint32
+	Limit       sharedlimit.Limit
 }
 
 // Empty reports whether the report contains nothing to send.
-func (r Report) Empty() bool { return len(r.Placed) == 0 && len(r.Loads) == 0 && !r.Full }
+func (r Report) Empty() bool {
+	return len(r.Placed) == 0 && len(r.Loads) == 0 && len(r.Limits) == 0 && !r.Full
+}
 
 // Options configure a Dispatcher. Zero values take the defaults.
 type Options struct {
--- a/internal/coordination/dispatch/upstream.go
+++ b/internal/coordination/dispatch/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/yuccabridge/yuccabridge/internal/coordination/sharedlimit"
 	"github.com/yuccabridge/yuccabridge/internal/state/expiring"
 )
 
@@ -60,6 +61,8 @@
 	failures       decayingValue // share of failed requests
 	latencySeconds float64       // mean response time; services without prompts
 	cache          *expiring.Map[uint64, struct{}]
+	limiter        sharedlimit.Limiter
+	limitReported  bool // the limit is unchanged since the last report to the peers
 
 	connectFailures int // consecutive failures to reach the upstream
 	nextProbeAt     time.Duration
@@ -68,7 +71,7 @@
 }
 
 func newUpstream(published Upstream) *upstream {
-	u := &upstream{Upstream: published, nameHash: xxhash.Sum64String(published.ID)}
+	u := &upstream{Upstream: published, nameHash: xxhash.Sum64String(published.ID), limitReported: true}
 	u.tag = Tag(u.nameHash)
 	if published.KVCapacityTokens > 0 {
 		u.cache = expiring.New(expiring.Options[uint64, struct{}]{
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -51,6 +51,8 @@
 	RequestRejected Event = "request_rejected"
 	// RequestPlaced is logged when a request is sent to an upstream.
 	RequestPlaced Event = "request_placed"
+	// UpstreamLimitChanged is logged when an upstream states another limit, or none.
+	UpstreamLimitChanged Event = "upstream_limit_changed"
 	// AttemptFailed is logged when an attempt fails.
 	AttemptFailed Event = "attempt_failed"
 	// RetryAllowed is logged when the retry budget allows a further attempt.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,6 +113,7 @@
 	}
 	a.response = response
 	a.responseKind = ex.gateway.adapter.Upstream.ClassifyResponse(&response.Response.Header)
+	a.recordLimit(&response.Response.Header)
 	switch a.responseKind {
 	case ResponseNotRun, ResponseMisdirected:
 		return errNotRun
@@ -128,6 +129,7 @@
 	a.exchange.triedUpstreams = append(a.exchange.triedUpstreams, a.grant.Upstream.ID)
 	var failure *upstream.Failure
 	if errors.As(err, &failure) && !failure.Sent {
+		a.exchange.service.dispatcher.RecordNotSent(a.grant.Token)
 		return
 	}
 	a.sendState = maybeSent
@@ -135,6 +137,19 @@
 	a.exchange.countedAttempts++
 }
 
+// recordLimit records the limit that the upstream states in its answer. An answer that states none
+// ends a limit only if the upstream has run the request.
+func (a *attempt) recordLimit(h *fasthttp.ResponseHeader) {
+	ex := a.exchange
+	limit, ok := ex.gateway.adapter.Upstream.StatedLimit(h)
+	valid := a.responseKind == ResponseValid || a.responseKind == ResponseNotRun && limit > 0
+	if !ok || !valid || !ex.service.dispatcher.RecordLimit(ex.gateway.now(), a.grant.Token, limit) {
+		return
+	}
+	ex.logEntry(eventlog.UpstreamLimitChanged).WithFields(logrus.Fields{"service": ex.service.name, "upstream": a.grant.Upstream.ID,
+		"limit": limit}).Info("upstream states another limit")
+}
+
 // responseTimeout returns how long the upstream may send nothing before the request is
 // retried; 0 if the request cannot be retried.
 func (a *attempt) responseTimeout() time.Duration {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,7 @@
 	if s == nil {
 		s = g.newService(name)
 		g.services[name] = s
+		s.dispatcher.SetInstances(g.now(), g.settings.Instance, g.peers.liveNames())
 	}
 	return s
 }
@@ -236,6 +237,7 @@
 	g.draining.Store(true)
 	if g.peers != nil {
 		g.peers.leave()
+		g.leaveLimits()
 	}
 	g.log.WithFields(logrus.Fields{"event": eventlog.Draining, "in_progress": g.callerWatcher.InProgress()}).Info("draining")
 	time.Sleep(g.settings.DrainDelay.Std())
@@ -260,6 +262,16 @@
 	return nil
 }
 
+// leaveLimits leaves the sending to limited upstreams to the other instances, if there are any.
+func (g *Gateway) leaveLimits() {
+	if len(g.peers.livePeers()) == 0 {
+		return
+	}
+	for _, s := range g.sortedServices() {
+		s.dispatcher.Leave(g.now())
+	}
+}
+
 // stopOperations stops the operations server without waiting for connections that readiness
 // probes keep open.
 func (g *Gateway) stopOperations() {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -117,6 +117,7 @@
 	switch a := action.(type) {
 	case membership.StateChanged:
 		p.forgetIfDead(a)
+		p.updateInstances()
 		p.queuePull(a)
 		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.PeerChanged, "peer": a.Member.Name, "process": a.Member.Incarnation.Process.String(),
 			"state": a.Member.State.String(), "previous": a.Previous.String()}).Info("peer changed")
@@ -162,6 +163,26 @@
 	return out
 }
 
+// liveNames returns the names of the other instances that are not dead.
+func (p *peers) liveNames() []string {
+	if p == nil {
+		return nil
+	}
+	var names []string
+	for _, m := range p.livePeers() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// updateInstances tells the dispatchers which instances are live.
+func (p *peers) updateInstances() {
+	names := p.liveNames()
+	for _, s := range p.gateway.sortedServices() {
+		s.dispatcher.SetInstances(p.gateway.now(), p.gateway.settings.Instance, names)
+	}
+}
+
 func (p *peers) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.gossip.Run(ctx) })
