soak: upstreams that state limits, and the bound on what they get

The check counts, as the rule does, arrivals from instances that passed on such an answer half a second before, without those with a fault of their process. A run of seed 51 is among the tests.

--- a/cmd/yuccabridge/soak.go
+++ b/cmd/yuccabridge/soak.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,8 +31,9 @@
 				return errors.New("--instances, --upstreams, --duration and --runs must be positive")
 			}
 			options.Faults = soak.Faults(faults)
-			if options.Faults != soak.MixedFaults && options.Faults != soak.RetryFaults || options.Rate < 0 {
-				return errors.Errorf("--faults must be %s or %s, and --rate must not be negative", soak.MixedFaults, soak.RetryFaults)
+			plans := []soak.Faults{soak.MixedFaults, soak.RetryFaults, soak.LimitFaults}
+			if !slices.Contains(plans, options.Faults) || options.Rate < 0 {
+				return errors.Errorf("--faults must be one of %v, and --rate must not be negative", plans)
 			}
 			if options.Seed == 0 {
 				options.Seed = rand.Uint64N(1 << 32)
@@ -67,7 +69,7 @@
 	flags.DurationVar(&options.Duration, "duration", 20*time.Second, "duration of the fault injection in each run")
 	flags.IntVar(&options.Instances, "instances", 4, "number of instances")
 	flags.IntVar(&options.Upstreams, "upstreams", 6, "number of upstreams")
-	flags.StringVar(&faults, "faults", string(soak.MixedFaults), "fault plan: mixed, or retries (several upstreams fail, pause or crash)")
+	flags.StringVar(&faults, "faults", string(soak.MixedFaults), "fault plan: mixed, retries (several upstreams fail, pause or crash), or limits (upstreams state limits)")
 	flags.Float64Var(&options.Rate, "rate", 0, "requests per second of all callers; 0: each pauses for 10 ms on average")
 	flags.StringVar(&options.Daemon, "daemon", "yuccabridged", "path or name of the daemon executable")
 	flags.StringVar(&options.Dir, "dir", "soak", "directory for settings and logs")
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -17,6 +17,9 @@
 // part of the instances after the load, and sends requests that crash upstreams. With a low rate
 // of requests the fixed part of the retry bound is used up first.
 //
+// The limit plan ([LimitFaults]) makes upstreams state limits in their answers, while they pause and
+// while instances are killed, paused, restarted and added.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -31,6 +34,8 @@
 //   - An instance that reaches the store applies added routes and revoked keys in time.
 //   - In each retry window the upstreams get no more arrivals beyond the first of each request
 //     than the published bound allows, whatever the faults.
+//   - An upstream that states a limit gets no more requests than the published bound allows, in sum
+//     over the instances that it has told.
 //   - A request runs at no more upstreams than its route allows, is given no later deadline than
 //     its caller's, and crashes no further upstreams once all instances could know that it does.
 //   - After the last fault every instance is ready, has the latest configuration and serves
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,11 +24,12 @@
 	breakResponses     // responses are interrupted
 	rejectRequests     // requests are rejected as not run
 	sendStaleResponses // responses to other requests are sent first
-	// The kinds from here on concern several upstreams and are drawn only by retry plans.
+	// The kinds from here on are drawn only by the other plans.
 	breakMany     // most responses are interrupted
 	rejectMany    // most requests are rejected as not run
 	pauseMany     // upstreams read nothing and then go on with all that has arrived
 	delayInstance // an instance starts only after the load
+	stateLimit    // an upstream states a limit in its answers
 	faultKindCount
 
 	// mixedKindCount is the number of kinds that mixed plans draw.
@@ -37,7 +38,7 @@
 
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
 	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
-	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later"}
+	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -46,6 +47,7 @@
 	target          int       // index of an instance or upstream, modulo their number
 	mode            proxyMode // of the proxy, for link faults
 	share           float64   // of the upstreams, for faults of several
+	limit           float64   // requests per second, for limits
 }
 
 func (f fault) String() string {
@@ -53,6 +55,9 @@
 	if f.share > 0 {
 		s += fmt.Sprintf(" share=%.2f", f.share)
 	}
+	if f.limit > 0 {
+		s += fmt.Sprintf(" limit=%g/s", f.limit)
+	}
 	if f.kind == disruptUpstreamLink || f.kind == disruptStoreLink {
 		s += " " + f.mode.String()
 	}
@@ -73,8 +78,11 @@
 
 // newFaultPlan generates the faults of a run from the seed.
 func newFaultPlan(seed uint64, o Options) []fault {
-	if o.Faults == RetryFaults {
+	switch o.Faults {
+	case RetryFaults:
 		return newRetryPlan(seed, o)
+	case LimitFaults:
+		return newLimitPlan(seed, o)
 	}
 	return newMixedPlan(seed, o)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -43,6 +43,8 @@
 	// RetryFaults makes instances use up the retry budget, and sends requests that crash
 	// upstreams.
 	RetryFaults Faults = "retries"
+	// LimitFaults makes upstreams state limits in their answers.
+	LimitFaults Faults = "limits"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -64,12 +66,14 @@
 	Violations []string
 	// RetrySlackUsed is the part of the retry slack that was used in the worst window.
 	RetrySlackUsed float64
+	// LimitedArrivals is the number of requests to which the bound on limits applies.
+	LimitedArrivals int
 }
 
 // Command returns the command line that repeats the run.
 func (r Report) Command() string {
 	command := fmt.Sprintf("yuccabridge soak --seed %d --duration %v --instances %d --upstreams %d", r.Options.Seed, r.Options.Duration, r.Options.Instances, r.Options.Upstreams)
-	if r.Options.Faults == RetryFaults {
+	if r.Options.Faults != MixedFaults && r.Options.Faults != "" {
 		command += fmt.Sprintf(" --faults %s", r.Options.Faults)
 	}
 	if r.Options.Rate > 0 {
@@ -82,6 +86,9 @@
 func (r Report) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s\n%d requests:%s\nfaults:%s\nretry slack used: %.1f of %d\n", r.Command(), r.Requests, formatCounts(r.Outcomes), formatCounts(r.Faults), r.RetrySlackUsed, retrySlack)
+	if r.Options.Faults == LimitFaults {
+		fmt.Fprintf(&b, "requests from told instances to upstreams with a limit: %d\n", r.LimitedArrivals)
+	}
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise was broken\n")
 	}
@@ -136,6 +143,7 @@
 	<-collected
 	tb.checkExecutions(observations)
 	tb.checkRetries(observations)
+	tb.checkLimits(observations)
 	return tb.report(observations), ctx.Err()
 }
 
@@ -290,7 +298,7 @@
 const finalCallerNumber = 99
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// Guards against upstreams that get more than the limit that they state, in sum over instances that
+// start, restart and pause, while upstreams pause and go on with all that has arrived.
+func TestStatedLimitsHoldUnderFaults(t *testing.T) {
+	file, err := buildDaemon()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Seed: 51, Duration: 25 * time.Second, Instances: 8, Upstreams: 8, Faults: LimitFaults, Rate: 80, Daemon: file, Dir: t.TempDir()}
+	report, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	if report.LimitedArrivals == 0 {
+		t.Error("no instance that knew of a limit sent a request")
+	}
+}
+
 // regressionSeeds are the seeds that once violated a guarantee, with the cause. Every test run
 // repeats them.
 var regressionSeeds = []struct {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -50,6 +50,7 @@
 	faultCounts         map[string]int
 	violations          []string
 	retryUsage          retryUsage
+	limitedArrivals     int
 	activeStoreFailures int // overlapping store failures
 }
 
@@ -166,6 +167,10 @@
 		tb.store.PutUpstream(u.Upstream, u.registration(false))
 	case breakMany, rejectMany, pauseMany:
 		tb.applyFaultToMany(f, waitForEnd)
+	case stateLimit:
+		end := u.beginLimit(f.limit)
+		waitForEnd()
+		end()
 	case delayInstance: // applied at the start of the run
 	case breakResponses:
 		u.activeBreaks.Add(1)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -26,7 +26,10 @@
 	rng          *rand.Rand
 	down, closed bool
 	crashes      []upstreamCrash
-	endPause     func()
+	limit        float64 // stated now; 0 if there is none
+	// limitIntervals are the times at which a limit was stated.
+	limitIntervals []limitInterval
+	endPause       func()
 }
 
 const (
@@ -52,9 +55,9 @@
 		share = faultyShareOfMany
 	}
 	u.mu.Lock()
-	faulty := u.rng.Float64() < share
+	faulty, limit := u.rng.Float64() < share, u.limit
 	u.mu.Unlock()
-	b := standin.Behaviour{Delay: responseDelay}
+	b := standin.Behaviour{Delay: responseDelay, Limit: limit}
 	if strings.HasPrefix(execution.URI, streamPrefix) {
 		b.Events, b.Delay = eventsPerStream, eventInterval
 	}
