gateway: one buffer for all bodies in progress

Callers would see: an instance that is ended for its memory takes all of its requests with it. Class of fault: a bound for each that is none for all. Change: bodies of responses, until they are sent on, and of requests come from one buffer (buffer_mb, by default a quarter of memory_mb). What exceeds it ends the attempt that holds most; a request whose own body doesn't fit gets 503. Evidence: TestResponsesInProgressStayWithinTheBuffer, 8 responses of 6 MiB without a length, buffer of 16 MB: 66 MiB held before, at most 24 now, and another response arrives. A response of 8 MiB still arrives whole, with and without its length. Ruled out: a smaller bound for each response; the sum would still grow with the number of requests. Open: the HTTP library reads a request's body before it is counted.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"strconv"
 	"syscall"
 	"time"
@@ -41,8 +40,6 @@
 }
 
 const (
-	// maxResponseBytes bounds the body of a response that is not a stream.
-	maxResponseBytes = 16 << 20
 	// responseTimeoutFactor times the predicted time, but at least minResponseTimeout, is
 	// how long an upstream may send nothing before a retryable request is retried at
 	// another one.
@@ -55,7 +52,6 @@
 
 var (
 	errUnverifiedResponse = errors.New("response cannot be attributed to the upstream")
-	errResponseTooLarge   = errors.New("response body exceeds the size limit")
 	errNotRun             = errors.New("upstream did not run the request")
 	errNoEvent            = errors.New("stream ended before its first event")
 	errResumeGap          = errors.New("resumed stream does not continue with the next event")
@@ -178,11 +174,12 @@
 	ex := a.exchange
 	status := a.response.Response.StatusCode()
 	if status >= fasthttp.StatusInternalServerError && ex.canRetryServerError() {
+		body.reservation.Release()
 		return errors.Errorf("upstream responded with status %d", status)
 	}
 	ex.gateway.adapter.Upstream.CopyResponseHeader(&ex.httpCtx.Response.Header, &a.response.Response.Header)
 	ex.httpCtx.SetStatusCode(status)
-	ex.httpCtx.Response.SetBodyRaw(body)
+	ex.setBody(body)
 	ex.outcome = outcomeServed
 	a.recordFirstOutput()
 	dispatchStatus := dispatch.Succeeded
@@ -200,18 +197,6 @@
 	return ex.route.Retryable() && ex.countedAttempts < ex.route.MaxAttempts && ex.service.retryAvailable(ex.gateway) && ex.gateway.now() < ex.deadline
 }
 
-func (a *attempt) readBody() ([]byte, error) {
-	reader := a.response.Body(a.responseTimeout())
-	body, err := io.ReadAll(io.LimitReader(reader, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	return body, nil
-}
-
 // recordFirstOutput records the time of the first output of the upstream.
 func (a *attempt) recordFirstOutput() {
 	ex := a.exchange
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
+	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
 )
 
 // exchange is the state of one caller request from its arrival to the final response.
@@ -31,6 +32,9 @@
 	cancel   context.CancelFunc
 	conn     *callerConn
 
+	requestBody  *bytebudget.Reservation // nil if the request has no body
+	responseBody *heldBody               // nil if the response has no body or is a stream
+
 	fingerprint     quarantine.Fingerprint
 	triedUpstreams  []string // upstreams of all attempts, including failed dials
 	sentAttempts    int      // attempts of which a byte may have been sent
@@ -92,6 +96,9 @@
 	if ex.service = ex.gateway.lookupService(ex.route.selectService(ex.request.ID)); ex.service == nil {
 		return apierror.New(apierror.NotReady, "the service of the route is not known")
 	}
+	if !ex.reserveRequestBody() {
+		return ex.withRetryAfter(apierror.New(apierror.Overloaded, "the memory for bodies in progress is used up; the request did not run"))
+	}
 	return nil
 }
 
@@ -322,6 +329,7 @@
 	if ex.conn != nil {
 		ex.conn.requestDone()
 	}
+	ex.releaseBodies()
 	ex.settleRetries()
 	ex.logOutcome()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
+	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
 
@@ -44,6 +45,7 @@
 	routing         atomic.Pointer[routingTable]
 
 	quarantine      *quarantine.Quarantine
+	buffer          *bytebudget.Budget // for bodies in progress
 	platformWatcher *platformWatcher
 	peers           *peers
 
@@ -61,6 +63,7 @@
 	g := &Gateway{
 		settings: s, adapter: adapter, log: log, metrics: newMetrics(), startedAt: time.Now(), seed: mathrand.Uint64(),
 		callerWatcher: caller.NewWatcher(), quarantine: quarantine.New(quarantine.Options{}),
+		buffer:    bytebudget.New(s.BufferMB * 1e6),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
 	}
 	g.platformWatcher = newPlatformWatcher(g)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -40,6 +40,9 @@
 	DrainDelay config.Duration `yaml:"drain_delay,omitempty" validate:"min=0"`
 	// MemoryMB is the memory limit of the process in 10^6 bytes; 0: no limit.
 	MemoryMB int `yaml:"memory_mb,omitempty" validate:"min=0"`
+	// BufferMB is the memory in 10^6 bytes for the bodies of responses that are not yet sent on
+	// and of requests that may be sent again. Default: a quarter of memory_mb, or 64.
+	BufferMB int `yaml:"buffer_mb,omitempty" validate:"min=0"`
 	// MaxConnections limits the callers' open connections. Default 1024.
 	MaxConnections int `yaml:"max_connections,omitempty" validate:"min=0,max=1000000"`
 	// PromptTokensPerMS is the initial estimate of an upstream's prefill rate in tokens per
@@ -49,6 +52,13 @@
 	Log Log `yaml:"log,omitempty"`
 }
 
+const (
+	// bufferShare is the part of the memory limit that bodies in progress may take: one in four.
+	bufferShare = 4
+	// defaultBufferMB applies without a memory limit.
+	defaultBufferMB = 64
+)
+
 // GatewayPeers configures the traffic between instances. The network must not be reachable
 // by other hosts.
 type GatewayPeers struct {
@@ -102,6 +112,10 @@
 	setDefault(&s.Grace, config.Duration(8*time.Second))
 	setDefault(&s.DrainDelay, config.Duration(2500*time.Millisecond))
 	setDefault(&s.MaxConnections, 1024)
+	if s.MemoryMB > 0 {
+		setDefault(&s.BufferMB, max(s.MemoryMB/bufferShare, 1))
+	}
+	setDefault(&s.BufferMB, defaultBufferMB)
 	setDefault(&s.PromptTokensPerMS, 40)
 	setDefault(&s.Log.Level, "info")
 	return s, nil
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -414,6 +414,10 @@
 	return &BodyReader{response: r, readTimeout: readTimeout}
 }
 
+// Abort closes the connection, so that a read in progress fails. It may be called concurrently
+// with reads.
+func (r *Response) Abort() { r.conn.Close() }
+
 // Release ends the exchange. When the body was read to its end, the connection returns to
 // the pool; otherwise it is closed, which cancels the request at the upstream.
 func (r *Response) Release(complete bool) {
