gateway: a body must arrive at a least rate, not only byte by byte

Callers saw: a 504 at their time limit, though another upstream would have answered. Cause: each byte started the limit of the read anew; besides, the limit for the body of a first attempt was computed after that attempt had been counted, so with two attempts there was none. Change: the limit is computed once for each attempt; a body must arrive within it, plus a second for each 10^6 bytes. Streams keep their limits.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,8 +33,9 @@
 	sendState    sendState
 	responseKind ResponseKind
 	response     *upstream.Response
-	started      bool // the quarantine counts the request as running at the upstream
-	crashed      bool // the crash of the upstream has been recorded
+	timeout      time.Duration // for the header and the pauses in a body that is no stream; 0: none
+	started      bool          // the quarantine counts the request as running at the upstream
+	crashed      bool          // the crash of the upstream has been recorded
 	delivered    bool
 	finished     bool
 }
@@ -90,9 +91,10 @@
 		Upstream: a.grant.Upstream, Team: ex.team, TimeLeft: ex.deadline - ex.gateway.now(), Rank: ex.rank, ResumeAfter: resumeAfter,
 	})
 	req.SetBodyRaw(ex.httpCtx.Request.Body())
+	a.timeout = a.responseTimeout()
 	response, err := ex.service.clientFor(a.grant.Upstream).Do(ex.callCtx, upstream.Call{
 		Request:       req,
-		HeaderTimeout: a.responseTimeout(),
+		HeaderTimeout: a.timeout,
 		BeforeSend:    func() bool { a.recordSending(); return true },
 		IsForeign: func(header *fasthttp.ResponseHeader) bool {
 			matches := ex.gateway.adapter.Upstream.MatchesRequest(header, ex.request.ID)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,12 +16,18 @@
 	// upstream may state a length that it does not send.
 	initialBodyBytes    = 4 << 10
 	maxInitialBodyBytes = 64 << 10
+	// minBodyRate is the rate in bytes per second below which a body counts as stalled although
+	// bytes arrive.
+	minBodyRate = 1e6
 	// maxUnstreamedBytes is the largest body that is kept until the handler returns and not
 	// until it has been written: writing it takes one system call.
 	maxUnstreamedBytes = 64 << 10
 )
 
-var errResponseTooLarge = errors.New("response body exceeds the size limit")
+var (
+	errResponseTooLarge = errors.New("response body exceeds the size limit")
+	errBodyStalled      = errors.New("response body arrives too slowly")
+)
 
 // heldBody is a complete response body. Its memory is reserved until it has been sent on.
 type heldBody struct {
@@ -38,7 +45,7 @@
 		return nil, errResponseTooLarge
 	}
 	body := &heldBody{reservation: a.exchange.gateway.buffer.Reserve(a.response.Abort)}
-	if err := body.read(a.response.Body(a.responseTimeout()), stated); err != nil {
+	if err := body.read(a.response.Body(a.timeout), stated, a.timeout); err != nil {
 		if body.reservation.Ended() {
 			err = bytebudget.ErrExceeded
 		}
@@ -48,12 +55,14 @@
 	return body, nil
 }
 
-// read reads a body with a stated length, or with none if that is negative.
-func (b *heldBody) read(r io.Reader, stated int) error {
+// read reads a body with a stated length, or with none if that is negative. If timeout is not 0,
+// the body must also arrive at minBodyRate.
+func (b *heldBody) read(r io.Reader, stated int, timeout time.Duration) error {
 	capacity := initialBodyBytes
 	if stated >= 0 {
 		capacity = min(stated+1, maxInitialBodyBytes) // one byte more, so that the end is read without growth
 	}
+	startedAt := time.Now()
 	for {
 		if len(b.data) == cap(b.data) {
 			if err := b.grow(capacity); err != nil {
@@ -70,6 +79,8 @@
 			return err
 		case len(b.data) > maxResponseBytes:
 			return errResponseTooLarge
+		case timeout > 0 && time.Since(startedAt) > timeout+time.Duration(float64(len(b.data))/minBodyRate*float64(time.Second)):
+			return errBodyStalled
 		}
 	}
 }
