upstream: bound the framing of a response

Callers saw: a 504 at their time limit, while the bytes of a chunk extension, or blanks behind a chunk size, were read as fast as they came. Cause: the parser skips them without returning, so no bound of the body applied. Class of fault: a bound on what is kept, none on what is read. Change: a connection may read 64 KiB, and eight times the data asked for, until the parser returns; a discarded response to another request may have 1 MiB.

--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -164,6 +164,7 @@
 	reader           *bufio.Reader
 	writer           *bufio.Writer
 	written          atomic.Bool
+	readAllowance    int // bytes that may still be read for the current call; see allowRead
 	lastUsed         time.Time
 	keepAliveTimeout time.Duration // announced by the upstream; 0: unknown
 	reused           bool
@@ -175,6 +176,29 @@
 	return cn.Conn.Write(p)
 }
 
+const (
+	// maxFramingBytes bounds what is read beside the data of a body: chunk sizes and extensions,
+	// trailers. maxFramingFactor allows for chunks of few bytes.
+	maxFramingBytes  = 64 << 10
+	maxFramingFactor = 8
+)
+
+// errEndlessFraming reports an upstream that sends bytes which are neither data nor the end.
+var errEndlessFraming = errors.New("the response has no end")
+
+// allowRead limits the bytes that are read from the connection for the next n bytes of data.
+func (cn *conn) allowRead(n int) { cn.readAllowance = maxFramingFactor*n + maxFramingBytes }
+
+// Read implements io.Reader for the response parser, which goes on reading while it skips bytes.
+func (cn *conn) Read(p []byte) (int, error) {
+	if cn.readAllowance <= 0 {
+		return 0, errEndlessFraming
+	}
+	n, err := cn.Conn.Read(p)
+	cn.readAllowance -= n
+	return n, err
+}
+
 // Call is one request with the options of its exchange.
 type Call struct {
 	Request *fasthttp.Request
@@ -255,7 +279,7 @@
 		return nil, err
 	}
 	cn := &conn{Conn: raw}
-	cn.reader = bufio.NewReaderSize(raw, 4<<10)
+	cn.reader = bufio.NewReaderSize(cn, 4<<10)
 	cn.writer = bufio.NewWriterSize(cn, 4<<10)
 	return cn, nil
 }
@@ -321,6 +345,7 @@
 	if err := cn.SetReadDeadline(deadlineAfter(call.HeaderTimeout)); err != nil {
 		return fail(PhaseHeader, errors.Wrap(err, "read response"))
 	}
+	cn.allowRead(0)
 	for skipped := 0; ; skipped++ {
 		response := &Response{client: c, conn: cn, stop: stop}
 		response.Response.StreamBody = true
@@ -348,6 +373,9 @@
 // exchange.
 const maxForeignResponses = 3
 
+// maxForeignBytes bounds the body of a discarded response.
+const maxForeignBytes = 1 << 20
+
 // errForeignResponses reports a connection on which too many responses belong to other requests.
 var errForeignResponses = errors.New("the connection carries responses to other requests")
 
@@ -358,6 +386,7 @@
 		return errForeignResponses
 	}
 	if stream := r.Response.BodyStream(); stream != nil {
+		r.conn.allowRead(maxForeignBytes)
 		if _, err := io.Copy(io.Discard, stream); err != nil {
 			return err
 		}
@@ -455,6 +484,7 @@
 		return false
 	}
 	var b [1]byte
+	r.conn.allowRead(len(b))
 	n, err := stream.Read(b[:])
 	return n == 0 && err == io.EOF
 }
@@ -478,6 +508,7 @@
 	if err := r.conn.SetReadDeadline(deadlineAfter(b.readTimeout)); err != nil {
 		return 0, bodyFailure(err)
 	}
+	r.conn.allowRead(len(p))
 	n, err := stream.Read(p)
 	if err != nil && err != io.EOF {
 		return n, bodyFailure(err)
