soak: runs at the same time use distinct ports

Cause: a run chose ports that were free at that moment, and others could take them before an instance opened them or while it was down. Change: a run claims a range of 512 ports and keeps its first port open until its end.

--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -49,12 +49,40 @@
 // again.
 const anyLoopbackPort = "127.0.0.1:0"
 
-// freePorts returns n distinct loopback addresses whose ports are free for TCP and UDP.
-func freePorts(n int) ([]string, error) {
+// portsPerRun is the number of consecutive ports of one run.
+const portsPerRun = 512
+
+// portClaim is a range of ports that only one run uses. Its first port is kept open for that time: a
+// port that is free now may otherwise be taken by another run before an instance opens it, or while
+// the instance is down.
+type portClaim struct {
+	guard net.Listener
+	next  int
+	end   int
+}
+
+// claimPorts claims a random range of ports that no other run has claimed.
+func claimPorts() (*portClaim, error) {
+	ranges := (lastPort - firstPort) / portsPerRun
+	for _, i := range rand.Perm(ranges) {
+		start := firstPort + i*portsPerRun
+		if guard, err := net.Listen("tcp", loopbackAddress(start)); err == nil {
+			return &portClaim{guard: guard, next: start + 1, end: start + portsPerRun}, nil
+		}
+	}
+	return nil, errors.Errorf("all %d ranges of ports are in use", ranges)
+}
+
+func loopbackAddress(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// free returns n distinct loopback addresses whose ports are free for TCP and UDP.
+func (c *portClaim) free(n int) ([]string, error) {
 	var out []string
-	offset := rand.IntN(lastPort - firstPort)
-	for i := range lastPort - firstPort {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(offset+i)%(lastPort-firstPort))
+	for ; len(out) < n; c.next++ {
+		if c.next == c.end {
+			return nil, errors.Errorf("fewer than %d ports are free for TCP and UDP", n)
+		}
+		address := loopbackAddress(c.next)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -65,13 +93,13 @@
 			continue
 		}
 		u.Close()
-		if out = append(out, address); len(out) == n {
-			return out, nil
-		}
+		out = append(out, address)
 	}
-	return nil, errors.Errorf("fewer than %d ports are free for TCP and UDP", n)
+	return out, nil
 }
 
+func (c *portClaim) close() { c.guard.Close() }
+
 // addresses are the listen addresses of an instance.
 type addresses struct{ callers, operations, peers string }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -153,7 +153,11 @@
 	tb.mu.Lock()
 	tb.publish()
 	tb.mu.Unlock()
-	ports, err := freePorts(3*o.Instances + o.Upstreams)
+	var err error
+	if tb.ports, err = claimPorts(); err != nil {
+		return nil, err
+	}
+	ports, err := tb.ports.free(3*o.Instances + o.Upstreams)
 	if err != nil {
 		return nil, err
 	}
@@ -343,6 +347,7 @@
 		u.Close()
 	}
 	tb.store.Close()
+	tb.ports.close()
 }
 
 // LogFiles returns the paths of the instances' log files that exist.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -142,3 +142,26 @@
 		t.Error("two seeds give the same plan")
 	}
 }
+
+// Guards against runs at the same time that choose the same ports, so that an instance cannot start
+// and its callers speak to another run.
+func TestRunsAtTheSameTimeUseDistinctPorts(t *testing.T) {
+	seen := map[string]bool{}
+	for range 8 {
+		claim, err := claimPorts()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer claim.close()
+		ports, err := claim.free(100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range ports {
+			if seen[p] {
+				t.Fatalf("%s belongs to two runs", p)
+			}
+			seen[p] = true
+		}
+	}
+}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -36,6 +36,7 @@
 type testbed struct {
 	options   Options
 	store     *standin.Store
+	ports     *portClaim
 	upstreams []*upstream
 	instances []*instance
 
