sse: bound the bytes between two events

Callers would get blank lines or comments without end under an upstream's signature, and the stream would last until its deadline. Cause: an event of a blank line or a comment alone is returned like any other, so only each of them was bounded. Change: more than 64 KiB of them without an event that has a field end the stream as failed. Evidence: TestInputWithoutEventsIsBounded: blank lines, CRLF and comments were read to the test's end of 4 MiB before, now they end with the error. FuzzEventsAreSplitWithoutLoss, 15 s, 1.1 million inputs: no event changed or lost.

--- a/internal/protocol/sse/reader.go
+++ b/internal/protocol/sse/reader.go
@@ -13,13 +13,19 @@
 // MaxEventBytes is the largest accepted event.
 const MaxEventBytes = 256 << 10
 
-// ErrTooLarge reports an event larger than [MaxEventBytes].
+// MaxIdleBytes is the largest accepted number of bytes between two events with a field: blank lines
+// and comments, which keep a connection open.
+const MaxIdleBytes = 64 << 10
+
+// ErrTooLarge reports an event larger than [MaxEventBytes], or more than [MaxIdleBytes] between two
+// events.
 var ErrTooLarge = errors.New("server-sent event is too large")
 
 // Reader splits a stream into events.
 type Reader struct {
-	input *bufio.Reader
-	event []byte
+	input     *bufio.Reader
+	event     []byte
+	idleBytes int // since the last event with a field
 }
 
 // NewReader returns a reader of the events in r.
@@ -32,7 +38,7 @@
 // io.ErrUnexpectedEOF with the bytes read so far, which are not a complete event.
 func (r *Reader) Next() ([]byte, error) {
 	r.event = r.event[:0]
-	lineStart := 0
+	lineStart, hasField := 0, false
 	for {
 		chunk, err := r.input.ReadSlice('\n')
 		r.event = append(r.event, chunk...)
@@ -49,12 +55,25 @@
 			return nil, err
 		}
 		if isBlank(r.event[lineStart:]) {
-			return r.event, nil
+			return r.event, r.countIdle(hasField)
 		}
+		hasField = hasField || r.event[lineStart] != ':'
 		lineStart = len(r.event)
 	}
 }
 
+// countIdle counts the bytes of events without a field.
+func (r *Reader) countIdle(hasField bool) error {
+	if hasField {
+		r.idleBytes = 0
+		return nil
+	}
+	if r.idleBytes += len(r.event); r.idleBytes > MaxIdleBytes {
+		return ErrTooLarge
+	}
+	return nil
+}
+
 func isBlank(line []byte) bool {
 	return len(line) == 1 || len(line) == 2 && line[0] == '\r'
 }
