dispatch: eject an upstream that sends what is no response

Callers saw: requests that were lost one after the other to an upstream that answers each with bytes that are no response; it accepts connections, so it was never ejected, and its connection counted as lost, which cost a dial each time. Change: a malformed or oversized response is a status of its own; the third in a row ejects the upstream, for longer with each further one, and until a good one it gets one request at a time. Ruled out: ejection after one; servers spoil a part of their answers while the others are good.

--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -186,7 +186,7 @@
 	if u.Leaving || pass < 2 && slices.Contains(r.Exclude, u.ID) {
 		return false
 	}
-	return pass > 0 || !u.ejected()
+	return pass > 0 || !u.ejected() && !(u.onTrial() && u.local.InFlight > 0)
 }
 
 // rendezvousHash returns the weight of an upstream for a session in rendezvous hashing.
--- a/internal/coordination/dispatch/feedback.go
+++ b/internal/coordination/dispatch/feedback.go
@@ -99,6 +99,7 @@
 	switch status {
 	case Succeeded:
 		d.recordAnswer(g)
+		u.malformed = 0
 		u.failures.observe(now, 0, failureWeight)
 	case Failed:
 		d.recordAnswer(g)
@@ -115,6 +116,9 @@
 		u.addWork(now, g.rank, refusedDelay)
 	case Misdirected:
 		u.recordMisdirected(now)
+	case Malformed:
+		u.recordMalformed(now)
+		u.failures.observe(now, 1, failureWeight)
 	case Cancelled:
 	}
 }
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -152,6 +152,9 @@
 	Refused
 	// Misdirected means that another upstream answered: the published address is outdated.
 	Misdirected
+	// Malformed means that the upstream sent bytes that are no response, or a response that
+	// exceeds a bound.
+	Malformed
 	// Cancelled means that the caller disconnected; it says nothing about the upstream.
 	Cancelled
 )
--- a/internal/coordination/dispatch/upstream.go
+++ b/internal/coordination/dispatch/upstream.go
@@ -66,6 +66,7 @@
 
 	connectFailures int // consecutive failures to reach the upstream
 	nextProbeAt     time.Duration
+	malformed       int           // consecutive malformed responses
 	noResponseAt    time.Duration // last NoResponse failure; 0 if it has answered since
 	probing         bool
 }
@@ -215,4 +216,21 @@
 	u.nextProbeAt = now + maxBackoff
 }
 
+// maxMalformed is the number of consecutive malformed responses that ejects an upstream.
+const maxMalformed = 3
+
+// recordMalformed ejects an upstream after several malformed responses, and after each further one
+// until a response is good.
+func (u *upstream) recordMalformed(now time.Duration) {
+	if u.malformed++; u.malformed < maxMalformed {
+		return
+	}
+	u.connectFailures++
+	u.nextProbeAt = now + min(initialBackoff<<min(u.malformed-maxMalformed, 8), maxBackoff)
+}
+
+// onTrial reports whether the upstream was ejected for malformed responses and has not given a good
+// one since. It receives one request of this instance at a time.
+func (u *upstream) onTrial() bool { return u.malformed >= maxMalformed }
+
 func (u *upstream) recordReachable() { u.connectFailures, u.nextProbeAt = 0, 0 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,8 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
+	"github.com/yuccabridge/yuccabridge/internal/protocol/sse"
+	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
@@ -250,6 +252,8 @@
 	}
 	var failure *upstream.Failure
 	switch {
+	case isMalformed(err):
+		return dispatch.Malformed
 	case !errors.As(err, &failure):
 		return dispatch.Failed
 	case failure.Phase == upstream.PhaseDial && failure.TimedOut(), failure.ConnectionTimedOut():
@@ -260,11 +264,24 @@
 	return dispatch.Failed
 }
 
+// isMalformed reports whether the upstream sent what is no response, or exceeds a bound.
+func isMalformed(err error) bool {
+	var failure *upstream.Failure
+	if errors.As(err, &failure) {
+		return failure.Malformed
+	}
+	switch errors.Cause(err) {
+	case errResponseTooLarge, errBodyStalled, bytebudget.ErrExceeded, sse.ErrTooLarge:
+		return true
+	}
+	return false
+}
+
 // lostConnection reports whether the connection to the upstream ended, pooled or not, rather
 // than a time limit of this instance.
 func lostConnection(err error) bool {
 	var failure *upstream.Failure
-	return errors.As(err, &failure) && (!failure.Timeout || failure.ConnectionTimedOut())
+	return errors.As(err, &failure) && !failure.Malformed && (!failure.Timeout || failure.ConnectionTimedOut())
 }
 
 // refusedConnection reports whether err means that a dial found no listener at the address: the process of the
@@ -328,5 +345,5 @@
 
 var outcomeLabels = map[dispatch.Status]string{
 	dispatch.Succeeded: "succeeded", dispatch.Failed: "failed", dispatch.Unreachable: "unreachable", dispatch.NoResponse: "silent",
-	dispatch.Refused: "refused", dispatch.Misdirected: "misdirected", dispatch.Cancelled: "cancelled",
+	dispatch.Refused: "refused", dispatch.Misdirected: "misdirected", dispatch.Malformed: "malformed", dispatch.Cancelled: "cancelled",
 }
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -113,7 +113,9 @@
 	Reused bool
 	// Timeout is true when the read or write deadline of the connection expired.
 	Timeout bool
-	Err     error
+	// Malformed is true when the upstream sent bytes that are no response.
+	Malformed bool
+	Err       error
 }
 
 // Error implements the error interface.
@@ -331,7 +333,7 @@
 	fail := func(phase Phase, err error) (*Response, *Failure) {
 		stop()
 		cn.Close()
-		return nil, &Failure{Phase: phase, Sent: cn.written.Load(), Reused: cn.reused, Timeout: isTimeout(err), Err: err}
+		return nil, &Failure{Phase: phase, Sent: cn.written.Load(), Reused: cn.reused, Timeout: isTimeout(err), Malformed: phase == PhaseHeader && isMalformed(err), Err: err}
 	}
 	if call.BeforeSend != nil && !call.BeforeSend() {
 		return fail(PhaseDial, errBeforeSendRefused)
@@ -429,6 +431,13 @@
 	return !errors.Is(err, syscall.ETIMEDOUT) && errors.As(err, &t) && t.Timeout()
 }
 
+// isMalformed reports whether the parser rejected what it read, as opposed to an error of the
+// connection.
+func isMalformed(err error) bool {
+	var netErr *net.OpError
+	return !isTimeout(err) && !errors.As(err, &netErr) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // Response is a response whose body is still being read.
 type Response struct {
 	Response fasthttp.Response
@@ -517,5 +526,5 @@
 }
 
 func bodyFailure(err error) *Failure {
-	return &Failure{Phase: PhaseBody, Sent: true, Timeout: isTimeout(err), Err: errors.Wrap(err, "read response")}
+	return &Failure{Phase: PhaseBody, Sent: true, Timeout: isTimeout(err), Malformed: isMalformed(err), Err: errors.Wrap(err, "read response")}
 }
--- a/internal/transport/upstream/endless_test.go
+++ b/internal/transport/upstream/endless_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -114,3 +115,45 @@
 		})
 	}
 }
+
+// Guards against bytes that are no response and count as a lost connection, which makes the request
+// a suspect of a crash, and against the reverse.
+func TestMalformedIsToldFromLostConnection(t *testing.T) {
+	for name, tc := range map[string]struct {
+		bytes     string
+		malformed bool
+	}{
+		"garbage":             {"\x00\x01garbage\r\n\r\n", true},
+		"closed":              {"", false},
+		"closed in the head":  {"HTTP/1.1 200 OK\r\nContent-", false},
+		"bad status":          {"HTTP/1.1 two OK\r\n\r\n", true},
+		"head of a long line": {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 8<<10) + "\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				buffer := make([]byte, 4<<10)
+				c.Read(buffer)
+				io.WriteString(c, tc.bytes)
+			}()
+			c := New(l.Addr().String(), Options{})
+			defer c.Close()
+			request := &fasthttp.Request{}
+			request.SetRequestURI("http://" + l.Addr().String() + "/")
+			_, err = c.Do(t.Context(), Call{Request: request})
+			var failure *Failure
+			if !errors.As(err, &failure) || failure.Malformed != tc.malformed {
+				t.Errorf("%v (malformed: %v), want malformed: %v", err, failure != nil && failure.Malformed, tc.malformed)
+			}
+		})
+	}
+}
