gateway: pass on blank lines and comments only with an event

Callers saw: a stream of up to 64 KiB of blank lines or comments under the upstream's signature, where the upstream sent bytes without end. Cause: a blank line alone was taken for the first event. Change: lines without a field are held until the event that follows; alone they are no response, so the request gets 502 or another upstream. Evidence: TestStreamOfBytesWithoutEventsIsGivenUp: status 200 with 65,536 bytes before, 502 of the instance now. Ruled out: doing this in the reader of package sse; the entry path passes comments on as they come, to keep connections open.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,7 +76,7 @@
 	ex := a.exchange
 	s := &stream{attempt: a}
 	s.openBody()
-	event, err := s.reader.Next()
+	event, err := s.nextEvent()
 	if err != nil {
 		if err == io.EOF {
 			return errNoEvent
@@ -99,6 +99,25 @@
 	s.reader = sse.NewReader(s.body)
 }
 
+// nextEvent returns the next event that has a field, with the blank lines and comments before it: alone
+// they are no part of a response, and may come without end.
+func (s *stream) nextEvent() ([]byte, error) {
+	var held []byte
+	for {
+		event, err := s.reader.Next()
+		if len(held) == 0 && (err != nil || sse.HasField(event)) {
+			return event, err
+		}
+		held = append(held, event...)
+		switch {
+		case err == io.EOF:
+			return held, io.ErrUnexpectedEOF
+		case err != nil || sse.HasField(event):
+			return held, err
+		}
+	}
+}
+
 // buffer records an event and makes it available to Read.
 func (s *stream) buffer(event []byte) {
 	ex := s.attempt.exchange
@@ -125,7 +144,7 @@
 // readNext reads the next event and resumes the stream at another upstream if the current
 // one fails.
 func (s *stream) readNext() {
-	event, err := s.reader.Next()
+	event, err := s.nextEvent()
 	if err == nil {
 		s.buffer(event)
 		return
@@ -169,7 +188,7 @@
 		return nil, errors.Errorf("upstream responded with status %d", next.response.Response.StatusCode())
 	}
 	s.openBody()
-	event, err := s.reader.Next()
+	event, err := s.nextEvent()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/protocol/sse/reader.go
+++ b/internal/protocol/sse/reader.go
@@ -90,3 +90,13 @@
 	}
 	return 0, false
 }
+
+// HasField reports whether the event has a field, as opposed to blank lines and comments alone.
+func HasField(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if !isBlank(line) && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
