gateway: bytes that are no event do not extend the pause between events

Callers saw: a stream that stalls for the rest of its time limit, though it could be resumed. Cause: each blank line started the limit of the pause anew. Change: the limit holds for all reads until the next event.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,6 +56,14 @@
 	minEventTimeout    = 1200 * time.Millisecond
 )
 
+// deadlineAfter returns the time after the timeout; the zero time if that is 0.
+func deadlineAfter(timeout time.Duration) time.Time {
+	if timeout == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(timeout)
+}
+
 // eventTimeout returns how long the stream may be silent; 0 means that only the deadline of
 // the request applies.
 func (ex *exchange) eventTimeout() time.Duration {
@@ -123,7 +131,6 @@
 	ex := s.attempt.exchange
 	ex.progress.record(ex.gateway.now(), event)
 	ex.service.budget.Answered(ex.gateway.now(), s.attempt.grant.Upstream.ID)
-	s.body.SetReadTimeout(ex.eventTimeout())
 	s.pending = append(s.pending[:0], event...)
 }
 
@@ -144,6 +151,7 @@
 // readNext reads the next event and resumes the stream at another upstream if the current
 // one fails.
 func (s *stream) readNext() {
+	s.body.SetDeadline(deadlineAfter(s.attempt.exchange.eventTimeout()))
 	event, err := s.nextEvent()
 	if err == nil {
 		s.buffer(event)
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -502,10 +502,19 @@
 type BodyReader struct {
 	response    *Response
 	readTimeout time.Duration
+	deadline    time.Time
 }
 
-// SetReadTimeout changes the bound of the following reads; zero means no bound.
-func (b *BodyReader) SetReadTimeout(timeout time.Duration) { b.readTimeout = timeout }
+// SetDeadline replaces the bound of each read by one for all following reads together, which bytes
+// that arrive do not extend. The zero time means no bound.
+func (b *BodyReader) SetDeadline(deadline time.Time) { b.readTimeout, b.deadline = 0, deadline }
+
+func (b *BodyReader) readDeadline() time.Time {
+	if b.readTimeout > 0 {
+		return deadlineAfter(b.readTimeout)
+	}
+	return b.deadline
+}
 
 // Read reads from the body. Every error but io.EOF is a *Failure with PhaseBody.
 func (b *BodyReader) Read(p []byte) (int, error) {
@@ -514,7 +523,7 @@
 	if stream == nil {
 		return 0, io.EOF
 	}
-	if err := r.conn.SetReadDeadline(deadlineAfter(b.readTimeout)); err != nil {
+	if err := r.conn.SetReadDeadline(b.readDeadline()); err != nil {
 		return 0, bodyFailure(err)
 	}
 	r.conn.allowRead(len(p))
