--- a/cmd/yuccabridge/soak.go
+++ b/cmd/yuccabridge/soak.go
@@ -31,7 +31,7 @@
 				return errors.New("--instances, --upstreams, --duration and --runs must be positive")
 			}
 			options.Faults = soak.Faults(faults)
-			plans := []soak.Faults{soak.MixedFaults, soak.RetryFaults, soak.LimitFaults}
+			plans := []soak.Faults{soak.MixedFaults, soak.RetryFaults, soak.LimitFaults, soak.EndlessFaults}
 			if !slices.Contains(plans, options.Faults) || options.Rate < 0 {
 				return errors.Errorf("--faults must be one of %v, and --rate must not be negative", plans)
 			}
@@ -69,7 +69,8 @@
 	flags.DurationVar(&options.Duration, "duration", 20*time.Second, "duration of the fault injection in each run")
 	flags.IntVar(&options.Instances, "instances", 4, "number of instances")
 	flags.IntVar(&options.Upstreams, "upstreams", 6, "number of upstreams")
-	flags.StringVar(&faults, "faults", string(soak.MixedFaults), "fault plan: mixed, retries (several upstreams fail, pause or crash), or limits (upstreams state limits)")
+	flags.IntVar(&options.Callers, "callers", 0, "callers of each instance; 0: 4")
+	flags.StringVar(&faults, "faults", string(soak.MixedFaults), "fault plan: mixed, retries (several upstreams fail, pause or crash), limits (upstreams state limits), or endless (upstreams send bytes without end)")
 	flags.Float64Var(&options.Rate, "rate", 0, "requests per second of all callers; 0: each pauses for 10 ms on average")
 	flags.StringVar(&options.Daemon, "daemon", "yuccabridged", "path or name of the daemon executable")
 	flags.StringVar(&options.Dir, "dir", "soak", "directory for settings and logs")
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -140,7 +140,7 @@
 	out := make(chan observation, 1024)
 	var callers sync.WaitGroup
 	for i := range tb.instances {
-		for n := range callersPerInstance {
+		for n := range tb.options.callers() {
 			c := newCaller(tb, i, n, seed)
 			callers.Go(func() { c.run(ctx, out) })
 		}
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -33,4 +33,4 @@
 }
 
 // crashingCallerNumber is the caller number of the caller of crashing requests.
-const crashingCallerNumber = 98
+const crashingCallerNumber = maxCallers
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -20,6 +20,9 @@
 // The limit plan ([LimitFaults]) makes upstreams state limits in their answers, while they pause and
 // while instances are killed, paused, restarted and added.
 //
+// The endless plan ([EndlessFaults]) makes upstreams send bytes without end, in each part of a response,
+// and checks the memory of the instances while it runs.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -40,5 +43,6 @@
 //     its caller's, and crashes no further upstreams once all instances could know that it does.
 //   - After the last fault every instance is ready, has the latest configuration and serves
 //     every kind of request.
+//   - No process uses more memory than the users' machines allow.
 //   - No process exits unexpectedly.
 package soak
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,7 @@
 	pauseMany     // upstreams read nothing and then go on with all that has arrived
 	delayInstance // an instance starts only after the load
 	stateLimit    // an upstream states a limit in its answers
+	sendEndless   // responses are replaced by bytes without end
 	faultKindCount
 
 	// mixedKindCount is the number of kinds that mixed plans draw.
@@ -38,7 +39,7 @@
 
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
 	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
-	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit"}
+	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -83,6 +84,8 @@
 		return newRetryPlan(seed, o)
 	case LimitFaults:
 		return newLimitPlan(seed, o)
+	case EndlessFaults:
+		return newEndlessPlan(seed, o)
 	}
 	return newMixedPlan(seed, o)
 }
--- a/internal/soak/plan_limits.go
+++ b/internal/soak/plan_limits.go
@@ -26,30 +26,18 @@
 // instances are killed, paused, restarted, added and cut off from the store.
 func newLimitPlan(seed uint64, o Options) []fault {
 	rng := rand.New(rand.NewPCG(seed, 4))
-	var plan []fault
 	draw := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
-	add := func(mean time.Duration, newFault func() fault) {
-		for at := time.Duration(0); ; {
-			at += time.Duration(rng.ExpFloat64() * float64(mean))
-			if at >= o.Duration {
-				return
-			}
-			f := newFault()
-			f.start = at
-			plan = append(plan, f)
-		}
-	}
-	add(meanLimitInterval, func() fault {
+	plan := drawFaults(rng, o.Duration, meanLimitInterval, func() fault {
 		return fault{kind: stateLimit, target: rng.IntN(o.Upstreams), duration: draw(minLimitDuration, maxLimitDuration), limit: statedLimits[rng.IntN(len(statedLimits))]}
 	})
-	add(meanPauseInterval, func() fault {
+	plan = append(plan, drawFaults(rng, o.Duration, meanPauseInterval, func() fault {
 		return fault{kind: pauseMany, target: rng.IntN(o.Upstreams), duration: draw(minPauseOfMany, maxPauseOfMany), share: rng.Float64()}
-	})
+	})...)
 	instanceKinds := []faultKind{killProcess, pauseProcess, stopProcess, disruptStoreLink, failStore, drainUpstream}
-	add(meanInstanceFaultInterval, func() fault {
+	plan = append(plan, drawFaults(rng, o.Duration, meanInstanceFaultInterval, func() fault {
 		return fault{kind: instanceKinds[rng.IntN(len(instanceKinds))], target: rng.IntN(o.Instances * o.Upstreams),
 			duration: draw(minFaultDuration, maxFaultDuration), mode: modeStall + proxyMode(rng.IntN(int(modeDelay)))}
-	})
+	})...)
 	for i := range int(laterInstances * float64(o.Instances)) {
 		plan = append(plan, fault{kind: delayInstance, target: o.Instances - 1 - i, duration: draw(0, o.Duration)})
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -29,6 +30,8 @@
 	Rate float64
 	// Instances and Upstreams are the numbers of instances and upstreams.
 	Instances, Upstreams int
+	// Callers is the number of callers of each instance; 0 means callersPerInstance.
+	Callers int
 	// Daemon is the path of the daemon binary, Dir the directory of settings and log files.
 	Daemon, Dir string
 }
@@ -45,6 +48,8 @@
 	RetryFaults Faults = "retries"
 	// LimitFaults makes upstreams state limits in their answers.
 	LimitFaults Faults = "limits"
+	// EndlessFaults makes upstreams send bytes without end, and checks the memory of instances.
+	EndlessFaults Faults = "endless"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -52,9 +57,14 @@
 	if o.Rate <= 0 {
 		return defaultCallerPause
 	}
-	return time.Duration(float64(o.Instances*callersPerInstance) / o.Rate * float64(time.Second))
+	return time.Duration(float64(o.Instances*o.callers()) / o.Rate * float64(time.Second))
 }
 
+// maxCallers bounds the callers of an instance. Their numbers are part of the request IDs.
+const maxCallers = 1000
+
+func (o Options) callers() int { return cmp.Or(o.Callers, callersPerInstance) }
+
 const defaultCallerPause = 10 * time.Millisecond
 
 // Report is the result of a run.
@@ -68,6 +78,8 @@
 	RetrySlackUsed float64
 	// LimitedArrivals is the number of requests to which the bound on limits applies.
 	LimitedArrivals int
+	// LargestMemory is the largest resident memory of an instance in bytes.
+	LargestMemory int
 }
 
 // Command returns the command line that repeats the run.
@@ -76,6 +88,9 @@
 	if r.Options.Faults != MixedFaults && r.Options.Faults != "" {
 		command += fmt.Sprintf(" --faults %s", r.Options.Faults)
 	}
+	if r.Options.Callers > 0 {
+		command += fmt.Sprintf(" --callers %d", r.Options.Callers)
+	}
 	if r.Options.Rate > 0 {
 		command += fmt.Sprintf(" --rate %g", r.Options.Rate)
 	}
@@ -89,6 +104,7 @@
 	if r.Options.Faults == LimitFaults {
 		fmt.Fprintf(&b, "requests from told instances to upstreams with a limit: %d\n", r.LimitedArrivals)
 	}
+	fmt.Fprintf(&b, "largest memory of an instance: %d MB\n", r.LargestMemory/1e6)
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise was broken\n")
 	}
@@ -135,11 +151,13 @@
 		}
 		close(collected)
 	}()
+	stopSampling := tb.sampleMemory()
 	tb.injectFaults(ctx, plan)
 	delayedStarts.Wait()
 	sleepContext(ctx, recoveryTime)
 	tb.checkRecovery()
 	stopLoad()
+	stopSampling()
 	<-collected
 	tb.checkExecutions(observations)
 	tb.checkRetries(observations)
@@ -148,6 +166,9 @@
 }
 
 func newTestbed(o Options) (*testbed, error) {
+	if o.Callers < 0 || o.Callers > maxCallers {
+		return nil, errors.Errorf("%d callers of each instance, want 0 to %d", o.Callers, maxCallers)
+	}
 	tb := &testbed{options: o, store: standin.NewStore(),
 		linkFaults: make([]faultIntervals, o.Instances), processFaultMu: make([]sync.Mutex, o.Instances), faultCounts: map[string]int{}}
 	tb.mu.Lock()
@@ -299,10 +320,10 @@
 
 // finalCallerNumber is the caller number used by the final check. It differs from those of the
 // load.
-const finalCallerNumber = 99
+const finalCallerNumber = maxCallers + 1
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -75,6 +75,24 @@
 	}
 }
 
+// Guards against instances that are ended for their memory, and against bytes that are no response in
+// the responses to callers, while upstreams send bytes without end.
+func TestMemoryIsBoundedUnderBytesWithoutEnd(t *testing.T) {
+	file, err := buildDaemon()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Seed: 71, Duration: 12 * time.Second, Instances: 4, Upstreams: 6, Faults: EndlessFaults, Rate: 300, Callers: 32, Daemon: file, Dir: t.TempDir()}
+	report, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+}
+
 // regressionSeeds are the seeds that once violated a guarantee, with the cause. Every test run
 // repeats them.
 var regressionSeeds = []struct {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -52,6 +52,7 @@
 	violations          []string
 	retryUsage          retryUsage
 	limitedArrivals     int
+	largestMemory       int
 	activeStoreFailures int // overlapping store failures
 }
 
@@ -172,6 +173,10 @@
 		end := u.beginLimit(f.limit)
 		waitForEnd()
 		end()
+	case sendEndless:
+		u.activeEndless.Add(1)
+		waitForEnd()
+		u.activeEndless.Add(-1)
 	case delayInstance: // applied at the start of the run
 	case breakResponses:
 		u.activeBreaks.Add(1)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -16,7 +16,7 @@
 	proxy                                                *proxy
 	activeBreaks, activeRejections, activeStaleResponses atomic.Int32
 	activeFaultsOfMany                                   atomic.Int32 // raise the share of affected requests
-	activePauses                                         atomic.Int32
+	activePauses, activeEndless                          atomic.Int32
 	bornMS                                               atomic.Int64 // Unix time of the last start after a crash
 	linkFaults                                           faultIntervals
 	publish                                              func() // publishes the registration
@@ -55,7 +55,7 @@
 		share = faultyShareOfMany
 	}
 	u.mu.Lock()
-	faulty, limit := u.rng.Float64() < share, u.limit
+	faulty, limit, endless := u.rng.Float64() < share, u.limit, u.rng.IntN(len(standin.EndlessResponses))
 	u.mu.Unlock()
 	b := standin.Behaviour{Delay: responseDelay, Limit: limit}
 	if strings.HasPrefix(execution.URI, streamPrefix) {
@@ -63,6 +63,8 @@
 	}
 	switch {
 	case !faulty:
+	case u.activeEndless.Load() > 0:
+		b.Endless = &standin.EndlessResponses[endless]
 	case u.activeRejections.Load() > 0:
 		b.NotRun = true
 	case u.activeBreaks.Load() > 0:
