dispatch: keep the limit of an upstream whose entry lapses

Cause: the dispatcher drops the state of an upstream without an entry, as it should for predictions; a limit belongs to the process. Change: limits of upstreams without an entry are kept for 5 minutes, 256 at most, and restored if the same incarnation comes back or its entry changes. Evidence: TestLimitSurvivesAnEntryThatLapses fails without the change.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -69,6 +69,7 @@
 	instances        []uint64 // hashes of the names of all live instances, without duplicates
 	self             uint64   // hash of the name of this instance
 	leaving          bool     // this instance holds no limits any more
+	lapsedLimits     []lapsedLimit
 	medianBuffer     []float64
 	cachedMedians    medians
 }
@@ -117,12 +118,15 @@
 	next := make(map[string]*upstream, len(list))
 	for _, published := range list {
 		u := d.upstreams[published.ID]
+		old := u
 		if u == nil || u.Address != published.Address || u.Incarnation != published.Incarnation || u.KVCapacityTokens != published.KVCapacityTokens {
 			u = newUpstream(published)
+			d.restoreLimit(now, u, old)
 		}
 		u.Upstream = published
 		next[published.ID] = u
 	}
+	d.keepLimits(now, next)
 	d.upstreams, d.byTag = next, make(map[Tag]*upstream, len(next))
 	d.byHash = d.byHash[:0]
 	for _, u := range next {
--- a/internal/coordination/dispatch/limits.go
+++ b/internal/coordination/dispatch/limits.go
@@ -144,3 +144,46 @@
 
 // StatedLimit returns the rate to be recorded for a limit that an upstream states.
 func StatedLimit(requestsPerSecond float64) float64 { return sharedlimit.StatedRate(requestsPerSecond) }
+
+const (
+	// lapsedLimitLifetime is how long the limit of an upstream without an entry is kept. Entries
+	// lapse while the platform is unavailable.
+	lapsedLimitLifetime = 5 * time.Minute
+	// maxLapsedLimits bounds the number of limits of upstreams without an entry.
+	maxLapsedLimits = 256
+)
+
+// lapsedLimit is the limit of an upstream that has no entry.
+type lapsedLimit struct {
+	id, incarnation string
+	limiter         sharedlimit.Limiter
+	lapsedAt        time.Duration
+}
+
+// keepLimits keeps the limits of upstreams that are not among the next ones.
+func (d *Dispatcher) keepLimits(now time.Duration, next map[string]*upstream) {
+	for id, u := range d.upstreams {
+		if next[id] == nil && u.limiter.Limited() {
+			d.lapsedLimits = append(d.lapsedLimits, lapsedLimit{id: id, incarnation: u.Incarnation, limiter: u.limiter, lapsedAt: now})
+		}
+	}
+	d.lapsedLimits = slices.DeleteFunc(d.lapsedLimits, func(l lapsedLimit) bool { return now-l.lapsedAt >= lapsedLimitLifetime })
+	d.lapsedLimits = d.lapsedLimits[max(0, len(d.lapsedLimits)-maxLapsedLimits):]
+}
+
+// restoreLimit gives an upstream the limit that the same process had before its entry changed, in old,
+// or lapsed.
+func (d *Dispatcher) restoreLimit(now time.Duration, u, old *upstream) {
+	switch i := slices.IndexFunc(d.lapsedLimits, func(l lapsedLimit) bool { return l.id == u.ID }); {
+	case old != nil && old.Incarnation == u.Incarnation:
+		u.limiter = old.limiter
+	case i >= 0:
+		if d.lapsedLimits[i].incarnation == u.Incarnation {
+			u.limiter = d.lapsedLimits[i].limiter
+		}
+		d.lapsedLimits = slices.Delete(d.lapsedLimits, i, i+1)
+	}
+	if u.limiter.Limited() {
+		d.placeInHolderOrder(now, u)
+	}
+}
--- a/internal/coordination/dispatch/limits_test.go
+++ b/internal/coordination/dispatch/limits_test.go
@@ -254,3 +254,39 @@
 		t.Errorf("limit %v of the process before, want none", s[0].Limit)
 	}
 }
+
+// Guards against a limit that is forgotten because the upstream's entry lapses and comes back: all
+// instances send to it until its next answer, which a paused upstream gives late.
+func TestLimitSurvivesAnEntryThatLapses(t *testing.T) {
+	d := New(Options{}, rand.New(rand.NewPCG(1, 2)))
+	list := []Upstream{{ID: "u", Incarnation: "1", Slots: 8}, {ID: "other", Incarnation: "1", Slots: 8}}
+	d.Update(0, list)
+	d.SetInstances(0, "front-0", []string{"front-1"})
+	d.upstreams["u"].limiter.Merge(0, sharedlimit.Limit{Rate: 1, Version: 1})
+	d.Update(time.Second, list[1:])
+	d.Update(3*time.Second, list)
+	if rate := d.upstreams["u"].limiter.Limit().Rate; rate != 1 {
+		t.Errorf("limit %v after the entry came back, want 1", rate)
+	}
+	moved := list[0]
+	moved.Address = "10.0.0.2:80"
+	d.Update(4*time.Second, []Upstream{moved, list[1]})
+	if rate := d.upstreams["u"].limiter.Limit().Rate; rate != 1 {
+		t.Errorf("limit %v after the entry changed, want 1", rate)
+	}
+	d.Update(5*time.Second, list[1:])
+	restarted := list[0]
+	restarted.Incarnation = "2"
+	d.Update(6*time.Second, []Upstream{restarted, list[1]})
+	if rate := d.upstreams["u"].limiter.Limit().Rate; rate != 0 {
+		t.Errorf("limit %v after a restart, want none", rate)
+	}
+	for i := range 10 * maxLapsedLimits {
+		id := Upstream{ID: string(rune('a'+i%26)) + time.Duration(i).String(), Incarnation: "1"}
+		d.Update(7*time.Second, []Upstream{id})
+		d.upstreams[id.ID].limiter.Merge(7*time.Second, sharedlimit.Limit{Rate: 1, Version: 1})
+	}
+	if n := len(d.lapsedLimits); n > maxLapsedLimits {
+		t.Errorf("%d limits of upstreams that are gone are kept, want at most %d", n, maxLapsedLimits)
+	}
+}
