--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,17 +61,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := Options{Seed: 51, Duration: 25 * time.Second, Instances: 8, Upstreams: 8, Faults: LimitFaults, Rate: 80, Daemon: file, Dir: t.TempDir()}
-	report, err := Run(context.Background(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Log(report)
-	for _, v := range report.Violations {
-		t.Error(v)
-	}
-	if report.LimitedArrivals == 0 {
-		t.Error("no instance that knew of a limit sent a request")
+	for _, seed := range []uint64{
+		51,
+		9315, // a limit was forgotten while the upstream had no entry
+	} {
+		o := Options{Seed: seed, Duration: 25 * time.Second, Instances: 8, Upstreams: 8, Faults: LimitFaults, Rate: 80, Daemon: file, Dir: t.TempDir()}
+		report, err := Run(context.Background(), o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(report)
+		for _, v := range report.Violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		if report.LimitedArrivals == 0 {
+			t.Errorf("seed %d: no instance that knew of a limit sent a request", seed)
+		}
 	}
 }
 
