dispatch: only the holders of a limit repeat it in full reports

Cause: every instance repeated every limit every two seconds, which grows with instances times limited upstreams: 22 bytes each (measured from the encoded report), so 443 instances and 15 limited upstreams of a region at the target size would send each instance 73 kB a second, more than the 23 kB that it may spend. Change: a full report has the limits that the reporting instance holds; changes are reported by whoever sees them, as before. Then it is 0.2 kB a second. Evidence: TestHoldersRepeatTheLimitsForInstancesThatStartLater: 80 limits in two reports of each of 20 instances before, its share now, and the late instance learns all. An instance that holds a limit and does not know it learns it from its first answer.

--- a/internal/coordination/dispatch/limits_test.go
+++ b/internal/coordination/dispatch/limits_test.go
@@ -290,3 +290,32 @@
 		t.Errorf("%d limits of upstreams that are gone are kept, want at most %d", n, maxLapsedLimits)
 	}
 }
+
+// Guards against an instance that starts later and never learns of a limit at upstreams to which it
+// sends nothing, and against reports of which each repeats all limits.
+func TestHoldersRepeatTheLimitsForInstancesThatStartLater(t *testing.T) {
+	const instances, upstreams = 20, 40
+	f := newLimitedFleet(instances, upstreams, 8)
+	late := f.instances[0]
+	for i, d := range f.instances[1:] {
+		for _, u := range d.byHash {
+			u.limiter.Merge(0, sharedlimit.Limit{Rate: 1, Version: 1})
+			d.placeInHolderOrder(0, u)
+		}
+		repeated := 0
+		for range 2 { // the first report of an instance is a full one
+			f.now += fullReportInterval
+			r := d.Collect(f.now)
+			repeated += len(r.Limits)
+			late.Merge(f.now, f.names[i+1], r)
+		}
+		if repeated > upstreams {
+			t.Errorf("instance %d reports %d limits in two reports, want its share of %d", i+1, repeated, 2*upstreams)
+		}
+	}
+	for _, u := range late.byHash {
+		if !u.limiter.Limited() && !u.limiter.Holder() {
+			t.Errorf("the limit of %s is not known", u.ID)
+		}
+	}
+}
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Collect returns what has changed since the last call, for the peers. Every
-// fullReportInterval it returns all loads: if a report were lost, or a relay stopped, peers
+// fullReportInterval it returns all loads, and the limits that this instance holds: if a report were lost, or a relay stopped, peers
 // would otherwise keep counting requests that have ended.
 func (d *Dispatcher) Collect(now time.Duration) Report {
 	d.mu.Lock()
@@ -14,7 +14,7 @@
 	}
 	d.unreportedWork = nil
 	for _, u := range d.byHash {
-		if u.limiter.Limit().Version > 0 && (r.Full || !u.limitReported) {
+		if u.limiter.Limit().Version > 0 && (r.Full && u.limiter.Holder() || !u.limitReported) {
 			u.limitReported = true
 			r.Limits = append(r.Limits, UpstreamLimit{Upstream: u.tag, Incarnation: u.incarnationHash(), Limit: u.limiter.Limit()})
 		}
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -189,7 +189,8 @@
 	Loads  []Load
 	// Full marks a report that lists all loads; upstreams not listed have none.
 	Full bool
-	// Limits are the limits stated by upstreams that have changed, or all in a full report.
+	// Limits are the limits stated by upstreams that have changed; a full report also has those that
+	// the reporting instance holds.
 	Limits []UpstreamLimit
 }
 
