gateway: never close the connection of a response that is complete

Found in review: a response that had been read and waited for its caller could still be chosen as the one that holds most; closing its connection, which was back in the pool by then, would have cut another request. Change: a reservation is settled when its body is complete, and is not ended after that; one that was ended before fails the attempt. Evidence: TestSettledReservationIsNotEnded.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -45,7 +45,12 @@
 		return nil, errResponseTooLarge
 	}
 	body := &heldBody{reservation: a.exchange.gateway.buffer.Reserve(a.response.Abort)}
-	if err := body.read(a.response.Body(a.timeout), stated, a.timeout); err != nil {
+	err := body.read(a.response.Body(a.timeout), stated, a.timeout)
+	if err == nil {
+		// From here on the connection may serve other requests and must not be closed.
+		err = body.reservation.Settle()
+	}
+	if err != nil {
 		if body.reservation.Ended() {
 			err = bytebudget.ErrExceeded
 		}
--- a/internal/state/bytebudget/budget.go
+++ b/internal/state/bytebudget/budget.go
@@ -76,7 +76,7 @@
 		if victim == r {
 			return ErrExceeded
 		}
-		go victim.abort()
+		go victim.abort() // may take the locks of its transfer
 	}
 	return nil
 }
@@ -99,6 +99,18 @@
 	r.held = 0
 }
 
+// Settle makes a reservation one that is never ended: its transfer is complete. It returns ErrExceeded
+// if the reservation has been ended before.
+func (r *Reservation) Settle() error {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	if r.ended {
+		return ErrExceeded
+	}
+	r.abort = nil
+	return nil
+}
+
 // Shrink returns n bytes.
 func (r *Reservation) Shrink(n int) {
 	r.budget.mu.Lock()
--- a/internal/state/bytebudget/budget_test.go
+++ b/internal/state/bytebudget/budget_test.go
@@ -70,3 +70,19 @@
 		}
 	})
 }
+
+// Guards against the end of a transfer that is complete: its connection may serve another one.
+func TestSettledReservationIsNotEnded(t *testing.T) {
+	b := New(100)
+	complete := b.Reserve(func() { t.Error("a complete transfer was ended") })
+	if complete.Grow(90) != nil || complete.Settle() != nil {
+		t.Fatal("the first reservation was refused")
+	}
+	growing := b.Reserve(func() {})
+	if growing.Grow(20) != ErrExceeded || !growing.Ended() || complete.Ended() {
+		t.Error("the transfer that exceeds the limit was not the one that ended")
+	}
+	if growing.Settle() != ErrExceeded {
+		t.Error("an ended reservation was settled")
+	}
+}
