gateway: log how a response marks its end, and what followed the last event

The incident's hypotheses differ in the framing of a response (length, chunks, the end of the connection) and in what it ended with; the logs had neither. request_ended and attempt_failed now state the framing, and request_ended of a stream the bytes after its last whole event.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -112,6 +112,7 @@
 		return err
 	}
 	a.response = response
+	ex.lastFraming = response.Framing()
 	a.responseKind = ex.gateway.adapter.Upstream.ClassifyResponse(&response.Response.Header)
 	a.recordLimit(&response.Response.Header)
 	switch a.responseKind {
@@ -233,12 +234,20 @@
 	}
 	ex.logEntry(eventlog.AttemptFailed).WithFields(logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "verdict": a.responseKind.String(), "sent": a.sendState == maybeSent,
-		"connection_lost": lostConnection(err), "crashed": a.crashed, "fingerprint": ex.fingerprint.String(),
+		"connection_lost": lostConnection(err), "crashed": a.crashed, "fingerprint": ex.fingerprint.String(), "framing": a.framing().String(),
 		"after_ms": (ex.gateway.now() - a.startedAt).Milliseconds(), "error": err.Error(),
 	}).Warn("attempt failed")
 	a.finish(status, false)
 }
 
+// framing returns the framing of the response; FramingNone if no header was read.
+func (a *attempt) framing() upstream.Framing {
+	if a.response == nil {
+		return upstream.FramingNone
+	}
+	return a.response.Framing()
+}
+
 // failureStatus maps a failure to the status reported to the dispatcher.
 func (a *attempt) failureStatus(err error) dispatch.Status {
 	if a.exchange.callerClosed() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
+	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
 // exchange is the state of one caller request from its arrival to the final response.
@@ -43,7 +44,8 @@
 	retries         retryState
 	progress        streamProgress
 	outcome         string
-	lastUpstream    string // of the last attempt
+	lastUpstream    string           // of the last attempt
+	lastFraming     upstream.Framing // of the last response header that was read
 }
 
 const (
@@ -366,7 +368,11 @@
 		kind, rank = ex.route.Kind.String(), strconv.Itoa(ex.rank)
 		fields["route"], fields["team"], fields["upstream"] = ex.route.Name, ex.team, ex.lastUpstream
 	}
+	if ex.lastFraming != upstream.FramingNone {
+		fields["framing"] = ex.lastFraming.String()
+	}
 	if ex.progress.events > 0 {
+		fields["tail_bytes"] = ex.progress.tailBytes
 		fields["events"], fields["longest_pause_ms"] = ex.progress.events, ex.progress.longestPause.Milliseconds()
 		fields["first_event_ms"] = (ex.progress.firstAt - ex.arrived).Milliseconds()
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,6 +22,7 @@
 	firstAt      time.Duration
 	latestAt     time.Duration
 	longestPause time.Duration
+	tailBytes    int // bytes after the last complete event when the stream ended
 }
 
 func (p *streamProgress) record(now time.Duration, event []byte) {
@@ -161,6 +162,7 @@
 	if err == io.EOF || err == io.ErrUnexpectedEOF {
 		// The upstream ended the body, so all that it sent is complete.
 		s.pending = append(s.pending[:0], event...)
+		ex.progress.tailBytes = len(event)
 		s.finish(dispatch.Succeeded, outcomeServed, io.EOF)
 		return
 	}
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -384,7 +384,7 @@
 // discardBody reads the body to its end. A body that ends only when the connection closes
 // cannot be skipped.
 func (r *Response) discardBody() error {
-	if r.Response.Header.ContentLength() == -2 {
+	if r.Framing() == FramingClose {
 		return errForeignResponses
 	}
 	if stream := r.Response.BodyStream(); stream != nil {
@@ -447,6 +447,44 @@
 	released bool
 }
 
+// Framing is how a response marks the end of its body.
+type Framing int
+
+const (
+	// FramingNone: the response has no body.
+	FramingNone Framing = iota
+	// FramingLength: the header states the length.
+	FramingLength
+	// FramingChunked: the last chunk ends the body.
+	FramingChunked
+	// FramingClose: the connection ends with the body. A regular close does not prove that the
+	// body is complete.
+	FramingClose
+)
+
+// String implements fmt.Stringer.
+func (f Framing) String() string {
+	return [...]string{"none", "length", "chunked", "close"}[f]
+}
+
+// contentLengthChunked is the content length that the HTTP library reports for a chunked body; it
+// reports a lower one for a body that ends with the connection.
+const contentLengthChunked = -1
+
+// Framing returns how the response marks the end of its body.
+func (r *Response) Framing() Framing {
+	length := r.Response.Header.ContentLength()
+	switch {
+	case r.Response.BodyStream() == nil:
+		return FramingNone
+	case length >= 0:
+		return FramingLength
+	case length == contentLengthChunked:
+		return FramingChunked
+	}
+	return FramingClose
+}
+
 // Body returns a reader of the body. readTimeout bounds each read; zero means no bound.
 func (r *Response) Body(readTimeout time.Duration) *BodyReader {
 	return &BodyReader{response: r, readTimeout: readTimeout}
@@ -464,7 +502,7 @@
 	}
 	r.released = true
 	cancelled := !r.stop()
-	reusable := complete && !cancelled && !r.Response.ConnectionClose() && r.Response.Header.ContentLength() != -2 && r.atBodyEnd()
+	reusable := complete && !cancelled && !r.Response.ConnectionClose() && r.Framing() != FramingClose && r.atBodyEnd()
 	if !reusable {
 		r.conn.Close()
 		return
