--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -289,6 +289,9 @@
 // lostConnection reports whether the connection to the upstream ended, pooled or not, rather
 // than a time limit of this instance.
 func lostConnection(err error) bool {
+	if err == errEndsInsideEvent {
+		return true
+	}
 	var failure *upstream.Failure
 	return errors.As(err, &failure) && !failure.Malformed && (!failure.Timeout || failure.ConnectionTimedOut())
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -108,19 +108,23 @@
 	s.reader = sse.NewReader(s.body)
 }
 
+// errEndsInsideEvent reports an upstream that ended the stream before the blank line that ends an event.
+var errEndsInsideEvent = errors.New("stream ended inside an event")
+
 // nextEvent returns the next event that has a field, with the blank lines and comments before it: alone
-// they are no part of a response, and may come without end.
+// they are no part of a response, and may come without end. With io.EOF it returns the blank lines and
+// comments after the last event.
 func (s *stream) nextEvent() ([]byte, error) {
 	var held []byte
 	for {
 		event, err := s.reader.Next()
-		if len(held) == 0 && (err != nil || sse.HasField(event)) {
-			return event, err
-		}
 		held = append(held, event...)
 		switch {
-		case err == io.EOF:
-			return held, io.ErrUnexpectedEOF
+		case err == io.ErrUnexpectedEOF && !sse.IsComment(event):
+			s.attempt.exchange.progress.tailBytes = len(event)
+			return nil, errEndsInsideEvent
+		case err == io.ErrUnexpectedEOF:
+			return held, io.EOF
 		case err != nil || sse.HasField(event):
 			return held, err
 		}
@@ -159,10 +163,8 @@
 		return
 	}
 	ex := s.attempt.exchange
-	if err == io.EOF || err == io.ErrUnexpectedEOF {
-		// The upstream ended the body, so all that it sent is complete.
+	if err == io.EOF {
 		s.pending = append(s.pending[:0], event...)
-		ex.progress.tailBytes = len(event)
 		s.finish(dispatch.Succeeded, outcomeServed, io.EOF)
 		return
 	}
--- a/internal/protocol/sse/reader.go
+++ b/internal/protocol/sse/reader.go
@@ -91,6 +91,9 @@
 	return 0, false
 }
 
+// IsComment reports whether text consists of whole lines that are blank or comments.
+func IsComment(text []byte) bool { return bytes.HasSuffix(text, []byte("\n")) && !HasField(text) }
+
 // HasField reports whether the event has a field, as opposed to blank lines and comments alone.
 func HasField(event []byte) bool {
 	for line := range bytes.Lines(event) {
