--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
+	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
 const (
@@ -120,15 +121,20 @@
 	return nil
 }
 
-// setBody makes the body that of the response to the caller.
+// setBody makes the body that of the response to the caller. The length is stated only if the
+// upstream marked the end of the body.
 func (ex *exchange) setBody(body *heldBody) {
-	if len(body.data) <= maxUnstreamedBytes {
+	switch {
+	case ex.lastFraming == upstream.FramingClose:
+		body.onClose = ex.finish
+		ex.respondUntilClose(body)
+	case len(body.data) <= maxUnstreamedBytes:
 		ex.httpCtx.Response.SetBodyRaw(body.data)
 		ex.responseBody = body
-		return
+	default:
+		body.onClose = ex.finish
+		ex.httpCtx.SetBodyStream(body, len(body.data))
 	}
-	body.onClose = ex.finish
-	ex.httpCtx.SetBodyStream(body, len(body.data))
 }
 
 // reserveRequestBody reserves the memory of the request's body while it may be sent again. It
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -23,4 +23,6 @@
 //     unless the upstream stated that it did not run it.
 //   - A stream ends as complete only if its upstream ended it. A resumed stream continues
 //     after the last complete event that the caller received.
+//   - A response that ends with the connection of its upstream may have been broken off. It
+//     reaches the caller without a length or chunks, too, so that its end claims nothing more.
 package gateway
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -73,7 +73,7 @@
 		return
 	}
 	ex.forward()
-	if !ctx.Response.IsBodyStream() {
+	if !ctx.Response.IsBodyStream() && !ctx.Hijacked() {
 		ex.finish()
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,6 +47,7 @@
 	pending    []byte
 	done       bool
 	err        error
+	framed     bool // the response to the caller has chunks, so a regular end claims that it is complete
 	finishOnce sync.Once
 }
 
@@ -83,7 +84,7 @@
 // and leaves the rest of the stream to the HTTP server.
 func (a *attempt) startStream() error {
 	ex := a.exchange
-	s := &stream{attempt: a}
+	s := &stream{attempt: a, framed: ex.lastFraming != upstream.FramingClose}
 	s.openBody()
 	event, err := s.nextEvent()
 	if err != nil {
@@ -96,9 +97,13 @@
 	s.buffer(event)
 	ex.gateway.adapter.Upstream.CopyResponseHeader(&ex.httpCtx.Response.Header, &a.response.Response.Header)
 	ex.httpCtx.SetStatusCode(fasthttp.StatusOK)
+	a.delivered = true
+	if !s.framed {
+		ex.respondUntilClose(s)
+		return nil
+	}
 	ex.httpCtx.Response.ImmediateHeaderFlush = false
 	ex.httpCtx.SetBodyStream(s, -1)
-	a.delivered = true
 	return nil
 }
 
@@ -164,8 +169,7 @@
 	}
 	ex := s.attempt.exchange
 	if err == io.EOF {
-		s.pending = append(s.pending[:0], event...)
-		s.finish(dispatch.Succeeded, outcomeServed, io.EOF)
+		s.end(event)
 		return
 	}
 	for ex.callCtx.Err() == nil && ex.canResume() {
@@ -181,6 +185,21 @@
 	s.abort(err)
 }
 
+// errUnprovenEnd reports a stream that was resumed and whose rest ends with the connection of the
+// upstream, while the caller receives chunks.
+var errUnprovenEnd = errors.New("the end of the resumed stream cannot be verified")
+
+// end ends a stream whose upstream has ended it regularly. tail are the blank lines and comments after
+// the last event.
+func (s *stream) end(tail []byte) {
+	s.pending = append(s.pending[:0], tail...)
+	if s.framed && s.attempt.exchange.lastFraming == upstream.FramingClose {
+		s.finish(dispatch.Succeeded, "stream_broken", errUnprovenEnd)
+		return
+	}
+	s.finish(dispatch.Succeeded, outcomeServed, io.EOF)
+}
+
 // resume continues the stream at another upstream and returns the first new event.
 func (s *stream) resume() ([]byte, error) {
 	ex := s.attempt.exchange
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -38,6 +38,7 @@
 	net.Conn
 	writeTimeout  time.Duration
 	lingerOnClose atomic.Bool
+	resetOnClose  atomic.Bool
 }
 
 // SyscallConn gives [upstream.PeerClosed] access to the socket.
@@ -60,8 +61,16 @@
 // before the request was read to its end.
 func (c *Conn) LingerOnClose() { c.lingerOnClose.Store(true) }
 
+// ResetOnClose makes Close reset the connection, which shows the caller that a response without
+// length or chunks is incomplete.
+func (c *Conn) ResetOnClose() { c.resetOnClose.Store(true) }
+
 // Close closes the connection, after reading the rest of a refused request.
 func (c *Conn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.resetOnClose.Load() {
+		// An error means that the connection has been closed already.
+		_ = tcp.SetLinger(0)
+	}
 	if c.lingerOnClose.Load() {
 		c.discardUnread()
 	}
