gateway: streams to callers that speak HTTP/1.0 have no chunks

What callers saw: a caller of HTTP/1.0 got a stream in chunks, which that version does not have, and read the chunk sizes as a part of the events. The HTTP library writes chunks whatever the caller speaks.

Change: such a stream ends with the connection, and a broken one resets it. Ruled out: collecting the stream to state its length, which would hold every event back.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -84,7 +84,8 @@
 // and leaves the rest of the stream to the HTTP server.
 func (a *attempt) startStream() error {
 	ex := a.exchange
-	s := &stream{attempt: a, framed: ex.lastFraming != upstream.FramingClose}
+	// Callers that speak HTTP/1.0 cannot read chunks.
+	s := &stream{attempt: a, framed: ex.lastFraming != upstream.FramingClose && ex.httpCtx.Request.Header.IsHTTP11()}
 	s.openBody()
 	event, err := s.nextEvent()
 	if err != nil {
