gateway: a stream resumed without an event is not complete (ORDER)

What callers saw: a stream that broke off and was resumed at an upstream that ended its response without an event ended regularly at the caller, although the gateway logged it as broken.

Cause: resume returned the io.EOF of the empty response, and the stream passed it on as its own end. Found in the review after the incident, by looking for other ends that are taken for complete. TestStreamResumedWithoutEventsIsNotComplete failed before (200, regular end after 5 of 12 events) and passes now.

Change: such an attempt has failed, as a first attempt without an event has. Ruled out: taking an empty chunked rest as proof that the last event was the last one; a faulty upstream looks alike.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -221,6 +221,9 @@
 	}
 	s.openBody()
 	event, err := s.nextEvent()
+	if err == io.EOF {
+		return nil, errNoEvent // the end alone does not show that nothing is missing
+	}
 	if err != nil {
 		return nil, err
 	}
