--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"time"
 
@@ -204,7 +206,11 @@
 // errRetryableStatus reports an error status that another upstream may not return.
 var errRetryableStatus = errors.New("upstream returned a retryable error status")
 
-// readBody reads the complete response body. A body over the limit is an error.
+// errUnprovenEnd reports a body that ended with the connection and may have been broken off.
+var errUnprovenEnd = errors.New("the response has neither a length nor chunks and may be incomplete")
+
+// readBody reads the complete response body. A body over the limit is an error. A body that ends with
+// the connection counts as complete only if it is a JSON document, which no part of it would be.
 func (a *attempt) readBody(limit int, timeout time.Duration) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(a.response.Body(timeout), int64(limit)+1))
 	if err != nil {
@@ -213,5 +219,14 @@
 	if len(body) > limit {
 		return nil, errors.Errorf("response body exceeds %d bytes", limit)
 	}
+	if a.response.Framing() == upstream.FramingClose && !isJSONDocument(body) {
+		return nil, errUnprovenEnd
+	}
 	return body, nil
 }
+
+// isJSONDocument reports whether body is a JSON object or array.
+func isJSONDocument(body []byte) bool {
+	text := bytes.TrimSpace(body)
+	return len(text) > 0 && (text[0] == '{' || text[0] == '[') && json.Valid(text)
+}
