--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -66,7 +67,7 @@
 	ex.lastUpstream = grant.Upstream.ID
 	ex.logEntry(eventlog.RequestPlaced).WithFields(logrus.Fields{
 		"upstream": grant.Upstream.ID, "address": grant.Upstream.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
-		"route": ex.route.Name, "rank": ex.rank, "suspicion": ex.suspicion().String(), "load": grant.Load, "slots": grant.Upstream.Slots, "cached": grant.Cached, "home": grant.Preferred, "prompt": ex.request.PromptTokens, "output": ex.request.MaxOutputTokens, "attempt": ex.sentAttempts + 1,
+		"route": ex.route.Name, "rank": ex.rank, "suspicion": ex.suspicion().String(), "load": grant.Load, "slots": grant.Upstream.Slots, "cached": grant.Cached, "home": grant.Preferred, "prompt": ex.request.PromptTokens, "output": ex.request.MaxOutputTokens, "parts": formatParts(ex.request.PromptPrefix), "attempt": ex.sentAttempts + 1,
 	}).Info("request placed")
 	if err := a.run(); err != nil {
 		a.recordFailure(err)
@@ -74,6 +75,15 @@
 	return a
 }
 
+// formatParts returns the IDs of the parts of a prompt for the log.
+func formatParts(parts []dispatch.Part) string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = strconv.FormatUint(part.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
 func (a *attempt) run() error {
 	if err := a.send(nil); err != nil {
 		return err
