--- a/internal/coordination/quarantine/doc.go
+++ b/internal/coordination/quarantine/doc.go
@@ -6,15 +6,32 @@
 // A request is identified by a fingerprint, a keyed hash of team and body. When an
 // upstream crashes, the crash is recorded for every request that was running there:
 //
-// A request whose attempt was given up counts as running for another 10 seconds, because the
-// upstream may still work on it.
-//
 //   - with one open crash, the request runs isolated from other suspects (Suspect);
 //   - with two open crashes, the request is refused (Refuse) until its entry expires, 10
 //     minutes after the latest crash;
 //   - a suspect that completes is cleared of the crashes known to the instance where it
 //     completes. A completion does not clear a request that is refused there.
 //
+// A request whose attempt was given up counts as running for another 10 seconds, because the
+// upstream may still work on it.
+//
+// # Parts of prompts
+//
+// One part of a prompt may crash each upstream that begins to answer it, in requests of which
+// no two are alike. Parts have entries of their own. A crash is recorded for the parts of all
+// prompts that wait for the beginning of their answer at the upstream:
+//
+//   - an answer that begins clears the parts of its prompt of the known crashes, and keeps
+//     them from suspicion for 10 seconds, since a part that crashes upstreams never gets that
+//     far. An instance that has seen such an answer clears the part for a peer that reports it;
+//   - a part with three open crashes is refused;
+//   - a part that crashes upstreams was at each of their crashes, others at some. Crashes that a
+//     refused part explains do not count against parts with fewer crashes, nor against requests
+//     without that part.
+//
+// Which parts are refused is computed from the entries, so instances with the same entries
+// refuse the same parts.
+//
 // # Exchange
 //
 // An entry holds a set of crash identifiers, each open or cleared. Entries merge by set
@@ -43,8 +60,10 @@
 //
 // # Known limitations
 //
-// A request that was running at two different crashes is refused until its entry expires,
-// although it caused neither. Copies that are already running when the first crash
+// A request that was running at two different crashes that no part explains is refused until its
+// entry expires, although it caused neither. A part that began to crash upstreams within the last 10
+// seconds is found when these have passed. A part that no answered prompt has and that was at all
+// crashes of a deadly part is refused with it. When all instances end together, nothing is known. Copies that are already running when the first crash
 // happens can each crash an upstream. The page docs/decisions/crashing-requests.md
 // describes these cases and the alternatives.
 //
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +28,14 @@
 
 	// refusalThreshold is the number of open crashes at which a request is refused.
 	refusalThreshold = 2
+	// partRefusalThreshold is the number of open crashes at which a part of prompts is refused. It is
+	// higher, because more sound requests share a part than send the same request again.
+	partRefusalThreshold = 3
+	// answeredPartLifetime is how long the beginning of an answer shows that the parts of its prompt
+	// crash no upstream.
+	answeredPartLifetime = 10 * time.Second
+	// maxAnsweredParts bounds the parts that are known to be answered.
+	maxAnsweredParts = 16384
 	// maxCrashesPerEntry is the maximum number of crashes that one entry keeps.
 	maxCrashesPerEntry = 8
 	// maxNameBytes is the maximum length of a name in a suspicion from a peer.
@@ -64,6 +74,7 @@
 // Cleared is set, the request has completed and is cleared of exactly these crashes.
 type Suspicion struct {
 	Fingerprint Fingerprint
+	Part        bool // the fingerprint is that of a part of prompts
 	Team        string
 	Crashes     []CrashID
 	Cleared     bool
@@ -79,8 +90,10 @@
 // Quarantine records which requests were running at upstreams that crashed. It is safe
 // for concurrent use.
 type Quarantine struct {
-	lifetime time.Duration
-	shards   [shardCount]shard
+	lifetime  time.Duration
+	shards    [shardCount]shard
+	convicted atomic.Pointer[convictions]
+	convictMu sync.Mutex // held while convicted is replaced
 }
 
 // New returns an empty quarantine.
@@ -92,6 +105,7 @@
 		o.MaxEntries = DefaultMaxEntries
 	}
 	q := &Quarantine{lifetime: o.Lifetime}
+	q.convicted.Store(&convictions{})
 	for i := range q.shards {
 		q.shards[i].init(o.Lifetime, max(o.MaxEntries/shardCount, 1))
 	}
@@ -112,7 +126,7 @@
 	if e == nil {
 		return Clear
 	}
-	return e.verdict()
+	return e.verdict(q.convicted.Load())
 }
 
 // Started records that a request of the team runs at the upstream. Each call must be
@@ -121,7 +135,7 @@
 func (q *Quarantine) Started(_ time.Duration, f Fingerprint, team, upstream string) {
 	s := q.lockShard(f)
 	defer s.mu.Unlock()
-	s.addRun(f, team, upstream)
+	s.addRun(f, suspect{team: team}, upstream)
 }
 
 // Completed records that a request completed successfully. A suspect that is not refused
@@ -132,7 +146,7 @@
 	defer s.mu.Unlock()
 	s.removeRun(f, upstream)
 	e := s.find(now, f)
-	if e == nil || e.verdict() != Suspect {
+	if e == nil || e.verdict(q.convicted.Load()) == Refuse || len(e.openCrashes()) == 0 {
 		return nil
 	}
 	return []Suspicion{e.clearOpenCrashes(now)}
@@ -157,38 +171,52 @@
 }
 
 // UpstreamCrashed records a crash. It adds the crash to the entries of all requests that
-// run at the upstream, or were abandoned there recently, and counts them as ended. The result must be sent to the peers
-// before the callers get their responses.
+// run at the upstream, or were abandoned there recently, and of the parts of prompts that wait for an
+// answer there, and counts them as ended. The result must be sent to the peers before the callers get
+// their responses.
 func (q *Quarantine) UpstreamCrashed(now time.Duration, c CrashID) []Suspicion {
 	var suspicions []Suspicion
 	for i := range q.shards {
 		s := &q.shards[i]
 		s.mu.Lock()
-		for f, team := range s.takeRuns(now, c.Upstream) {
-			s.recordCrash(now, f, team, crashRecord{id: c, occurredAt: now})
-			suspicions = append(suspicions, Suspicion{Fingerprint: f, Team: team, Crashes: []CrashID{c}})
+		for f, by := range s.takeRuns(now, c.Upstream) {
+			if by.isPart && s.hasAnswered(now, f) {
+				continue
+			}
+			s.recordCrash(now, f, by, crashRecord{id: c, occurredAt: now})
+			suspicions = append(suspicions, Suspicion{Fingerprint: f, Part: by.isPart, Team: by.team, Crashes: []CrashID{c}})
 		}
 		s.mu.Unlock()
 	}
+	q.updateConvictions(now)
 	slices.SortFunc(suspicions, func(a, b Suspicion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return suspicions
 }
 
 // Merge adds suspicions from a peer. The result is the union of the crashes and of the
-// cleared crashes: order and repetition do not matter until the bounds are reached.
-func (q *Quarantine) Merge(now time.Duration, suspicions []Suspicion) {
+// cleared crashes: order and repetition do not matter until the bounds are reached. It returns the
+// clearings of parts of which this instance has seen an answer; they must be sent to the peers.
+func (q *Quarantine) Merge(now time.Duration, suspicions []Suspicion) []Suspicion {
+	var clearings []Suspicion
 	for _, suspicion := range suspicions {
 		if suspicion.Age < 0 || suspicion.Age >= q.lifetime || len(suspicion.Team) > maxNameBytes {
 			continue
 		}
 		s := q.lockShard(suspicion.Fingerprint)
+		if suspicion.Part && !suspicion.Cleared && s.hasAnswered(now, suspicion.Fingerprint) {
+			suspicion.Cleared = true
+			clearings = append(clearings, suspicion)
+		}
 		for _, c := range suspicion.Crashes {
 			if len(c.Upstream) <= maxNameBytes && len(c.Incarnation) <= maxNameBytes {
-				s.recordCrash(now, suspicion.Fingerprint, suspicion.Team, crashRecord{id: c, occurredAt: now - suspicion.Age, cleared: suspicion.Cleared})
+				s.recordCrash(now, suspicion.Fingerprint, suspect{team: suspicion.Team, isPart: suspicion.Part},
+					crashRecord{id: c, occurredAt: now - suspicion.Age, cleared: suspicion.Cleared})
 			}
 		}
 		s.mu.Unlock()
 	}
+	q.updateConvictions(now)
+	return clearings
 }
 
 // Snapshot returns all unexpired suspicions, to be sent to an instance that joins.
@@ -211,7 +239,7 @@
 	for i := range q.shards {
 		s := &q.shards[i]
 		s.mu.Lock()
-		suspicions = s.appendRefused(now, suspicions)
+		suspicions = s.appendRefused(now, q.convicted.Load(), suspicions)
 		s.mu.Unlock()
 	}
 	slices.SortFunc(suspicions, func(a, b Suspicion) int { return cmp.Compare(a.Age, b.Age) })
--- a/internal/coordination/quarantine/shard.go
+++ b/internal/coordination/quarantine/shard.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/state/expiring"
 )
 
 // crashRecord is one crash of an upstream where the request was running. cleared is never
@@ -14,20 +16,26 @@
 	cleared    bool
 }
 
-// entry holds the crashes of one request, sorted by identifier. It is linked in the list
+// entry holds the crashes of one request or part, sorted by identifier. It is linked in the list
 // of its team in the order in which the entries last gained a new crash.
 type entry struct {
 	fingerprint   Fingerprint
+	isPart        bool
 	team          *teamList
 	crashes       []crashRecord
 	latestCrashAt time.Duration
 	prev, next    *entry
 }
 
-func (e *entry) verdict() Verdict {
+// verdict returns how the request or part may run. The crashes that a convicted part explains do not
+// count against a request.
+func (e *entry) verdict(convicted *convictions) Verdict {
+	if e.isPart {
+		return convicted.partVerdict(e)
+	}
 	open := 0
 	for _, c := range e.crashes {
-		if !c.cleared {
+		if !c.cleared && !convicted.explain(c.id) {
 			open++
 		}
 	}
@@ -41,10 +49,21 @@
 	}
 }
 
+// openCrashes returns the crashes that are not cleared.
+func (e *entry) openCrashes() []CrashID {
+	var open []CrashID
+	for _, c := range e.crashes {
+		if !c.cleared {
+			open = append(open, c.id)
+		}
+	}
+	return open
+}
+
 // clearOpenCrashes marks the open crashes as cleared and returns the suspicion to send to
 // the peers.
 func (e *entry) clearOpenCrashes(now time.Duration) Suspicion {
-	suspicion := Suspicion{Fingerprint: e.fingerprint, Team: e.team.name, Cleared: true, Age: now - e.latestCrashAt}
+	suspicion := e.suspicion(now, true)
 	for i := range e.crashes {
 		if c := &e.crashes[i]; !c.cleared {
 			c.cleared = true
@@ -54,6 +73,11 @@
 	return suspicion
 }
 
+// suspicion returns a suspicion of the entry without crashes.
+func (e *entry) suspicion(now time.Duration, cleared bool) Suspicion {
+	return Suspicion{Fingerprint: e.fingerprint, Part: e.isPart, Team: e.team.name, Cleared: cleared, Age: now - e.latestCrashAt}
+}
+
 // mergeCrash adds a crash. A known crash keeps its earliest time, so that forwarding it
 // does not extend its lifetime, and stays cleared. It reports whether the crash is new.
 func (e *entry) mergeCrash(c crashRecord) bool {
@@ -119,6 +143,12 @@
 	t.count--
 }
 
+// suspect is a request or a part of a prompt that runs at an upstream.
+type suspect struct {
+	team   string
+	isPart bool
+}
+
 // shard holds the entries and the running requests of one sixteenth of the fingerprints.
 type shard struct {
 	mu         sync.Mutex
@@ -128,11 +158,13 @@
 	teams      map[string]*teamList
 	running    map[string]map[Fingerprint]*requestRuns // by upstream
 	abandoned  []abandonedRun                          // ordered by expiry
+	answered   *expiring.Map[Fingerprint, struct{}]    // parts of which an answer began
 }
 
-// requestRuns counts the copies of one request that are running at one upstream.
+// requestRuns counts the copies of one request, or the prompts with one part, that are running at one
+// upstream.
 type requestRuns struct {
-	team  string
+	suspect
 	count int // including abandoned runs
 }
 
@@ -148,6 +180,7 @@
 	s.entries = make(map[Fingerprint]*entry)
 	s.teams = make(map[string]*teamList)
 	s.running = make(map[string]map[Fingerprint]*requestRuns)
+	s.answered = expiring.New(expiring.Options[Fingerprint, struct{}]{TTL: answeredPartLifetime, MaxEntries: maxAnsweredParts / shardCount})
 }
 
 // find returns the entry of a fingerprint, or nil. It removes an expired entry.
@@ -162,11 +195,11 @@
 
 // recordCrash adds a crash to the entry of a request. If a new entry exceeds the limit, it
 // evicts one.
-func (s *shard) recordCrash(now time.Duration, f Fingerprint, team string, c crashRecord) {
+func (s *shard) recordCrash(now time.Duration, f Fingerprint, by suspect, c crashRecord) {
 	e := s.find(now, f)
 	if e == nil {
-		e = &entry{fingerprint: f}
-		s.insertEntry(e, team)
+		e = &entry{fingerprint: f, isPart: by.isPart}
+		s.insertEntry(e, by.team)
 	}
 	if e.mergeCrash(c) {
 		e.team.remove(e)
@@ -225,7 +258,7 @@
 				continue
 			}
 			for _, cleared := range []bool{false, true} {
-				suspicion := Suspicion{Fingerprint: e.fingerprint, Team: t.name, Cleared: cleared, Age: now - e.latestCrashAt}
+				suspicion := e.suspicion(now, cleared)
 				for _, c := range e.crashes {
 					if c.cleared == cleared {
 						suspicion.Crashes = append(suspicion.Crashes, c.id)
@@ -241,30 +274,26 @@
 }
 
 // appendRefused appends the suspicions of the refused requests of the shard.
-func (s *shard) appendRefused(now time.Duration, suspicions []Suspicion) []Suspicion {
+func (s *shard) appendRefused(now time.Duration, convicted *convictions, suspicions []Suspicion) []Suspicion {
 	for _, e := range s.entries {
-		if now-e.latestCrashAt >= s.lifetime || e.verdict() != Refuse {
+		if now-e.latestCrashAt >= s.lifetime || e.verdict(convicted) != Refuse {
 			continue
 		}
-		suspicion := Suspicion{Fingerprint: e.fingerprint, Team: e.team.name, Age: now - e.latestCrashAt}
-		for _, c := range e.crashes {
-			if !c.cleared {
-				suspicion.Crashes = append(suspicion.Crashes, c.id)
-			}
-		}
+		suspicion := e.suspicion(now, false)
+		suspicion.Crashes = e.openCrashes()
 		suspicions = append(suspicions, suspicion)
 	}
 	return suspicions
 }
 
-func (s *shard) addRun(f Fingerprint, team, upstream string) {
+func (s *shard) addRun(f Fingerprint, by suspect, upstream string) {
 	runs := s.running[upstream]
 	if runs == nil {
 		runs = make(map[Fingerprint]*requestRuns)
 		s.running[upstream] = runs
 	}
 	if runs[f] == nil {
-		runs[f] = &requestRuns{team: team}
+		runs[f] = &requestRuns{suspect: by}
 	}
 	runs[f].count++
 }
@@ -305,14 +334,20 @@
 	s.abandoned = s.abandoned[n:]
 }
 
-// takeRuns removes all running and abandoned requests of an upstream and returns their teams.
-func (s *shard) takeRuns(now time.Duration, upstream string) map[Fingerprint]string {
+// takeRuns removes and returns all running and abandoned requests and parts of an upstream.
+func (s *shard) takeRuns(now time.Duration, upstream string) map[Fingerprint]suspect {
 	s.expireAbandonedRuns(now)
 	s.abandoned = slices.DeleteFunc(s.abandoned, func(r abandonedRun) bool { return r.upstream == upstream })
-	teams := make(map[Fingerprint]string, len(s.running[upstream]))
+	suspects := make(map[Fingerprint]suspect, len(s.running[upstream]))
 	for f, r := range s.running[upstream] {
-		teams[f] = r.team
+		suspects[f] = r.suspect
 	}
 	delete(s.running, upstream)
-	return teams
+	return suspects
+}
+
+// hasAnswered reports whether an answer to a prompt with the part has begun lately.
+func (s *shard) hasAnswered(now time.Duration, part Fingerprint) bool {
+	_, ok := s.answered.Get(now, part)
+	return ok
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,7 @@
 	response     *upstream.Response
 	timeout      time.Duration // for the header and the pauses in a body that is no stream; 0: none
 	started      bool          // the quarantine counts the request as running at the upstream
+	answered     bool          // the upstream has begun to answer
 	crashed      bool          // the crash of the upstream has been recorded
 	delivered    bool
 	finished     bool
@@ -216,10 +217,18 @@
 func (a *attempt) recordFirstOutput() {
 	ex := a.exchange
 	now := ex.gateway.now()
-	ex.service.dispatcher.FirstOutput(now, a.grant.Token)
+	a.answerBegan(now)
 	ex.gateway.metrics.firstOutputSeconds.WithLabelValues(ex.route.Kind.String(), strconv.Itoa(ex.rank)).Observe((now - ex.arrived).Seconds())
 }
 
+// answerBegan records that the upstream has begun to answer, which clears the parts of the prompt.
+func (a *attempt) answerBegan(now time.Duration) {
+	ex := a.exchange
+	a.answered = true
+	ex.service.dispatcher.FirstOutput(now, a.grant.Token)
+	ex.gateway.broadcastSuspicions(ex.gateway.quarantine.PartsAnswered(now, ex.sharedParts, a.grant.Upstream.ID))
+}
+
 // recordFailure ends a failed attempt and records what the failure reveals about the
 // upstream.
 func (a *attempt) recordFailure(err error) {
@@ -352,17 +361,33 @@
 	}
 	ex := a.exchange
 	now := ex.gateway.now()
+	if a.started {
+		a.endRun(now, status, complete)
+	}
+	ex.service.dispatcher.Done(now, a.grant.Token, status)
+	ex.gateway.metrics.attempts.WithLabelValues(outcomeLabels[status]).Inc()
+}
+
+// endRun tells the quarantine whether the upstream may still work on the request.
+func (a *attempt) endRun(now time.Duration, status dispatch.Status, complete bool) {
+	ex := a.exchange
+	q, upstreamID := ex.gateway.quarantine, a.grant.Upstream.ID
+	ended := a.sendState == notSent || a.notRun() || complete
 	switch {
-	case !a.started:
 	case status == dispatch.Succeeded:
-		ex.gateway.broadcastSuspicions(ex.gateway.quarantine.Completed(now, ex.fingerprint, a.grant.Upstream.ID))
-	case a.sendState == notSent, a.notRun(), a.crashed, complete:
-		ex.gateway.quarantine.Aborted(now, ex.fingerprint, a.grant.Upstream.ID)
+		ex.gateway.broadcastSuspicions(q.Completed(now, ex.fingerprint, upstreamID))
+	case ended || a.crashed:
+		q.Aborted(now, ex.fingerprint, upstreamID)
 	default:
-		ex.gateway.quarantine.Abandoned(now, ex.fingerprint, a.grant.Upstream.ID)
+		q.Abandoned(now, ex.fingerprint, upstreamID)
+	}
+	switch {
+	case a.answered, a.crashed: // the parts no longer count as running
+	case ended:
+		q.PartsAborted(ex.sharedParts, upstreamID)
+	default:
+		q.PartsAbandoned(now, ex.sharedParts, upstreamID)
 	}
-	ex.service.dispatcher.Done(now, a.grant.Token, status)
-	ex.gateway.metrics.attempts.WithLabelValues(outcomeLabels[status]).Inc()
 }
 
 var outcomeLabels = map[dispatch.Status]string{
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"slices"
 	"strconv"
 	"time"
@@ -37,9 +38,11 @@
 	responseBody *heldBody               // nil if the response has no body or is a stream
 
 	fingerprint     quarantine.Fingerprint
-	triedUpstreams  []string // upstreams of all attempts, including failed dials
-	sentAttempts    int      // attempts of which a byte may have been sent
-	countedAttempts int      // sentAttempts that count against the route's MaxAttempts
+	sharedParts     []quarantine.Fingerprint // of the prompt, without the last, which is the request's own
+	refusedPart     quarantine.Fingerprint   // 0 unless the request was refused for a part
+	triedUpstreams  []string                 // upstreams of all attempts, including failed dials
+	sentAttempts    int                      // attempts of which a byte may have been sent
+	countedAttempts int                      // sentAttempts that count against the route's MaxAttempts
 	mayHaveRun      bool
 	retries         retryState
 	progress        streamProgress
@@ -142,12 +145,28 @@
 	watchedCtx, unwatch := ex.gateway.callerWatcher.Watch(ex.httpCtx.Conn())
 	callCtx, cancel := context.WithDeadline(watchedCtx, ex.gateway.startedAt.Add(ex.deadline))
 	ex.callCtx, ex.cancel = callCtx, func() { cancel(); unwatch() }
+	ex.sharedParts = partFingerprints(ex.service.name, ex.request.PromptPrefix)
 	ex.fingerprint = quarantine.FingerprintOf(fingerprintKey, ex.team, append(slices.Clone(ex.httpCtx.Request.Header.RequestURI()), ex.httpCtx.Request.Body()...))
 }
 
-// fingerprintKey is shared by all instances so that they compute the same fingerprints. It
-// is not a secret.
-var fingerprintKey = []byte("yuccabridge gateway request")
+// fingerprintKey and partKey are shared by all instances so that they compute the same
+// fingerprints. They are not secrets.
+var (
+	fingerprintKey = []byte("yuccabridge gateway request")
+	partKey        = []byte("yuccabridge gateway prompt part")
+)
+
+// partFingerprints returns the fingerprints of the parts that requests to the service share.
+func partFingerprints(service string, prompt []dispatch.Part) []quarantine.Fingerprint {
+	if len(prompt) < 2 {
+		return nil
+	}
+	fingerprints := make([]quarantine.Fingerprint, len(prompt)-1)
+	for i := range fingerprints {
+		fingerprints[i] = quarantine.FingerprintOf(partKey, service, binary.BigEndian.AppendUint64(nil, prompt[i].ID))
+	}
+	return fingerprints
+}
 
 // forward sends the request to upstreams until a response is forwarded or no further
 // attempt is allowed.
@@ -198,11 +217,19 @@
 
 // crashesUpstreamsError returns the final error of a request that is refused.
 func (ex *exchange) crashesUpstreamsError() *apierror.Error {
+	if ex.refusedPart != 0 {
+		return ex.withRetryAfter(apierror.New(apierror.RequestCrashesUpstreams, "a part of this prompt crashed upstreams; requests with it are refused for a while"))
+	}
 	return ex.withRetryAfter(apierror.New(apierror.RequestCrashesUpstreams, "this request crashed two upstreams; it is refused for a while"))
 }
 
-// suspicion returns what is known of crashes of upstreams that ran this request.
+// suspicion returns what is known of crashes of upstreams that ran this request, or others with the
+// same parts in their prompts.
 func (ex *exchange) suspicion() quarantine.Verdict {
+	if part, refused := ex.gateway.quarantine.RefusedPart(ex.gateway.now(), ex.sharedParts); refused {
+		ex.refusedPart = part
+		return quarantine.Refuse
+	}
 	return ex.gateway.quarantine.Check(ex.gateway.now(), ex.fingerprint)
 }
 
@@ -378,6 +405,9 @@
 	}
 	if ex.outcome == string(apierror.RequestCrashesUpstreams) {
 		fields["fingerprint"] = ex.fingerprint.String()
+		if ex.refusedPart != 0 {
+			fields["part"] = ex.refusedPart.String()
+		}
 	}
 	ex.gateway.metrics.requests.WithLabelValues(kind, rank, ex.outcome).Inc()
 	if ex.outcome == outcomeServed {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -267,7 +267,7 @@
 	}
 	if len(reply.Suspicions) > 0 {
 		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": member.Name, "suspects": len(reply.Suspicions)}).Info("crashes received from a peer")
-		p.gateway.quarantine.Merge(p.gateway.now(), reply.Suspicions)
+		p.gateway.mergeSuspicions(reply.Suspicions)
 	}
 }
 
@@ -302,7 +302,7 @@
 			return nil, errors.Wrap(err, "suspicions")
 		}
 		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": from.Name, "suspects": len(suspicions)}).Debug("broadcast of a crash received")
-		p.gateway.quarantine.Merge(p.gateway.now(), suspicions)
+		p.gateway.mergeSuspicions(suspicions)
 		return nil, nil
 	}
 	return nil, errors.Errorf("unexpected message of type %s from %s", m.Type(), from.Name)
@@ -335,6 +335,12 @@
 	return &snapshot
 }
 
+// mergeSuspicions adds suspicions from a peer and tells the other instances which parts of prompts
+// this instance knows to be harmless.
+func (g *Gateway) mergeSuspicions(suspicions []quarantine.Suspicion) {
+	g.broadcastSuspicions(g.quarantine.Merge(g.now(), suspicions))
+}
+
 // broadcastSuspicions sends suspicions to the other instances.
 func (g *Gateway) broadcastSuspicions(suspicions []quarantine.Suspicion) {
 	if g.peers == nil || len(suspicions) == 0 {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -62,6 +62,7 @@
 	ex := a.exchange
 	a.started = true
 	ex.gateway.quarantine.Started(ex.gateway.now(), ex.fingerprint, ex.team, a.grant.Upstream.ID)
+	ex.gateway.quarantine.PartsStarted(ex.sharedParts, ex.team, a.grant.Upstream.ID)
 	if ex.retries.allowed != nil {
 		ex.service.budget.Sent(ex.gateway.now(), ex.retries.allowed)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -230,7 +230,7 @@
 	if id, ok := sse.ID(event); !ok || id != lastID+1 {
 		return nil, errResumeGap
 	}
-	ex.service.dispatcher.FirstOutput(ex.gateway.now(), grant.Token)
+	next.answerBegan(ex.gateway.now())
 	ex.gateway.metrics.resumes.Inc()
 	return event, nil
 }
