--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -87,6 +87,9 @@
 	if routing == nil {
 		return apierror.New(apierror.NotReady, "the instance has no configuration yet")
 	}
+	if !ex.gateway.peers.mayServe(ex.gateway.now()) {
+		return apierror.New(apierror.NotReady, "the instance has not heard from its peers yet")
+	}
 	uri := ex.httpCtx.Request.Header.RequestURI()
 	ex.route = routing.findRoute(string(ex.httpCtx.Request.Header.Host()), string(trimQuery(uri)))
 	if ex.route == nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"math"
 	mathrand "math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +35,9 @@
 	// joinPullTime is how long after its start an instance pulls from each peer that it learns
 	// of, because it knows nothing of what was broadcast before.
 	joinPullTime = 10 * time.Second
+	// joinTimeout is how long after its start an instance waits for the answer of a peer before it
+	// serves. Its peers may be down or cut off.
+	joinTimeout = time.Second
 	// maxQueuedPulls bounds the peers from which an instance pulls out of turn; any of them
 	// knows what the others on its side of a partition know.
 	maxQueuedPulls = 4
@@ -54,6 +58,8 @@
 	node       *peer.Node
 	reports    *reportExchange
 	pullQueue  chan membership.Member // peers to pull from out of turn
+	seedCount  int
+	joined     atomic.Bool // a peer has answered a pull
 }
 
 // pullMessage requests what the peer knows beyond this instance: a snapshot newer than a
@@ -106,6 +112,7 @@
 			seeds = append(seeds, address)
 		}
 	}
+	p.seedCount = len(seeds)
 	p.membership = membership.New(membership.Options{Self: p.self, Seeds: seeds}, mathrand.New(mathrand.NewPCG(g.seed, 1)))
 	p.gossip.SetMachine(p.membership)
 	p.reports = newReportExchange(p)
@@ -192,6 +199,11 @@
 	return group.Wait()
 }
 
+// mayServe reports whether this instance knows what its peers refuse, or has waited for them long enough.
+func (p *peers) mayServe(now time.Duration) bool {
+	return p == nil || p.seedCount == 0 || p.joined.Load() || now >= joinTimeout
+}
+
 func (p *peers) leave() { p.gossip.Leave() }
 
 func (p *peers) close() {
@@ -262,6 +274,7 @@
 		p.logCallFailure("pull", member.Name, err)
 		return
 	}
+	defer p.joined.Store(true)
 	if reply.Snapshot != nil {
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -173,7 +173,7 @@
 
 // ready reports whether the instance should receive requests.
 func (g *Gateway) ready() bool {
-	return g.routing.Load() != nil && g.platformWatcher.hasSnapshot() && !g.draining.Load()
+	return g.routing.Load() != nil && g.platformWatcher.hasSnapshot() && g.peers.mayServe(g.now()) && !g.draining.Load()
 }
 
 func (g *Gateway) handleReady(ctx *fasthttp.RequestCtx) {
