gateway: a resumption that is refused ends the stream

One instance used most of its processor and its log.

Cause: a stream that breaks asks for another upstream as long as its route allows another attempt. Where that is refused no attempt is made, so nothing counted, and it asked again at once, with several log lines a turn, until its deadline.

Change: a refusal or a rejection ends the stream at its caller, as it ends a first attempt; a rejection comes after the wait in the dispatcher's queue. request_ended says why a stream was cut off. The bound is written down in the package's guarantees.

Evidence: TestRefusedResumptionEndsTheStream failed before, with 89582 log lines for one request and a deadline of 3 s, and allows 37 now. TestMisdirectedAttemptsAreBounded passed before; it holds the loop of first attempts to the same bound. internal/entry was read: its loops count each turn. Ruled out: a pause between two turns, which only divides the work.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -23,6 +23,8 @@
 //     unless the upstream stated that it did not run it.
 //   - A stream ends as complete only if its upstream ended it. A resumed stream continues
 //     after the last complete event that the caller received.
+//   - The work of one request is bounded by its attempts: each turn of a loop over them sends
+//     the request, or fails a dial, of which there are at most maxFailedDials, or ends it.
 //   - A response that ends with the connection of its upstream may have been broken off. It
 //     reaches the caller without a length or chunks, too, so that its end claims nothing more.
 package gateway
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,7 @@
 	retries         retryState
 	progress        streamProgress
 	outcome         string
+	streamErr       error            // what ended a stream
 	lastUpstream    string           // of the last attempt
 	lastFraming     upstream.Framing // of the last response header that was read
 }
@@ -412,6 +413,9 @@
 			fields["part"] = ex.refusedPart.String()
 		}
 	}
+	if ex.outcome == outcomeStreamBroken {
+		fields["error"] = ex.streamErr.Error()
+	}
 	ex.gateway.metrics.requests.WithLabelValues(kind, rank, ex.outcome).Inc()
 	if ex.outcome == outcomeServed {
 		ex.logEntry(eventlog.RequestEnded).WithFields(fields).Info("request completed")
@@ -420,5 +424,9 @@
 	ex.logEntry(eventlog.RequestEnded).WithFields(fields).Warn("request ended without an upstream response")
 }
 
-// outcomeServed is the outcome of a request whose caller received an upstream response.
-const outcomeServed = "served"
+const (
+	// outcomeServed is the outcome of a request whose caller received an upstream response.
+	outcomeServed = "served"
+	// outcomeStreamBroken is the outcome of a stream that was cut off at its caller.
+	outcomeStreamBroken = "stream_broken"
+)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -178,7 +178,13 @@
 		if !ex.allowRetry() {
 			break
 		}
-		if event, err = s.resume(); err == nil {
+		grant, apiErr := ex.acquireUpstream()
+		if apiErr != nil {
+			// No attempt was made, so asking again is not bounded by the attempts of the route.
+			err = apiErr
+			break
+		}
+		if event, err = s.resume(grant); err == nil {
 			s.buffer(event)
 			return
 		}
@@ -195,19 +201,15 @@
 func (s *stream) end(tail []byte) {
 	s.pending = append(s.pending[:0], tail...)
 	if s.framed && s.attempt.exchange.lastFraming == upstream.FramingClose {
-		s.finish(dispatch.Succeeded, "stream_broken", errUnprovenEnd)
+		s.finish(dispatch.Succeeded, outcomeStreamBroken, errUnprovenEnd)
 		return
 	}
 	s.finish(dispatch.Succeeded, outcomeServed, io.EOF)
 }
 
-// resume continues the stream at another upstream and returns the first new event.
-func (s *stream) resume() ([]byte, error) {
+// resume continues the stream at the granted upstream and returns the first new event.
+func (s *stream) resume(grant *dispatch.Grant) ([]byte, error) {
 	ex := s.attempt.exchange
-	grant, apiErr := ex.acquireUpstream()
-	if apiErr != nil {
-		return nil, apiErr
-	}
 	lastID := ex.progress.lastID
 	next := &attempt{exchange: ex, grant: grant, startedAt: ex.gateway.now()}
 	ex.lastUpstream = grant.Upstream.ID
@@ -247,7 +249,7 @@
 		if !s.attempt.finished {
 			s.attempt.recordFailure(err)
 		}
-		s.finish(dispatch.Failed, "stream_broken", err)
+		s.finish(dispatch.Failed, outcomeStreamBroken, err)
 	}
 }
 
@@ -255,7 +257,7 @@
 	s.finishOnce.Do(func() {
 		s.done, s.err = true, err
 		s.attempt.finish(status, status == dispatch.Succeeded)
-		s.attempt.exchange.outcome = outcome
+		s.attempt.exchange.outcome, s.attempt.exchange.streamErr = outcome, err
 		s.attempt.exchange.finish()
 	})
 }
