--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -8,13 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 )
 
 // Options configures a [Client]. Zero values take the defaults.
@@ -64,73 +61,6 @@
 	return o
 }
 
-// keepAliveProbes is the number of unanswered keep-alive probes after which the kernel
-// closes the connection.
-const keepAliveProbes = 2
-
-// Dialer returns a dial function whose connections the kernel closes when the other end, or
-// a middlebox between the two ends, no longer has state for them.
-func Dialer(userTimeout, keepAliveInterval time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var err error
-			controlErr := c.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			if controlErr != nil {
-				return controlErr
-			}
-			return err
-		},
-	}
-	return func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", address)
-	}
-}
-
-// Phase is the part of an exchange in which it failed.
-type Phase int
-
-const (
-	// PhaseDial: the dial failed, so the upstream is unreachable, or BeforeSend returned
-	// false; no byte was sent.
-	PhaseDial Phase = iota
-	// PhaseWrite: the write failed; some bytes may have been sent.
-	PhaseWrite
-	// PhaseHeader: the request was sent, but no complete response header was read.
-	PhaseHeader
-	// PhaseBody: the response body could not be read to its end.
-	PhaseBody
-)
-
-// Failure describes a failed exchange.
-type Failure struct {
-	Phase Phase
-	// Sent is true when at least one byte of the request may have been sent.
-	Sent bool
-	// Reused is true when the exchange ran on a pooled connection.
-	Reused bool
-	// Timeout is true when the read or write deadline of the connection expired.
-	Timeout bool
-	// Malformed is true when the upstream sent bytes that are no response.
-	Malformed bool
-	Err       error
-}
-
-// Error implements the error interface.
-func (f *Failure) Error() string { return f.Err.Error() }
-
-// Unwrap returns the cause.
-func (f *Failure) Unwrap() error { return f.Err }
-
-// TimedOut reports whether a time limit expired, here or in the kernel.
-func (f *Failure) TimedOut() bool { return isTimeout(f.Err) || f.ConnectionTimedOut() }
-
-// ConnectionTimedOut reports whether the kernel closed the connection because the other end
-// acknowledged neither data nor keep-alive probes.
-func (f *Failure) ConnectionTimedOut() bool { return errors.Is(f.Err, syscall.ETIMEDOUT) }
-
 // Client sends requests to one upstream. It is safe for concurrent use.
 type Client struct {
 	address string
@@ -160,47 +90,6 @@
 	c.idle = nil
 }
 
-// conn is a connection with its read and write buffers.
-type conn struct {
-	net.Conn
-	reader           *bufio.Reader
-	writer           *bufio.Writer
-	written          atomic.Bool
-	readAllowance    int // bytes that may still be read for the current call; see allowRead
-	lastUsed         time.Time
-	keepAliveTimeout time.Duration // announced by the upstream; 0: unknown
-	reused           bool
-}
-
-// Write records that bytes may have been sent, then writes them.
-func (cn *conn) Write(p []byte) (int, error) {
-	cn.written.Store(true)
-	return cn.Conn.Write(p)
-}
-
-const (
-	// maxFramingBytes bounds what is read beside the data of a body: chunk sizes and extensions,
-	// trailers. maxFramingFactor allows for chunks of few bytes.
-	maxFramingBytes  = 64 << 10
-	maxFramingFactor = 8
-)
-
-// errEndlessFraming reports an upstream that sends bytes which are neither data nor the end.
-var errEndlessFraming = errors.New("the response has no end")
-
-// allowRead limits the bytes that are read from the connection for the next n bytes of data.
-func (cn *conn) allowRead(n int) { cn.readAllowance = maxFramingFactor*n + maxFramingBytes }
-
-// Read implements io.Reader for the response parser, which goes on reading while it skips bytes.
-func (cn *conn) Read(p []byte) (int, error) {
-	if cn.readAllowance <= 0 {
-		return 0, errEndlessFraming
-	}
-	n, err := cn.Conn.Read(p)
-	cn.readAllowance -= n
-	return n, err
-}
-
 // Call is one request with the options of its exchange.
 type Call struct {
 	Request *fasthttp.Request
@@ -246,13 +135,6 @@
 	return c.dial(ctx)
 }
 
-// LostConnection reports whether a pooled connection failed before the response began.
-// The upstream may have closed it while it was idle, or may have crashed; only a new
-// dial can tell the two apart.
-func (f *Failure) LostConnection() bool {
-	return f.Reused && !f.Timeout && (f.Phase == PhaseWrite || f.Phase == PhaseHeader)
-}
-
 // Reachable dials the upstream once and reports whether it accepts the connection.
 func (c *Client) Reachable(ctx context.Context) bool {
 	cn, err := c.dial(ctx)
@@ -286,48 +168,6 @@
 	return cn, nil
 }
 
-// takeIdle returns the most recently used connection that is still within the reuse window
-// and has not been closed by the upstream, or nil.
-func (c *Client) takeIdle() *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	for len(c.idle) > 0 {
-		cn := c.idle[len(c.idle)-1]
-		c.idle = c.idle[:len(c.idle)-1]
-		if now.Sub(cn.lastUsed) < c.reuseWindow(cn) && isReusable(cn.Conn) {
-			cn.reused = true
-			return cn
-		}
-		cn.Close()
-	}
-	return nil
-}
-
-// reuseMargin is subtracted from the keep-alive timeout that the upstream announces: when a
-// request is sent while the upstream closes the connection, it is unknown whether it ran.
-const reuseMargin = 500 * time.Millisecond
-
-// reuseWindow is how long the connection may stay idle and still be reused.
-func (c *Client) reuseWindow(cn *conn) time.Duration {
-	if cn.keepAliveTimeout > 0 {
-		return min(c.opts.ReuseWindow, cn.keepAliveTimeout-reuseMargin)
-	}
-	return c.opts.ReuseWindow
-}
-
-func (c *Client) putIdle(cn *conn) {
-	cn.lastUsed = time.Now()
-	cn.written.Store(false)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || len(c.idle) >= c.opts.MaxIdle {
-		cn.Close()
-		return
-	}
-	c.idle = append(c.idle, cn)
-}
-
 func (c *Client) exchange(ctx context.Context, cn *conn, call Call) (*Response, *Failure) {
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	fail := func(phase Phase, err error) (*Response, *Failure) {
@@ -422,156 +262,3 @@
 	}
 	return time.Now().Add(timeout)
 }
-
-// isTimeout accepts any error with a Timeout method: when a header does not arrive in time,
-// fasthttp returns an error that is not a [net.Error]. ETIMEDOUT is excluded; see
-// [Failure.ConnectionTimedOut].
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return !errors.Is(err, syscall.ETIMEDOUT) && errors.As(err, &t) && t.Timeout()
-}
-
-// isMalformed reports whether the parser rejected what it read, as opposed to an error of the
-// connection.
-func isMalformed(err error) bool {
-	var netErr *net.OpError
-	return !isTimeout(err) && !errors.As(err, &netErr) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
-}
-
-// Response is a response whose body is still being read.
-type Response struct {
-	Response fasthttp.Response
-	client   *Client
-	conn     *conn
-	stop     func() bool
-	released bool
-}
-
-// Framing is how a response marks the end of its body.
-type Framing int
-
-const (
-	// FramingNone: the response has no body.
-	FramingNone Framing = iota
-	// FramingLength: the header states the length.
-	FramingLength
-	// FramingChunked: the last chunk ends the body.
-	FramingChunked
-	// FramingClose: the connection ends with the body. A regular close does not prove that the
-	// body is complete.
-	FramingClose
-)
-
-// String implements fmt.Stringer.
-func (f Framing) String() string {
-	return [...]string{"none", "length", "chunked", "close"}[f]
-}
-
-// contentLengthChunked is the content length that the HTTP library reports for a chunked body; it
-// reports a lower one for a body that ends with the connection.
-const contentLengthChunked = -1
-
-// Framing returns how the response marks the end of its body.
-func (r *Response) Framing() Framing {
-	length := r.Response.Header.ContentLength()
-	switch {
-	case r.Response.BodyStream() == nil:
-		return FramingNone
-	case length >= 0:
-		return FramingLength
-	case length == contentLengthChunked:
-		return FramingChunked
-	}
-	return FramingClose
-}
-
-// Body returns a reader of the body. readTimeout bounds each read; zero means no bound.
-func (r *Response) Body(readTimeout time.Duration) *BodyReader {
-	return &BodyReader{response: r, readTimeout: readTimeout}
-}
-
-// Abort closes the connection, so that a read in progress fails. It may be called concurrently
-// with reads.
-func (r *Response) Abort() { r.conn.Close() }
-
-// Release ends the exchange. When the body was read to its end, the connection returns to
-// the pool; otherwise it is closed, which cancels the request at the upstream.
-func (r *Response) Release(complete bool) {
-	if r.released {
-		return
-	}
-	r.released = true
-	cancelled := !r.stop()
-	reusable := complete && !cancelled && !r.Response.ConnectionClose() && r.Framing() != FramingClose && r.atBodyEnd()
-	if !reusable {
-		r.conn.Close()
-		return
-	}
-	if err := r.Response.CloseBodyStream(); err != nil || r.conn.reader.Buffered() > 0 {
-		// Bytes after the response belong to no request.
-		r.conn.Close()
-		return
-	}
-	r.client.putIdle(r.conn)
-}
-
-// bodyEndTimeout bounds the wait for the end of the body after its last data was read. The
-// upstream sends the end directly after the data.
-const bodyEndTimeout = 20 * time.Millisecond
-
-// atBodyEnd reads the end of the body and reports whether nothing else came before it. The
-// reader of an event stream stops at the last event, and the end of the chunked body may
-// arrive later: left unread, it would be parsed as the start of the next response.
-func (r *Response) atBodyEnd() bool {
-	stream := r.Response.BodyStream()
-	if stream == nil {
-		return true
-	}
-	if r.conn.SetReadDeadline(deadlineAfter(bodyEndTimeout)) != nil {
-		return false
-	}
-	var b [1]byte
-	r.conn.allowRead(len(b))
-	n, err := stream.Read(b[:])
-	return n == 0 && err == io.EOF
-}
-
-// BodyReader reads the body of a response.
-type BodyReader struct {
-	response    *Response
-	readTimeout time.Duration
-	deadline    time.Time
-}
-
-// SetDeadline replaces the bound of each read by one for all following reads together, which bytes
-// that arrive do not extend. The zero time means no bound.
-func (b *BodyReader) SetDeadline(deadline time.Time) { b.readTimeout, b.deadline = 0, deadline }
-
-func (b *BodyReader) readDeadline() time.Time {
-	if b.readTimeout > 0 {
-		return deadlineAfter(b.readTimeout)
-	}
-	return b.deadline
-}
-
-// Read reads from the body. Every error but io.EOF is a *Failure with PhaseBody.
-func (b *BodyReader) Read(p []byte) (int, error) {
-	r := b.response
-	stream := r.Response.BodyStream()
-	if stream == nil {
-		return 0, io.EOF
-	}
-	if err := r.conn.SetReadDeadline(b.readDeadline()); err != nil {
-		return 0, bodyFailure(err)
-	}
-	r.conn.allowRead(len(p))
-	n, err := stream.Read(p)
-	if err != nil && err != io.EOF {
-		return n, bodyFailure(err)
-	}
-	return n, err
-}
-
-func bodyFailure(err error) *Failure {
-	return &Failure{Phase: PhaseBody, Sent: true, Timeout: isTimeout(err), Malformed: isMalformed(err), Err: errors.Wrap(err, "read response")}
-}
--- /dev/null
+++ b/internal/transport/upstream/conn.go
@@ -0,0 +1,79 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+// keepAliveProbes is the number of unanswered keep-alive probes after which the kernel
+// closes the connection.
+const keepAliveProbes = 2
+
+// Dialer returns a dial function whose connections the kernel closes when the other end, or
+// a middlebox between the two ends, no longer has state for them.
+func Dialer(userTimeout, keepAliveInterval time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			controlErr := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			})
+			if controlErr != nil {
+				return controlErr
+			}
+			return err
+		},
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+}
+
+// conn is a connection with its read and write buffers.
+type conn struct {
+	net.Conn
+	reader           *bufio.Reader
+	writer           *bufio.Writer
+	written          atomic.Bool
+	readAllowance    int // bytes that may still be read for the current call; see allowRead
+	lastUsed         time.Time
+	keepAliveTimeout time.Duration // announced by the upstream; 0: unknown
+	reused           bool
+}
+
+// Write records that bytes may have been sent, then writes them.
+func (cn *conn) Write(p []byte) (int, error) {
+	cn.written.Store(true)
+	return cn.Conn.Write(p)
+}
+
+const (
+	// maxFramingBytes bounds what is read beside the data of a body: chunk sizes and extensions,
+	// trailers. maxFramingFactor allows for chunks of few bytes.
+	maxFramingBytes  = 64 << 10
+	maxFramingFactor = 8
+)
+
+// errEndlessFraming reports an upstream that sends bytes which are neither data nor the end.
+var errEndlessFraming = errors.New("the response has no end")
+
+// allowRead limits the bytes that are read from the connection for the next n bytes of data.
+func (cn *conn) allowRead(n int) { cn.readAllowance = maxFramingFactor*n + maxFramingBytes }
+
+// Read implements io.Reader for the response parser, which goes on reading while it skips bytes.
+func (cn *conn) Read(p []byte) (int, error) {
+	if cn.readAllowance <= 0 {
+		return 0, errEndlessFraming
+	}
+	n, err := cn.Conn.Read(p)
+	cn.readAllowance -= n
+	return n, err
+}
--- /dev/null
+++ b/internal/transport/upstream/pool.go
@@ -0,0 +1,47 @@
+package upstream
+
+import (
+	"time"
+)
+
+// takeIdle returns the most recently used connection that is still within the reuse window
+// and has not been closed by the upstream, or nil.
+func (c *Client) takeIdle() *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for len(c.idle) > 0 {
+		cn := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if now.Sub(cn.lastUsed) < c.reuseWindow(cn) && isReusable(cn.Conn) {
+			cn.reused = true
+			return cn
+		}
+		cn.Close()
+	}
+	return nil
+}
+
+// reuseMargin is subtracted from the keep-alive timeout that the upstream announces: when a
+// request is sent while the upstream closes the connection, it is unknown whether it ran.
+const reuseMargin = 500 * time.Millisecond
+
+// reuseWindow is how long the connection may stay idle and still be reused.
+func (c *Client) reuseWindow(cn *conn) time.Duration {
+	if cn.keepAliveTimeout > 0 {
+		return min(c.opts.ReuseWindow, cn.keepAliveTimeout-reuseMargin)
+	}
+	return c.opts.ReuseWindow
+}
+
+func (c *Client) putIdle(cn *conn) {
+	cn.lastUsed = time.Now()
+	cn.written.Store(false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || len(c.idle) >= c.opts.MaxIdle {
+		cn.Close()
+		return
+	}
+	c.idle = append(c.idle, cn)
+}
