gateway: the time limit of a request does not make its upstream unreachable

What callers saw: after a request that reached its own time limit on a new connection, its upstream got nothing from that instance for 250 ms, and with one upstream the next requests were rejected.

Cause: this instance closes the connection at the limit, and a read that fails on a new connection counted as an unreachable upstream; on a pooled one it counted as a failed request.

Change: it counts as a failed request on both; a dial that the limit cuts off says nothing. TestTimeLimitOfARequestDoesNotMakeItsUpstreamUnreachable failed before (ejected) and passes now. Ruled out: not counting it at all, as upstreams that fall silent are found by it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -284,6 +284,12 @@
 		return dispatch.Malformed
 	case !errors.As(err, &failure):
 		return dispatch.Failed
+	case a.exchange.callCtx.Err() != nil:
+		// This instance has closed the connection, or ended the dial.
+		if failure.Phase == upstream.PhaseDial {
+			return dispatch.Cancelled
+		}
+		return dispatch.Failed
 	case failure.Phase == upstream.PhaseDial && failure.TimedOut(), failure.ConnectionTimedOut():
 		return dispatch.NoResponse
 	case failure.Phase == upstream.PhaseDial, !failure.Timeout && !failure.Reused:
