dispatch: requests for a plain service are spread before the first response

What callers saw: an instance that had just started sent all requests for a plain service to one upstream until its slots were taken, and let the next ones wait while other upstreams were idle.

Cause: the cost of an upstream is its measured latency times its load; without a measured one it was 0 for all of them.

Change: a latency is assumed until one is measured. TestRequestsAreSpreadBeforeAnyResponse failed before (the seventh of 12 requests waits, four upstreams of six slots) and passes now. Ruled out: choosing at random, which leaves some upstreams with twice the load of others.

--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -44,6 +44,8 @@
 	// longAmongStreamsPenalty applies in full. An upstream with fewer streams is reassigned to
 	// long prompts without waiting for them.
 	fullPenaltyStreams = 4
+	// unmeasuredLatency is assumed for a response of a plain service until one has been measured.
+	unmeasuredLatency = 50 * time.Millisecond
 	// maxFailurePenalty is the penalty for an upstream at which all requests fail.
 	maxFailurePenalty = 2 * time.Second
 	// remoteDomainPenalty is the penalty for an upstream in another failure domain: the
@@ -239,6 +241,9 @@
 func (d *Dispatcher) evaluateWithoutPrompt(now time.Duration, c *candidate, medians medians) {
 	u := c.upstream
 	meanSeconds := max(u.latencySeconds, d.serviceLatencySeconds) * u.slownessFactor(now, medians)
+	if meanSeconds == 0 {
+		meanSeconds = unmeasuredLatency.Seconds()
+	}
 	utilization := float64(u.local.InFlight) / float64(max(1, u.Slots))
 	c.predictedWait = time.Duration(max(0, utilization-1) * meanSeconds * float64(time.Second))
 	c.work = time.Duration(meanSeconds * float64(time.Second))
