gateway: bytes that are no event do not extend the wait for the first event

What callers saw: a stream whose upstream sends the beginning of an event byte by byte was waited for until the time limit of its route and ended with 504, although another upstream could serve it.

Cause: the limit on the wait for the first event applied to each read, so each byte started it anew; between two events it had already been one limit for all reads.

Change: it is one limit for all reads, at the first attempt and when a stream is resumed. TestBytesThatAreNoEventDoNotExtendTheWaitForTheFirst failed before (504) and passes now. Ruled out: counting bytes, as a slow event is short.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -110,7 +110,9 @@
 
 // openBody starts reading events from the response of the current attempt.
 func (s *stream) openBody() {
-	s.body = s.attempt.response.Body(s.attempt.responseTimeout())
+	s.body = s.attempt.response.Body(0)
+	// One bound for all reads: bytes that are no event do not extend the wait for the first one.
+	s.body.SetDeadline(deadlineAfter(s.attempt.responseTimeout()))
 	s.reader = sse.NewReader(s.body)
 }
 
