gateway: the wait for the first event has the limit of its attempt

Cause: the limit was computed again after the attempt had been counted, so an attempt before the last one had none for its first event. It is the one that the attempt had for its header now. TestBytesThatAreNoEventDoNotExtendTheWaitForTheFirst passes with the race detector, as do the other tests of streams.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -112,7 +112,7 @@
 func (s *stream) openBody() {
 	s.body = s.attempt.response.Body(0)
 	// One bound for all reads: bytes that are no event do not extend the wait for the first one.
-	s.body.SetDeadline(deadlineAfter(s.attempt.responseTimeout()))
+	s.body.SetDeadline(deadlineAfter(s.attempt.timeout))
 	s.reader = sse.NewReader(s.body)
 }
 
