replica: order by era, then revision

What callers would see: after a drill in which the store comes back from an older copy, instances never saw changes whose revisions are given out again, so they sent to upstreams that had left, did not know new ones, and an instance that started took an older configuration into force.

Cause: everything was ordered by the revision alone. A full read with a lower revision had no effect, and so had each item with a lower one.

Change: one type, Position, orders by era and revision wherever one is compared, kept or handed on. The adapter decodes the era; an answer of another era than its question is not applied and leads to a full read. What the copy lacks is kept for the grace period; what it shows as serving although it had left, was removed or was started again waits until it is written again. The version of the configuration decides in any era, and peers hand on the newest, whatever their revision.

Old and new instances exchange their messages: the era is a field more, and 0 means not stated. Ruled out: trusting the first read of an era, and waiting for all entries to be written again, which would stop the service for seconds.

--- a/internal/coordination/replica/doc.go
+++ b/internal/coordination/replica/doc.go
@@ -7,6 +7,20 @@
 // that is not newer than the replica has no effect. Late and repeated answers and
 // outdated copies from peers are therefore harmless.
 //
+// # Eras
+//
+// A platform that comes back from an older copy begins a new era and gives revisions out again. So
+// the order is by era, then by revision, and a snapshot of a newer era replaces the replica:
+//
+//   - entries that the older copy does not hold are kept for the grace period, like those that
+//     lapse in an outage;
+//   - an entry that the older copy shows in a state before the one that this replica has, or that
+//     had been removed, does not take effect until it is written again. The owner of the replica
+//     decides what such a state is;
+//   - answers and copies of former eras have no effect.
+//
+// An answer without an era counts as one of the era last seen.
+//
 // # Outages
 //
 // Entries of upstreams expire while the platform cannot be written, although the upstreams
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -1,36 +1,61 @@
 package replica
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
 	"time"
 )
 
+// Position is a place in the history of the platform. A platform that comes back from an older copy
+// begins a new era, in which it gives revisions out again.
+type Position struct {
+	Era      uint64 `json:"era"` // 0 if the platform has not stated one
+	Revision uint64 `json:"revision"`
+}
+
+// Compare returns -1, 0 or 1 if p is before, at or after q.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
 // Item is one published entry. Value must not be modified.
 type Item struct {
 	Key      string
 	Value    []byte
+	Era      uint64 `msgpack:",omitempty"` // in which the platform showed the entry
 	Revision uint64 // of the last change to the entry
 }
 
+// Position returns the place of the last change to the entry.
+func (i Item) Position() Position { return Position{Era: i.Era, Revision: i.Revision} }
+
 // Change is the write or the removal of an entry.
 type Change struct {
 	Item
 	Deleted bool
 }
 
-// Snapshot is the complete content of a prefix at a revision.
+// Snapshot is the complete content of a prefix at a position.
 type Snapshot struct {
+	Era      uint64 `msgpack:",omitempty"`
 	Revision uint64
 	Items    []Item
 }
 
+// Position returns the place of the snapshot.
+func (s Snapshot) Position() Position { return Position{Era: s.Era, Revision: s.Revision} }
+
 // Options configure a Replica.
 type Options struct {
 	// GracePeriod is the time after an outage of the platform during which removals are
 	// deferred. With zero, removals take effect as soon as the platform is available.
 	GracePeriod time.Duration
+	// IsOlder decides whether item, which the older copy of a new era holds, is an older state of
+	// its entry than held, which this replica has; nil if the entry had been removed. Such an item
+	// takes effect only when it is written again. Nil means that no item is.
+	IsOlder func(held *Item, item Item) bool
 }
 
 // Replica is a local copy of one prefix. It is safe for concurrent use.
@@ -38,8 +63,10 @@
 	mu               sync.Mutex
 	options          Options
 	items            map[string]Item
-	deferredRemovals map[string]bool // removed around an outage, still in items
-	revision         uint64
+	deferredRemovals map[string]bool     // removed around an outage, still in items
+	removed          map[string]Position // entries that were removed, with the place of their last change
+	withheld         map[string]Position // entries of an older copy that wait until they are written again
+	position         Position
 	loaded           bool
 	unavailable      bool
 	availableSince   time.Duration // end of the last outage
@@ -48,62 +75,109 @@
 
 // New returns an empty Replica.
 func New(opts Options) *Replica {
-	return &Replica{options: opts, items: map[string]Item{}, deferredRemovals: map[string]bool{}}
+	return &Replica{options: opts, items: map[string]Item{}, deferredRemovals: map[string]bool{}, removed: map[string]Position{}, withheld: map[string]Position{}}
 }
 
+// maxRemoved bounds the removed entries that are remembered. If there are more, all are forgotten.
+const maxRemoved = 4096
+
 // ApplySnapshot applies a full read and returns the changes that took effect. A snapshot
-// that is older than the replica has no effect.
+// that is older than the replica has no effect. The first one of a new era counts as the end of an
+// outage.
 func (r *Replica) ApplySnapshot(now time.Duration, snapshot Snapshot) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.loaded && snapshot.Revision < r.revision {
+	if snapshot.Era == 0 {
+		snapshot.Era = r.position.Era
+	}
+	if r.loaded && snapshot.Position().Compare(r.position) < 0 {
 		return nil
 	}
+	if r.loaded && snapshot.Era > r.position.Era {
+		r.outages++
+		r.availableSince = now
+		clear(r.withheld)
+	}
 	seen := make(map[string]bool, len(snapshot.Items))
 	var applied []Change
 	for _, item := range snapshot.Items {
 		seen[item.Key] = true
-		applied = r.put(applied, item)
+		if item.Era == 0 {
+			item.Era = snapshot.Era
+		}
+		if !r.withhold(item) {
+			applied = r.put(applied, item)
+		}
 	}
 	for key, old := range r.items {
-		if !seen[key] && old.Revision <= snapshot.Revision {
+		if !seen[key] && old.Position().Compare(snapshot.Position()) <= 0 {
 			applied = r.remove(applied, now, key, snapshot.Revision)
 		}
 	}
-	r.loaded, r.revision = true, snapshot.Revision
+	r.loaded, r.position = true, snapshot.Position()
 	sortChanges(applied)
 	return applied
 }
 
-// ApplyChanges applies the changes that a watch has returned up to a revision, and returns
+// withhold reports whether an item of a snapshot is an older state that must not take effect.
+func (r *Replica) withhold(item Item) bool {
+	if r.options.IsOlder == nil {
+		return false
+	}
+	held, known := r.items[item.Key]
+	position, before := r.removed[item.Key]
+	var older bool
+	switch {
+	case known:
+		older = held.Era < item.Era && held.Revision > item.Revision && r.options.IsOlder(&held, item)
+	case before:
+		older = position.Era < item.Era && position.Revision > item.Revision && r.options.IsOlder(nil, item)
+	}
+	if older {
+		r.withheld[item.Key] = item.Position()
+		delete(r.deferredRemovals, item.Key)
+	}
+	return older
+}
+
+// ApplyChanges applies the changes that a watch has returned up to a position, and returns
 // those that took effect.
-func (r *Replica) ApplyChanges(now time.Duration, changes []Change, revision uint64) []Change {
+func (r *Replica) ApplyChanges(now time.Duration, changes []Change, position Position) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var applied []Change
 	for _, c := range changes {
+		c.Era = position.Era
+		if withheld, ok := r.withheld[c.Key]; ok && c.Position().Compare(withheld) <= 0 {
+			continue
+		}
 		if c.Deleted {
-			if old, ok := r.items[c.Key]; ok && old.Revision < c.Revision {
+			if old, ok := r.items[c.Key]; ok && old.Position().Compare(c.Position()) < 0 {
 				applied = r.remove(applied, now, c.Key, c.Revision)
 			}
 			continue
 		}
 		applied = r.put(applied, c.Item)
 	}
-	r.revision = max(r.revision, revision)
+	if position.Compare(r.position) > 0 {
+		r.position = position
+	}
 	return applied
 }
 
 func (r *Replica) put(applied []Change, item Item) []Change {
 	old, known := r.items[item.Key]
-	if known && old.Revision > item.Revision {
+	if known && old.Position().Compare(item.Position()) > 0 {
 		return applied
 	}
 	delete(r.deferredRemovals, item.Key)
-	if known && old.Revision == item.Revision {
+	delete(r.removed, item.Key)
+	delete(r.withheld, item.Key)
+	unchanged := known && old.Revision == item.Revision && (old.Era == item.Era || bytes.Equal(old.Value, item.Value))
+	r.items[item.Key] = item
+	if unchanged {
 		return applied
 	}
-	r.items[item.Key] = item
 	return append(applied, Change{Item: item})
 }
 
@@ -112,9 +186,19 @@
 		r.deferredRemovals[key] = true
 		return applied
 	}
+	r.forget(key, revision)
+	return append(applied, Change{Item: Item{Key: key, Revision: revision}, Deleted: true})
+}
+
+// forget deletes an entry and remembers that it was removed at the revision.
+func (r *Replica) forget(key string, revision uint64) {
+	if len(r.removed) >= maxRemoved {
+		clear(r.removed)
+	}
+	r.removed[key] = Position{Era: r.position.Era, Revision: revision}
 	delete(r.items, key)
 	delete(r.deferredRemovals, key)
-	return append(applied, Change{Item: Item{Key: key, Revision: revision}, Deleted: true})
+	delete(r.withheld, key)
 }
 
 // MarkUnavailable records that the platform does not answer. It returns true at the start
@@ -152,10 +236,9 @@
 	}
 	var applied []Change
 	for key := range r.deferredRemovals {
-		delete(r.items, key)
-		applied = append(applied, Change{Item: Item{Key: key, Revision: r.revision}, Deleted: true})
+		r.forget(key, r.position.Revision)
+		applied = append(applied, Change{Item: Item{Key: key, Revision: r.position.Revision}, Deleted: true})
 	}
-	clear(r.deferredRemovals)
 	sortChanges(applied)
 	return applied
 }
@@ -164,11 +247,19 @@
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Key, b.Key) })
 }
 
-// Revision returns the revision of the replica, and false before the first snapshot.
-func (r *Replica) Revision() (uint64, bool) {
+// Position returns the position of the replica, and false before the first snapshot.
+func (r *Replica) Position() (Position, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.position, r.loaded
+}
+
+// Pending returns the numbers of entries whose removal is deferred, and of entries of an older copy that
+// wait until they are written again.
+func (r *Replica) Pending() (deferred, withheld int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision, r.loaded
+	return len(r.deferredRemovals), len(r.withheld)
 }
 
 // Unavailable reports whether an outage of the platform is in progress.
@@ -183,7 +274,7 @@
 func (r *Replica) Snapshot() Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	snapshot := Snapshot{Revision: r.revision, Items: make([]Item, 0, len(r.items))}
+	snapshot := Snapshot{Era: r.position.Era, Revision: r.position.Revision, Items: make([]Item, 0, len(r.items))}
 	for _, item := range r.items {
 		if !r.deferredRemovals[item.Key] {
 			snapshot.Items = append(snapshot.Items, item)
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -31,10 +31,10 @@
 	r.ApplySnapshot(0, Snapshot{Revision: 5, Items: []Item{newItem("a", 3), newItem("b", 4)}})
 	r.MarkUnavailable()
 	r.MarkAvailable(10 * time.Second)
-	if got := r.ApplyChanges(10*time.Second, []Change{{Item: newItem("a", 6), Deleted: true}, {Item: newItem("b", 7), Deleted: true}}, 7); len(got) != 0 {
+	if got := r.ApplyChanges(10*time.Second, []Change{{Item: newItem("a", 6), Deleted: true}, {Item: newItem("b", 7), Deleted: true}}, Position{Revision: 7}); len(got) != 0 {
 		t.Fatalf("removals took effect in the grace period: %v", got)
 	}
-	r.ApplyChanges(11*time.Second, []Change{{Item: newItem("a", 8)}}, 8)
+	r.ApplyChanges(11*time.Second, []Change{{Item: newItem("a", 8)}}, Position{Revision: 8})
 	if got := r.ApplyDueRemovals(11 * time.Second); len(got) != 0 {
 		t.Fatalf("removals took effect before the grace period had passed: %v", got)
 	}
@@ -52,7 +52,7 @@
 func TestRemovalTakesEffectAtOnceWithoutAnOutage(t *testing.T) {
 	r := New(Options{GracePeriod: gracePeriod})
 	r.ApplySnapshot(0, Snapshot{Revision: 5, Items: []Item{newItem("a", 3)}})
-	if got := r.ApplyChanges(time.Second, []Change{{Item: newItem("a", 6), Deleted: true}}, 6); len(got) != 1 {
+	if got := r.ApplyChanges(time.Second, []Change{{Item: newItem("a", 6), Deleted: true}}, Position{Revision: 6}); len(got) != 1 {
 		t.Fatalf("changes %v", got)
 	}
 }
@@ -67,7 +67,7 @@
 	reader.ApplySnapshot(0, before)
 	peer.MarkUnavailable()
 	peer.MarkAvailable(10 * time.Second)
-	peer.ApplyChanges(10*time.Second, []Change{{Item: newItem("a", 6), Deleted: true}}, 6)
+	peer.ApplyChanges(10*time.Second, []Change{{Item: newItem("a", 6), Deleted: true}}, Position{Revision: 6})
 	reader.ApplySnapshot(10*time.Second, peer.Snapshot())
 	if remaining := itemKeys(reader.Snapshot()); !slices.Equal(remaining, []string{"b"}) {
 		t.Errorf("the reader of the peer's copy has %v, want [b]", remaining)
@@ -119,7 +119,7 @@
 						changes = append(changes, c)
 					}
 				}
-				r.ApplyChanges(0, changes, revision)
+				r.ApplyChanges(0, changes, Position{Revision: revision})
 				watched = revision
 			case 3:
 				snapshot := Snapshot{Revision: revision}
@@ -130,7 +130,7 @@
 				watched = revision
 			}
 		}
-		r.ApplyChanges(0, history, revision)
+		r.ApplyChanges(0, history, Position{Revision: revision})
 		got := r.Snapshot()
 		if len(got.Items) != len(want) {
 			t.Fatalf("content %v, want %v", got.Items, want)
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -20,6 +20,8 @@
 	// HistoryTruncated is logged when the platform has discarded the change history after the last
 	// revision read, so that everything is read in full.
 	HistoryTruncated Event = "history_gone"
+	// EraChanged is logged when the platform has come back from an older copy.
+	EraChanged Event = "era_changed"
 	// PlatformUnavailable is logged when the platform stops responding.
 	PlatformUnavailable Event = "platform_lost"
 	// PlatformRecovered is logged when the platform responds again.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,8 @@
 	routing         atomic.Pointer[routingTable]
 
 	quarantine      *quarantine.Quarantine
+	publishedMu     sync.Mutex
+	published       *publishedConfiguration
 	buffer          *bytebudget.Budget // for bodies in progress
 	platformWatcher *platformWatcher
 	peers           *peers
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -62,16 +62,19 @@
 	joined     atomic.Bool // a peer has answered a pull
 }
 
-// pullMessage requests what the peer knows beyond this instance: a snapshot newer than a
-// revision, and the requests that are refused because they crash upstreams, if their digest
-// differs.
-type pullMessage struct{ Revision, RefusedDigest uint64 }
+// pullMessage requests what the peer knows beyond this instance: a snapshot after a position, a
+// configuration with a newer version, and the requests that are refused because they crash
+// upstreams, if their digest differs.
+type pullMessage struct{ Era, Revision, ConfigurationVersion, RefusedDigest uint64 }
 
 // pushMessage is the answer to a pullMessage. Snapshot is nil if the peer has nothing
 // newer.
 type pushMessage struct {
-	Snapshot   *replica.Snapshot
-	Suspicions []quarantine.Suspicion
+	Snapshot *replica.Snapshot
+	// Configuration is nil if the peer has none with a newer version. The snapshot may hold an older
+	// one, if the platform has come back from an older copy.
+	Configuration *replica.Item
+	Suspicions    []quarantine.Suspicion
 }
 
 // newPeers opens the sockets for peers; it returns nil if the settings do not configure
@@ -221,21 +224,21 @@
 		if p.platformUnavailable() || intervals >= idlePullIntervals {
 			intervals = 0
 			if live := p.livePeers(); len(live) > 0 {
-				revision, _ := p.gateway.platformWatcher.replica.Revision()
-				p.pull(ctx, live[mathrand.IntN(len(live))], revision)
+				position, _ := p.gateway.platformWatcher.replica.Position()
+				p.pull(ctx, live[mathrand.IntN(len(live))], position)
 			}
 		}
 	})
 }
 
-// pullQueued pulls the refused requests, but no snapshots, from the peers in the pull queue.
+// pullQueued pulls the configuration and the refused requests, but no snapshots, from the peers in the pull queue.
 func (p *peers) pullQueued(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case member := <-p.pullQueue:
-			p.pull(ctx, member, math.MaxUint64)
+			p.pull(ctx, member, replica.Position{Era: math.MaxUint64, Revision: math.MaxUint64})
 		}
 		select {
 		case <-ctx.Done():
@@ -248,10 +251,10 @@
 	return p.gateway.platformWatcher.replica.Unavailable() || !p.gateway.platformWatcher.hasSnapshot()
 }
 
-// pull requests what a peer knows beyond this instance, with a snapshot if the peer's is newer than
-// the revision.
-func (p *peers) pull(ctx context.Context, member membership.Member, revision uint64) {
-	request := pullMessage{Revision: revision, RefusedDigest: p.gateway.quarantine.RefusedDigest(p.gateway.now())}
+// pull requests what a peer knows beyond this instance, with a snapshot if the peer's is after the
+// position.
+func (p *peers) pull(ctx context.Context, member membership.Member, after replica.Position) {
+	request := pullMessage{Era: after.Era, Revision: after.Revision, ConfigurationVersion: p.gateway.configurationVersion(), RefusedDigest: p.gateway.quarantine.RefusedDigest(p.gateway.now())}
 	payload, err := msgpack.Marshal(request)
 	if err != nil {
 		p.logCallFailure("pull", member.Name, err)
@@ -278,6 +281,9 @@
 	if reply.Snapshot != nil {
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
 	}
+	if reply.Configuration != nil {
+		p.gateway.applyConfigurationItem(*reply.Configuration, member.Name)
+	}
 	if len(reply.Suspicions) > 0 {
 		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.CrashesReceived, "peer": member.Name, "suspects": len(reply.Suspicions)}).Info("crashes received from a peer")
 		p.gateway.mergeSuspicions(reply.Suspicions)
@@ -326,7 +332,10 @@
 	if err := msgpack.Unmarshal(m.Payload, &request); err != nil {
 		return nil, errors.Wrap(err, "pull")
 	}
-	reply := pushMessage{Snapshot: p.gateway.platformWatcher.snapshotNewerThan(request.Revision)}
+	reply := pushMessage{
+		Snapshot:      p.gateway.platformWatcher.snapshotAfter(replica.Position{Era: request.Era, Revision: request.Revision}),
+		Configuration: p.gateway.configurationNewerThan(request.ConfigurationVersion),
+	}
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
 		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
 	}
@@ -337,11 +346,10 @@
 	return peerwire.ReplicaPush{Payload: payload}, nil
 }
 
-// snapshotNewerThan returns a snapshot of the replica if it is newer than a revision, nil
-// otherwise.
-func (w *platformWatcher) snapshotNewerThan(revision uint64) *replica.Snapshot {
-	current, ok := w.replica.Revision()
-	if !ok || current <= revision {
+// snapshotAfter returns a snapshot of the replica if it is after a position, nil otherwise.
+func (w *platformWatcher) snapshotAfter(position replica.Position) *replica.Snapshot {
+	current, ok := w.replica.Position()
+	if !ok || current.Compare(position) <= 0 {
 		return nil
 	}
 	snapshot := w.replica.Snapshot()
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -50,7 +52,8 @@
 }
 
 func newPlatformWatcher(g *Gateway) *platformWatcher {
-	w := &platformWatcher{gateway: g, prefix: g.adapter.Decoder.Prefix(), replica: replica.New(replica.Options{GracePeriod: expiredEntryGrace})}
+	w := &platformWatcher{gateway: g, prefix: g.adapter.Decoder.Prefix()}
+	w.replica = replica.New(replica.Options{GracePeriod: expiredEntryGrace, IsOlder: w.isOlderUpstream})
 	freshness := g.settings.Freshness.Std()
 	w.watchWait = time.Duration(watchWaitFraction * float64(freshness))
 	w.watchPause = max(minWatchPause, time.Duration((1-watchWaitFraction-callTimeFraction)*float64(freshness))-WatchTimeoutMargin)
@@ -67,10 +70,40 @@
 }
 
 func (w *platformWatcher) hasSnapshot() bool {
-	_, ok := w.replica.Revision()
+	_, ok := w.replica.Position()
 	return ok
 }
 
+// isOlderUpstream reports whether item, of the older copy from which the platform has come back, shows an
+// upstream in a state before held: it was removed since, leaves or is another process. An older
+// configuration is recognised by its version.
+func (w *platformWatcher) isOlderUpstream(held *replica.Item, item replica.Item) bool {
+	decoder := w.gateway.adapter.Decoder
+	if decoder.IsConfiguration(item.Key) {
+		return false
+	}
+	if held == nil {
+		return true
+	}
+	before, err := decoder.Upstream(*held)
+	if err != nil {
+		return false // it names no upstream that could be lost
+	}
+	shown, err := decoder.Upstream(item)
+	if err != nil {
+		return true
+	}
+	if before.Incarnation != shown.Incarnation {
+		return isLaterStart(before.Incarnation, shown.Incarnation)
+	}
+	return before.Leaving && !shown.Leaving
+}
+
+// isLaterStart compares incarnations, which are times in decimal.
+func isLaterStart(a, b string) bool {
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) > 0
+}
+
 func (w *platformWatcher) apply(changes []replica.Change, source string) {
 	if len(changes) > 0 {
 		w.gateway.applyChanges(changes, source)
@@ -93,6 +126,9 @@
 		case err == nil:
 			synced, backoff = true, initialBackoff
 			continue
+		case errors.Is(err, ErrNewEra):
+			synced = false
+			continue
 		case errors.Is(err, ErrHistoryCompacted):
 			w.gateway.log.WithFields(logrus.Fields{"event": eventlog.HistoryTruncated, "prefix": w.prefix}).Warn("platform history compacted; repeating the full read")
 			synced = false
@@ -115,19 +151,38 @@
 	if err != nil {
 		return err
 	}
+	if position, ok := w.replica.Position(); ok && snapshot.Era != 0 && snapshot.Era < position.Era {
+		return errOldEra
+	}
 	w.markAvailable()
-	w.apply(w.replica.ApplySnapshot(w.gateway.now(), snapshot), "platform")
+	w.applySnapshot(snapshot, "platform")
 	return nil
 }
 
+// errOldEra reports an answer of an era that has ended.
+var errOldEra = errors.New("the answer is of an era that has ended")
+
+// applySnapshot applies a snapshot and logs a new era.
+func (w *platformWatcher) applySnapshot(snapshot replica.Snapshot, source string) {
+	before, loaded := w.replica.Position()
+	changes := w.replica.ApplySnapshot(w.gateway.now(), snapshot)
+	if after, _ := w.replica.Position(); loaded && after.Era != before.Era {
+		deferred, withheld := w.replica.Pending()
+		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.EraChanged, "prefix": w.prefix, "source": source, "era": after.Era, "previous": before.Era,
+			"revision": after.Revision, "previous_revision": before.Revision, "changed": len(changes), "deferred": deferred, "withheld": withheld,
+		}).Warn("the platform has come back from an older copy")
+	}
+	w.apply(changes, source)
+}
+
 func (w *platformWatcher) watch(ctx context.Context) error {
-	after, _ := w.replica.Revision()
-	changes, revision, err := w.gateway.adapter.Store.Watch(ctx, w.prefix, after, w.watchWait)
+	after, _ := w.replica.Position()
+	changes, position, err := w.gateway.adapter.Store.Watch(ctx, w.prefix, after, w.watchWait)
 	if err != nil {
 		return err
 	}
 	w.markAvailable()
-	w.apply(w.replica.ApplyChanges(w.gateway.now(), changes, revision), "platform")
+	w.apply(w.replica.ApplyChanges(w.gateway.now(), changes, position), "platform")
 	if len(changes) > 0 {
 		select {
 		case <-ctx.Done():
@@ -151,10 +206,10 @@
 
 // mergePeerSnapshot applies the snapshot of a peer if it is newer.
 func (w *platformWatcher) mergePeerSnapshot(snapshot replica.Snapshot, peer string) {
-	if revision, ok := w.replica.Revision(); ok && snapshot.Revision <= revision {
+	if position, ok := w.replica.Position(); ok && snapshot.Position().Compare(position) <= 0 {
 		return
 	}
-	w.apply(w.replica.ApplySnapshot(w.gateway.now(), snapshot), peer)
+	w.applySnapshot(snapshot, peer)
 }
 
 // applyChanges applies changed entries. The configuration comes first because it defines
@@ -169,12 +224,7 @@
 		if c.Deleted {
 			continue // keep the current configuration
 		}
-		configuration, err := g.adapter.Decoder.Configuration(c.Item)
-		if err != nil {
-			g.log.WithFields(logrus.Fields{"event": eventlog.ConfigurationRefused, "revision": c.Revision, "source": source, "error": err.Error()}).Error("failed to decode configuration; keeping the current one")
-			continue
-		}
-		g.applyConfiguration(configuration, source)
+		g.applyConfigurationItem(c.Item, source)
 	}
 	g.configurationMu.Lock()
 	defer g.configurationMu.Unlock()
@@ -184,6 +234,53 @@
 	g.assignUpstreams()
 }
 
+// applyConfigurationItem applies a published configuration if its version is newer. The version alone
+// decides, in any era of the platform: a version that was in force stays so.
+func (g *Gateway) applyConfigurationItem(item replica.Item, source string) {
+	fields := logrus.Fields{"event": eventlog.ConfigurationRefused, "revision": item.Revision, "source": source}
+	configuration, err := g.adapter.Decoder.Configuration(item)
+	if err != nil {
+		g.log.WithFields(fields).WithField("error", err.Error()).Error("failed to decode configuration; keeping the current one")
+		return
+	}
+	g.publishedMu.Lock()
+	defer g.publishedMu.Unlock()
+	current := g.published
+	switch {
+	case current == nil || configuration.Version > current.version:
+		g.published = &publishedConfiguration{version: configuration.Version, item: item}
+		g.applyConfiguration(configuration, source)
+	case configuration.Version == current.version && !bytes.Equal(item.Value, current.item.Value):
+		g.log.WithFields(fields).WithField("version", configuration.Version).Error("the version in force was published again with other content; keeping the first")
+	}
+}
+
+// publishedConfiguration is the newest configuration that was published.
+type publishedConfiguration struct {
+	version uint64
+	item    replica.Item
+}
+
+// configurationNewerThan returns the entry of the configuration if its version is newer, nil otherwise.
+func (g *Gateway) configurationNewerThan(version uint64) *replica.Item {
+	g.publishedMu.Lock()
+	defer g.publishedMu.Unlock()
+	if g.published == nil || g.published.version <= version {
+		return nil
+	}
+	return &g.published.item
+}
+
+// configurationVersion returns the newest version that was published; 0 if there is none.
+func (g *Gateway) configurationVersion() uint64 {
+	g.publishedMu.Lock()
+	defer g.publishedMu.Unlock()
+	if g.published == nil {
+		return 0
+	}
+	return g.published.version
+}
+
 // applyUpstream applies one changed entry. The caller must hold configurationMu.
 func (g *Gateway) applyUpstream(c replica.Change, source string) {
 	fields := logrus.Fields{"event": eventlog.UpstreamChanged, "key": c.Key, "revision": c.Revision, "source": source}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -99,6 +99,10 @@
 // revision are no longer available.
 var ErrHistoryCompacted = errors.New("the requested revision has been compacted")
 
+// ErrNewEra is returned by [PlatformStore] if an answer is of another era than the position it should
+// follow: the platform has come back from an older copy.
+var ErrNewEra = errors.New("the platform has come back from an older copy")
+
 // StoreDialTimeout bounds a dial of the platform. A dial started during a network partition
 // must not outlast the partition.
 const StoreDialTimeout = 400 * time.Millisecond
@@ -111,9 +115,9 @@
 type PlatformStore interface {
 	// Read returns all entries under a prefix.
 	Read(ctx context.Context, prefix string) (replica.Snapshot, error)
-	// Watch waits for changes after a revision, at most for the given duration. It also
-	// returns the revision up to which the changes are complete.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]replica.Change, uint64, error)
+	// Watch waits for changes after a position, at most for the given duration. It also
+	// returns the position up to which the changes are complete, of the same era.
+	Watch(ctx context.Context, prefix string, after replica.Position, wait time.Duration) ([]replica.Change, replica.Position, error)
 }
 
 // Decoder decodes published entries. Implementations must be safe for concurrent use.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/retry"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
@@ -186,13 +187,15 @@
 
 // State is the state of an instance as served at /state.
 type State struct {
-	Instance   string         `json:"instance"`
-	Ready      bool           `json:"ready"`
-	Draining   bool           `json:"draining"`
-	Version    uint64         `json:"configuration_version"`
-	InProgress int            `json:"in_progress"`
-	Peers      []string       `json:"peers"`
-	Services   []ServiceState `json:"services"`
+	Instance string `json:"instance"`
+	Ready    bool   `json:"ready"`
+	Draining bool   `json:"draining"`
+	Version  uint64 `json:"configuration_version"`
+	// Platform is the position up to which the published entries have been read.
+	Platform   replica.Position `json:"platform"`
+	InProgress int              `json:"in_progress"`
+	Peers      []string         `json:"peers"`
+	Services   []ServiceState   `json:"services"`
 }
 
 // ServiceState is the state of one service.
@@ -216,6 +219,7 @@
 			state.Peers = append(state.Peers, m.Name)
 		}
 	}
+	state.Platform, _ = g.platformWatcher.replica.Position()
 	now := g.now()
 	for _, svc := range g.sortedServices() {
 		state.Services = append(state.Services, ServiceState{Name: svc.name, Waiting: svc.dispatcher.Waiting(), Retries: svc.budget.Usage(now), RetrySlack: g.retrySlack(), Upstreams: svc.dispatcher.Snapshot(now)})
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -182,17 +183,27 @@
 	}
 }
 
-// Get calls the platform and returns the status and the body of the response. When ctx ends,
-// the connections of all calls in progress are closed.
-func (c *Client) Get(ctx context.Context, uri string, timeout time.Duration) (int, []byte, error) {
+// Response is a response of the platform.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Get calls the platform. When ctx ends, the connections of all calls in progress are closed.
+func (c *Client) Get(ctx context.Context, uri string, timeout time.Duration) (*Response, error) {
 	stop := context.AfterFunc(ctx, c.closeActiveConns)
 	defer stop()
 	res := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
 	if err := c.do(uri, timeout, res); err != nil {
-		return 0, nil, err
+		return nil, err
+	}
+	out := &Response{Status: res.StatusCode(), Header: http.Header{}, Body: append([]byte(nil), res.Body()...)}
+	for key, value := range res.Header.All() {
+		out.Header.Add(string(key), string(value))
 	}
-	return res.StatusCode(), append([]byte(nil), res.Body()...), nil
+	return out, nil
 }
 
 // closeActiveConns closes the connections of all calls in progress.
