--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -57,6 +57,8 @@
 	UpstreamLimitChanged Event = "upstream_limit_changed"
 	// AttemptFailed is logged when an attempt fails.
 	AttemptFailed Event = "attempt_failed"
+	// ResponseReset is logged when a response without length or chunks ends incomplete.
+	ResponseReset Event = "response_reset"
 	// RetryAllowed is logged when the retry budget allows a further attempt.
 	RetryAllowed Event = "retry_allowed"
 	// RetryDenied is logged when the retry budget allows no further attempt.
--- a/internal/gateway/close_delimited.go
+++ b/internal/gateway/close_delimited.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 )
 
 // respondUntilClose makes body the response to the caller, with neither a length nor chunks: the
@@ -22,11 +24,21 @@
 }
 
 func (ex *exchange) writeUntilClose(conn net.Conn, header []byte, body io.ReadCloser) {
-	_, err := io.Copy(conn, io.MultiReader(bytes.NewReader(header), body))
-	if err != nil && ex.conn != nil {
-		ex.conn.ResetOnClose()
+	defer body.Close() // never fails
+	if ex.conn == nil {
+		return
+	}
+	// The connection is reset unless all of the body is written, also if the process is killed.
+	err := ex.conn.SetResetOnClose(true)
+	if err == nil {
+		_, err = io.Copy(conn, io.MultiReader(bytes.NewReader(header), body))
+	}
+	if err == nil {
+		err = ex.conn.SetResetOnClose(false)
+	}
+	if err != nil {
+		ex.logEntry(eventlog.ResponseReset).WithField("error", err.Error()).Info("reset the connection to the caller of an incomplete response")
 	}
-	body.Close() // never fails
 }
 
 // closeDelimitedHeader returns the status line and the headers, without those that state a framing.
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -140,3 +140,18 @@
 		t.Errorf("exit code %d, %v", code, in.processErrors)
 	}
 }
+
+// Guards against a stream without chunks that looks complete to its caller because the process was killed.
+func TestKilledProcessDoesNotCompleteAStreamWithoutChunks(t *testing.T) {
+	tb, in := startInstance(t)
+	tb.setBehaviour(standin.Behaviour{Events: eventsPerStream, Delay: 300 * time.Millisecond, OmitLength: true})
+	c := newCaller(tb, 0, 0, 1)
+	received := make(chan observation, 1)
+	go func() { received <- c.send(streamPrefix, permanentKey) }()
+	time.Sleep(time.Second) // the stream lasts more than twice as long
+	in.signal(syscall.SIGKILL, true)
+	in.awaitExit(gracePeriod)
+	if o := <-received; o.status != 200 || o.framed || o.err == nil {
+		t.Errorf("%v, framed %v: %q", o, o.framed, o.body)
+	}
+}
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -38,7 +38,6 @@
 	net.Conn
 	writeTimeout  time.Duration
 	lingerOnClose atomic.Bool
-	resetOnClose  atomic.Bool
 }
 
 // SyscallConn gives [upstream.PeerClosed] access to the socket.
@@ -61,16 +60,21 @@
 // before the request was read to its end.
 func (c *Conn) LingerOnClose() { c.lingerOnClose.Store(true) }
 
-// ResetOnClose makes Close reset the connection, which shows the caller that a response without
-// length or chunks is incomplete.
-func (c *Conn) ResetOnClose() { c.resetOnClose.Store(true) }
+// SetResetOnClose determines whether the end of the connection resets it, also if the process is
+// killed: that shows the caller that a response without length or chunks is incomplete.
+func (c *Conn) SetResetOnClose(reset bool) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if reset {
+		return tcp.SetLinger(0)
+	}
+	return tcp.SetLinger(-1)
+}
 
 // Close closes the connection, after reading the rest of a refused request.
 func (c *Conn) Close() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.resetOnClose.Load() {
-		// An error means that the connection has been closed already.
-		_ = tcp.SetLinger(0)
-	}
 	if c.lingerOnClose.Load() {
 		c.discardUnread()
 	}
