soak: a plan in which the store comes back from older copies and upstreams end responses halfway

The plan draws both beside kills, pauses, restarts, cuts of the store and changes; upstreams and the operator write again one after the other, and one that is gone never does. Changes that were settled before a drill must stay in force through it.

One short seeded run is among the tests.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -40,6 +40,7 @@
 	duration      time.Duration
 	status        int
 	signed        bool
+	framed        bool // with a length or chunks
 	body          string
 	err           error // from the connection or from reading the body
 	connected     bool  // a connection to the instance was obtained
@@ -129,6 +130,7 @@
 	defer res.Body.Close()
 	o.status, o.duration = res.StatusCode, time.Since(o.sent)
 	o.signed = standin.HasSignature(res.Header)
+	o.framed = res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 	received, err := io.ReadAll(res.Body)
 	o.body, o.err = string(received), err
 	return o
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,6 +48,13 @@
 		if o.body != completeStream() {
 			tb.addViolation("a stream that looks whole is not: %v: %q", o, o.body)
 		}
+	case !o.framed: // the end of the connection does not claim that the body is complete
+		isPart := func(u *upstream) bool {
+			return strings.HasPrefix(standin.ResponseBody(standin.Execution{ID: o.id, Upstream: u.Name}), o.body)
+		}
+		if !slices.ContainsFunc(tb.upstreams, isPart) {
+			tb.addViolation("another answer: %v: %q", o, o.body)
+		}
 	case !strings.HasPrefix(o.body, "answer of ") || !strings.HasSuffix(o.body, " to "+o.id):
 		tb.addViolation("another answer: %v: %q", o, o.body)
 	}
@@ -74,6 +82,13 @@
 }
 
 func (tb *testbed) checkPublished(o observation, p publication, rejectionStatus int) {
+	changedAt := p.publishedAt
+	if !p.removedAt.IsZero() {
+		changedAt = p.removedAt
+	}
+	if tb.drillExcuses(changedAt, o.sent) {
+		return
+	}
 	switch {
 	case !p.removedAt.IsZero() && o.sent.After(p.removedAt.Add(maxChangeDelay)) && o.status != rejectionStatus:
 		tb.addViolation("%s was removed %v before: %v", p.name, o.sent.Sub(p.removedAt).Round(time.Millisecond), o)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,6 +31,8 @@
 	delayInstance // an instance starts only after the load
 	stateLimit    // an upstream states a limit in its answers
 	sendEndless   // responses are replaced by bytes without end
+	endResponses  // responses without length or chunks end halfway with their connection
+	returnStore   // the store comes back from an older copy
 	faultKindCount
 
 	// mixedKindCount is the number of kinds that mixed plans draw.
@@ -39,7 +41,7 @@
 
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
 	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
-	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless"}
+	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless", "upstream_ends", "store_returns"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -86,6 +88,8 @@
 		return newLimitPlan(seed, o)
 	case EndlessFaults:
 		return newEndlessPlan(seed, o)
+	case DrillFaults:
+		return newDrillPlan(seed, o)
 	}
 	return newMixedPlan(seed, o)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -50,6 +50,8 @@
 	LimitFaults Faults = "limits"
 	// EndlessFaults makes upstreams send bytes without end, and checks the memory of instances.
 	EndlessFaults Faults = "endless"
+	// DrillFaults makes the store come back from an older copy, and upstreams end responses halfway.
+	DrillFaults Faults = "drill"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -193,7 +195,7 @@
 			return nil, errors.Wrap(err, "start proxy")
 		}
 		u := &upstream{Upstream: s, proxy: p, rng: rand.New(rand.NewPCG(o.Seed, uint64(i)))}
-		u.publish = func() { tb.store.PutUpstream(u.Upstream, u.registration(false)) }
+		u.publish = func() { u.register(tb.store, serving) }
 		u.reportError = func(err error) { tb.addViolation("%s cannot start again: %v", u.Name, err) }
 		s.SetBehaviour(u.behaviour)
 		tb.upstreams = append(tb.upstreams, u)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -98,6 +98,27 @@
 	}
 }
 
+// Guards against instances that do not follow a store that comes back from older copies, and against
+// responses that end halfway and look complete, on real processes.
+func TestGuaranteesHoldThroughDrills(t *testing.T) {
+	file, err := buildDaemon()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Seed: 9703, Duration: 12 * time.Second, Instances: 3, Upstreams: 8, Faults: DrillFaults, Daemon: file, Dir: t.TempDir()}
+	report, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	if report.Faults[faultKindNames[returnStore]] == 0 {
+		t.Error("the store did not come back from an older copy")
+	}
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+}
+
 // regressionSeeds are the seeds that once violated a guarantee, with the cause. Every test run
 // repeats them.
 var regressionSeeds = []struct {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -54,6 +54,8 @@
 	limitedArrivals     int
 	largestMemory       int
 	activeStoreFailures int // overlapping store failures
+	configuration       standin.Configuration
+	drills              []drill
 }
 
 func (tb *testbed) addViolation(format string, args ...any) {
@@ -88,8 +90,9 @@
 			keys = append(keys, k.name)
 		}
 	}
-	tb.store.PutConfiguration(standin.Configuration{Version: tb.version, Routes: routes, Services: []standin.Service{{Name: serviceName}},
-		Team: "team", APIKeys: keys})
+	tb.configuration = standin.Configuration{Version: tb.version, Routes: routes, Services: []standin.Service{{Name: serviceName}},
+		Team: "team", APIKeys: keys}
+	tb.store.PutConfiguration(tb.configuration)
 }
 
 func (tb *testbed) changeRoutes() {
@@ -162,11 +165,11 @@
 	case revokeKey:
 		tb.revokeKey()
 	case drainUpstream:
-		tb.store.PutUpstream(u.Upstream, u.registration(true))
-		waitForEnd()
-		tb.store.RemoveUpstream(u.Upstream)
-		waitForEnd()
-		tb.store.PutUpstream(u.Upstream, u.registration(false))
+		for _, state := range []registrationState{leaving, removed} {
+			u.register(tb.store, state)
+			waitForEnd()
+		}
+		u.register(tb.store, serving)
 	case breakMany, rejectMany, pauseMany:
 		tb.applyFaultToMany(f, waitForEnd)
 	case stateLimit:
@@ -177,6 +180,12 @@
 		u.activeEndless.Add(1)
 		waitForEnd()
 		u.activeEndless.Add(-1)
+	case endResponses:
+		u.activeEnds.Add(1)
+		waitForEnd()
+		u.activeEnds.Add(-1)
+	case returnStore:
+		tb.returnStore(waitForEnd)
 	case delayInstance: // applied at the start of the run
 	case breakResponses:
 		u.activeBreaks.Add(1)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -16,12 +16,15 @@
 	proxy                                                *proxy
 	activeBreaks, activeRejections, activeStaleResponses atomic.Int32
 	activeFaultsOfMany                                   atomic.Int32 // raise the share of affected requests
-	activePauses, activeEndless                          atomic.Int32
+	activePauses, activeEndless, activeEnds              atomic.Int32
 	bornMS                                               atomic.Int64 // Unix time of the last start after a crash
 	linkFaults                                           faultIntervals
 	publish                                              func() // publishes the registration
 	reportError                                          func(error)
 
+	registrationMu sync.Mutex
+	state          registrationState // published last
+
 	mu           sync.Mutex
 	rng          *rand.Rand
 	down, closed bool
@@ -69,6 +72,8 @@
 		b.NotRun = true
 	case u.activeBreaks.Load() > 0:
 		b.BreakAfter = breakAfterEvents
+	case u.activeEnds.Load() > 0:
+		b.OmitLength, b.Truncate, b.EndAfter, b.EndInside = true, true, breakAfterEvents, true
 	case u.activeStaleResponses.Load() > 0 && b.Events == 0:
 		b.StaleResponse = true
 	}
