soak: requests that share a deadly part in the drill plan (BUDGET)

Requests with and without the part come at any instance, no two alike, while instances are killed, restarted and cut off. Checked: later than 3 s after the fifth crash, at most three more are sent by instances that were undisturbed.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -111,13 +111,18 @@
 }
 
 func (c *caller) sendAs(id, prefix, key, path, body string) observation {
+	return c.sendPrompt(id, prefix, key, path, body, "")
+}
+
+// sendPrompt sends a request whose prompt has the parts; "" if it has no prompt.
+func (c *caller) sendPrompt(id, prefix, key, path, body, parts string) observation {
 	in := c.testbed.instances[c.instance]
 	o := observation{id: id, path: prefix, key: key, instance: c.instance, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { o.connected, o.connReused = true, i.Reused }})
 	r, err := standin.Request{Address: in.callers, Host: hostName, Method: http.MethodPost, Path: path, ID: o.id, APIKey: key,
-		Timeout: requestTimeout, Body: body}.Build(ctx)
+		Timeout: requestTimeout, Body: body, PromptPrefix: parts}.Build(ctx)
 	if err != nil {
 		o.err = err
 		return o
@@ -150,6 +155,9 @@
 	if tb.options.Faults == RetryFaults {
 		callers.Go(func() { tb.runCrashingCaller(ctx, seed, out) })
 	}
+	if tb.options.Faults == DrillFaults {
+		callers.Go(func() { tb.runDeadlyPartCaller(ctx, seed, out) })
+	}
 	go func() {
 		callers.Wait()
 		close(out)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -164,6 +164,7 @@
 	tb.checkExecutions(observations)
 	tb.checkRetries(observations)
 	tb.checkLimits(observations)
+	tb.checkDeadlyPart(observations)
 	return tb.report(observations), ctx.Err()
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// Guards against instances that do not follow a store that comes back from older copies, and against
-// responses that end halfway and look complete, on real processes.
+// Guards against instances that do not follow a store that comes back from older copies, against responses
+// that end halfway and look complete, and against requests that share a deadly part, on real processes.
 func TestGuaranteesHoldThroughDrills(t *testing.T) {
 	file, err := buildDaemon()
 	if err != nil {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -53,6 +53,10 @@
 		go u.crash(execution.URI)
 		return standin.Behaviour{BreakAfter: 1}
 	}
+	if hasDeadlyPart(execution) {
+		go u.crash(deadlyPart)
+		return standin.Behaviour{BreakAfter: 1}
+	}
 	share := faultyRequestShare
 	if u.activeFaultsOfMany.Load() > 0 {
 		share = faultyShareOfMany
