--- a/internal/coordination/quarantine/doc.go
+++ b/internal/coordination/quarantine/doc.go
@@ -19,11 +19,11 @@
 //
 // One part of a prompt may crash each upstream that begins to answer it, in requests of which
 // no two are alike. Parts have entries of their own. A crash is recorded for the parts of all
-// prompts that wait for the beginning of their answer at the upstream:
+// prompts whose answer has not got far at the upstream:
 //
-//   - an answer that begins clears the parts of its prompt of the known crashes, and keeps
-//     them from suspicion for 10 seconds, since a part that crashes upstreams never gets that
-//     far. An instance that has seen such an answer clears the part for a peer that reports it;
+//   - an answer that has got far enough clears the parts of its prompt of the known crashes, and
+//     keeps them from suspicion for 10 seconds, since a part that crashes upstreams never gets
+//     that far. The owner of the quarantine decides how far that is. An instance that has seen such an answer clears the part for a peer that reports it;
 //   - a part with three open crashes is refused;
 //   - a part that crashes upstreams was at each of their crashes, others at some. Crashes that a
 //     refused part explains do not count against parts with fewer crashes, nor against requests
--- a/internal/coordination/quarantine/parts.go
+++ b/internal/coordination/quarantine/parts.go
@@ -17,8 +17,8 @@
 	}
 }
 
-// PartsAnswered records that the upstream has begun to answer a prompt with the parts, which shows
-// that none of them crashes upstreams. It clears them of the crashes known to this instance; the
+// PartsAnswered records that the upstream has answered a prompt with the parts so far that none of
+// them crashes upstreams. It clears them of the crashes known to this instance; the
 // caller sends the result to the peers.
 func (q *Quarantine) PartsAnswered(now time.Duration, parts []Fingerprint, upstream string) []Suspicion {
 	var clearings []Suspicion
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -31,8 +31,7 @@
 	// partRefusalThreshold is the number of open crashes at which a part of prompts is refused. It is
 	// higher, because more sound requests share a part than send the same request again.
 	partRefusalThreshold = 3
-	// answeredPartLifetime is how long the beginning of an answer shows that the parts of its prompt
-	// crash no upstream.
+	// answeredPartLifetime is how long an answer shows that the parts of its prompt crash no upstream.
 	answeredPartLifetime = 10 * time.Second
 	// maxAnsweredParts bounds the parts that are known to be answered.
 	maxAnsweredParts = 16384
--- a/internal/coordination/quarantine/shard.go
+++ b/internal/coordination/quarantine/shard.go
@@ -158,7 +158,7 @@
 	teams      map[string]*teamList
 	running    map[string]map[Fingerprint]*requestRuns // by upstream
 	abandoned  []abandonedRun                          // ordered by expiry
-	answered   *expiring.Map[Fingerprint, struct{}]    // parts of which an answer began
+	answered   *expiring.Map[Fingerprint, struct{}]    // parts of answered prompts
 }
 
 // requestRuns counts the copies of one request, or the prompts with one part, that are running at one
@@ -346,7 +346,7 @@
 	return suspects
 }
 
-// hasAnswered reports whether an answer to a prompt with the part has begun lately.
+// hasAnswered reports whether a prompt with the part has been answered lately.
 func (s *shard) hasAnswered(now time.Duration, part Fingerprint) bool {
 	_, ok := s.answered.Get(now, part)
 	return ok
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,7 +38,8 @@
 	response     *upstream.Response
 	timeout      time.Duration // for the header and the pauses in a body that is no stream; 0: none
 	started      bool          // the quarantine counts the request as running at the upstream
-	answered     bool          // the upstream has begun to answer
+	events       int           // of a stream, received from this upstream
+	partsCleared bool          // the answer has shown that no part of the prompt crashes the upstream
 	crashed      bool          // the crash of the upstream has been recorded
 	delivered    bool
 	finished     bool
@@ -217,15 +218,25 @@
 func (a *attempt) recordFirstOutput() {
 	ex := a.exchange
 	now := ex.gateway.now()
-	a.answerBegan(now)
+	ex.service.dispatcher.FirstOutput(now, a.grant.Token)
 	ex.gateway.metrics.firstOutputSeconds.WithLabelValues(ex.route.Kind.String(), strconv.Itoa(ex.rank)).Observe((now - ex.arrived).Seconds())
 }
 
-// answerBegan records that the upstream has begun to answer, which clears the parts of the prompt.
-func (a *attempt) answerBegan(now time.Duration) {
+// harmlessEvents is the number of events after which the parts of a prompt are cleared. An upstream that
+// crashes when it begins to answer may send its first event before.
+const harmlessEvents = 3
+
+// recordEvent records an event of the stream.
+func (a *attempt) recordEvent() {
+	if a.events++; a.events == harmlessEvents {
+		a.clearParts(a.exchange.gateway.now())
+	}
+}
+
+// clearParts records that no part of the prompt crashes the upstream.
+func (a *attempt) clearParts(now time.Duration) {
 	ex := a.exchange
-	a.answered = true
-	ex.service.dispatcher.FirstOutput(now, a.grant.Token)
+	a.partsCleared = true
 	ex.gateway.broadcastSuspicions(ex.gateway.quarantine.PartsAnswered(now, ex.sharedParts, a.grant.Upstream.ID))
 }
 
@@ -374,13 +385,16 @@
 	ex.gateway.metrics.attempts.WithLabelValues(outcomeLabels[status]).Inc()
 }
 
-// endRun tells the quarantine whether the upstream may still work on the request.
+// endRun tells the quarantine whether the request completed, or the upstream may still work on it. The
+// end of the connection alone shows neither.
 func (a *attempt) endRun(now time.Duration, status dispatch.Status, complete bool) {
 	ex := a.exchange
 	q, upstreamID := ex.gateway.quarantine, a.grant.Upstream.ID
-	ended := a.sendState == notSent || a.notRun() || complete
+	proven := ex.lastFraming != upstream.FramingClose
+	completed := status == dispatch.Succeeded && proven
+	ended := a.sendState == notSent || a.notRun() || complete && proven
 	switch {
-	case status == dispatch.Succeeded:
+	case completed:
 		ex.gateway.broadcastSuspicions(q.Completed(now, ex.fingerprint, upstreamID))
 	case ended || a.crashed:
 		q.Aborted(now, ex.fingerprint, upstreamID)
@@ -388,7 +402,9 @@
 		q.Abandoned(now, ex.fingerprint, upstreamID)
 	}
 	switch {
-	case a.answered, a.crashed: // the parts no longer count as running
+	case a.partsCleared, a.crashed: // the parts no longer count as running
+	case completed:
+		a.clearParts(now)
 	case ended:
 		q.PartsAborted(ex.sharedParts, upstreamID)
 	default:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -143,6 +143,7 @@
 func (s *stream) buffer(event []byte) {
 	ex := s.attempt.exchange
 	ex.progress.record(ex.gateway.now(), event)
+	s.attempt.recordEvent()
 	ex.service.budget.Answered(ex.gateway.now(), s.attempt.grant.Upstream.ID)
 	s.pending = append(s.pending[:0], event...)
 }
@@ -234,7 +235,7 @@
 	if id, ok := sse.ID(event); !ok || id != lastID+1 {
 		return nil, errResumeGap
 	}
-	next.answerBegan(ex.gateway.now())
+	ex.service.dispatcher.FirstOutput(ex.gateway.now(), grant.Token)
 	ex.gateway.metrics.resumes.Inc()
 	return event, nil
 }
