--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -20,11 +20,8 @@
 // until ctx is done.
 func (tb *testbed) runCrashingCaller(ctx context.Context, seed uint64, out chan<- observation) {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	callers := make([]*caller, len(tb.instances))
-	for i := range callers {
-		callers[i] = newCaller(tb, i, crashingCallerNumber, seed)
-		defer callers[i].transport.CloseIdleConnections()
-	}
+	callers, closeCallers := tb.crashingCallers(seed)
+	defer closeCallers()
 	for ctx.Err() == nil {
 		sleepContext(ctx, time.Duration(rng.Int64N(int64(2*crashingInterval))))
 		c := callers[rng.IntN(len(callers))]
@@ -34,3 +31,15 @@
 
 // crashingCallerNumber is the caller number of the caller of crashing requests.
 const crashingCallerNumber = maxCallers
+
+// crashingCallers returns a caller of each instance for requests that crash upstreams.
+func (tb *testbed) crashingCallers(seed uint64) (callers []*caller, closeAll func()) {
+	for i := range tb.instances {
+		callers = append(callers, newCaller(tb, i, crashingCallerNumber, seed))
+	}
+	return callers, func() {
+		for _, c := range callers {
+			c.transport.CloseIdleConnections()
+		}
+	}
+}
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -31,11 +31,8 @@
 // runDeadlyPartCaller sends requests with and without the deadly part to any instance until ctx is done.
 func (tb *testbed) runDeadlyPartCaller(ctx context.Context, seed uint64, out chan<- observation) {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	callers := make([]*caller, len(tb.instances))
-	for i := range callers {
-		callers[i] = newCaller(tb, i, crashingCallerNumber, seed)
-		defer callers[i].transport.CloseIdleConnections()
-	}
+	callers, closeCallers := tb.crashingCallers(seed)
+	defer closeCallers()
 	for n := 1; ctx.Err() == nil; n++ {
 		sleepContext(ctx, time.Duration(rng.Int64N(int64(2*deadlyInterval))))
 		c := callers[rng.IntN(len(callers))]
