soak: callers that leave, and streams that crash upstreams, in the drill plan

Callers leave within 150 ms, some of them of streams that crash each upstream that they reach after their first events; nothing may reach an upstream more than half a second after its caller has left, by instances and over links that are in order.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -111,14 +111,15 @@
 }
 
 func (c *caller) sendAs(id, prefix, key, path, body string) observation {
-	return c.sendPrompt(id, prefix, key, path, body, "")
+	return c.sendPrompt(context.Background(), id, prefix, key, path, body, "")
 }
 
-// sendPrompt sends a request whose prompt has the parts; "" if it has no prompt.
-func (c *caller) sendPrompt(id, prefix, key, path, body, parts string) observation {
+// sendPrompt sends a request whose prompt has the parts; "" if it has no prompt. The caller leaves when
+// ctx ends.
+func (c *caller) sendPrompt(ctx context.Context, id, prefix, key, path, body, parts string) observation {
 	in := c.testbed.instances[c.instance]
 	o := observation{id: id, path: prefix, key: key, instance: c.instance, sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { o.connected, o.connReused = true, i.Reused }})
 	r, err := standin.Request{Address: in.callers, Host: hostName, Method: http.MethodPost, Path: path, ID: o.id, APIKey: key,
@@ -157,6 +158,7 @@
 	}
 	if tb.options.Faults == DrillFaults {
 		callers.Go(func() { tb.runDeadlyPartCaller(ctx, seed, out) })
+		callers.Go(func() { tb.runLeavingCaller(ctx, seed) })
 	}
 	go func() {
 		callers.Wait()
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -41,7 +41,7 @@
 			parts += deadlyPart + ":40,"
 		}
 		id := c.nextID()
-		out <- c.sendPrompt(id, streamPrefix, permanentKey, streamPrefix+id, id, fmt.Sprintf("%s%x:20", parts, n))
+		out <- c.sendPrompt(context.Background(), id, streamPrefix, permanentKey, streamPrefix+id, id, fmt.Sprintf("%s%x:20", parts, n))
 	}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -165,6 +165,7 @@
 	tb.checkRetries(observations)
 	tb.checkLimits(observations)
 	tb.checkDeadlyPart(observations)
+	tb.checkDepartures()
 	return tb.report(observations), ctx.Err()
 }
 
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -56,6 +56,7 @@
 	activeStoreFailures int // overlapping store failures
 	configuration       standin.Configuration
 	drills              []drill
+	departures          []departure
 }
 
 func (tb *testbed) addViolation(format string, args ...any) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -53,6 +53,10 @@
 		go u.crash(execution.URI)
 		return standin.Behaviour{BreakAfter: 1}
 	}
+	if strings.HasPrefix(execution.URI, crashingStreamPrefix) {
+		time.AfterFunc(breakAfterEvents*eventInterval, func() { u.crash(execution.URI) })
+		return standin.Behaviour{Events: eventsPerStream, Delay: eventInterval, BreakAfter: breakAfterEvents}
+	}
 	if hasDeadlyPart(execution) {
 		go u.crash(deadlyPart)
 		return standin.Behaviour{BreakAfter: 1}
