--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -23,6 +23,10 @@
 // The endless plan ([EndlessFaults]) makes upstreams send bytes without end, in each part of a response,
 // and checks the memory of the instances while it runs.
 //
+// The drill plan ([DrillFaults]) makes the store come back from older copies, and upstreams end responses
+// without length or chunks halfway, while instances are killed, paused, restarted and cut off. Some requests
+// share a part that crashes upstreams, and some callers leave soon.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -35,6 +39,10 @@
 //   - A running instance responds within the timeout of the route and does not close a
 //     connection without a response to a request that it has read.
 //   - An instance that reaches the store applies added routes and revoked keys in time.
+//   - A change that was in force before the store came back from an older copy stays in force.
+//   - Once a part of prompts has crashed five upstreams, at most three more requests with it are
+//     sent by undisturbed instances.
+//   - Nothing is sent to upstreams longer than half a second after its caller has left.
 //   - In each retry window the upstreams get no more arrivals beyond the first of each request
 //     than the published bound allows, whatever the faults.
 //   - An upstream that states a limit gets no more requests than the published bound allows, in sum
