soak: requests that crash upstreams end with the faults

These callers went on during the final check, which assumes that the faults have ended.

Change: callers whose requests are faults end before the recovery time, like the plan's faults. The check and its bound are as they were.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -143,8 +143,8 @@
 }
 
 // startLoad starts callers at every instance. They send requests until ctx is cancelled; then
-// the returned channel is closed.
-func (tb *testbed) startLoad(ctx context.Context, seed uint64) <-chan observation {
+// the returned channel is closed. Callers whose requests are faults end with faultCtx.
+func (tb *testbed) startLoad(ctx, faultCtx context.Context, seed uint64) <-chan observation {
 	out := make(chan observation, 1024)
 	var callers sync.WaitGroup
 	for i := range tb.instances {
@@ -157,8 +157,8 @@
 		callers.Go(func() { tb.runCrashingCaller(ctx, seed, out) })
 	}
 	if tb.options.Faults == DrillFaults {
-		callers.Go(func() { tb.runDeadlyPartCaller(ctx, seed, out) })
-		callers.Go(func() { tb.runLeavingCaller(ctx, seed) })
+		callers.Go(func() { tb.runDeadlyPartCaller(faultCtx, seed, out) })
+		callers.Go(func() { tb.runLeavingCaller(faultCtx, seed) })
 	}
 	go func() {
 		callers.Wait()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -143,7 +143,9 @@
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
-	received := tb.startLoad(loadCtx, o.Seed)
+	faultCtx, stopFaults := context.WithCancel(loadCtx)
+	defer stopFaults()
+	received := tb.startLoad(loadCtx, faultCtx, o.Seed)
 	var observations []observation
 	collected := make(chan struct{})
 	go func() {
@@ -156,6 +158,7 @@
 	stopSampling := tb.sampleMemory()
 	tb.injectFaults(ctx, plan)
 	delayedStarts.Wait()
+	stopFaults()
 	sleepContext(ctx, recoveryTime)
 	tb.checkRecovery()
 	stopLoad()
