--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -25,7 +25,7 @@
 
 // hasDeadlyPart reports whether the prompt of a request holds the deadly part.
 func hasDeadlyPart(execution standin.Execution) bool {
-	return strings.Contains(execution.Header.Get("Prompt-Prefix"), deadlyPart)
+	return strings.Contains(execution.PromptPrefix(), deadlyPart)
 }
 
 // runDeadlyPartCaller sends requests with and without the deadly part to any instance until ctx is done.
