soak: the test of a killed process waits for the first event, not for a second

It slept for 1 s and assumed that the stream had begun, which a stalled machine could prevent. It now reads the first event before it kills the process, and checks the same: no regular end. Without the reset of the connection it still fails.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -145,13 +147,25 @@
 func TestKilledProcessDoesNotCompleteAStreamWithoutChunks(t *testing.T) {
 	tb, in := startInstance(t)
 	tb.setBehaviour(standin.Behaviour{Events: eventsPerStream, Delay: 300 * time.Millisecond, OmitLength: true})
-	c := newCaller(tb, 0, 0, 1)
-	received := make(chan observation, 1)
-	go func() { received <- c.send(streamPrefix, permanentKey) }()
-	time.Sleep(time.Second) // the stream lasts more than twice as long
+	r, err := standin.Request{Address: in.callers, Host: hostName, Method: http.MethodPost, Path: streamPrefix, ID: "killed", APIKey: permanentKey,
+		Timeout: requestTimeout}.Build(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	res, err := transport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	first := []byte(standin.EventText(0))
+	if _, err := io.ReadFull(res.Body, first); err != nil || res.ContentLength >= 0 || len(res.TransferEncoding) > 0 {
+		t.Fatalf("length %d, encoding %v, %v", res.ContentLength, res.TransferEncoding, err)
+	}
 	in.signal(syscall.SIGKILL, true)
 	in.awaitExit(gracePeriod)
-	if o := <-received; o.status != 200 || o.framed || o.err == nil {
-		t.Errorf("%v, framed %v: %q", o, o.framed, o.body)
+	if rest, err := io.ReadAll(res.Body); err == nil {
+		t.Errorf("the stream ends regularly after %q%q", first, rest)
 	}
 }
