--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -17,6 +17,7 @@
 type Upstream struct {
 	ID, Address      string
 	Incarnation      string `json:",omitempty"` // changes when the upstream starts again under its ID
+	Version          string `json:",omitempty"` // of its software; streams of one version cannot go on at another
 	Domain           string // failure domain
 	Slots            int    // maximum number of concurrent requests
 	KVCapacityTokens int    `json:"Memory"` // KV cache capacity; 0 for upstreams without prompts
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,10 +67,14 @@
 func (ex *exchange) sendAttempt(grant *dispatch.Grant) *attempt {
 	a := &attempt{exchange: ex, grant: grant, startedAt: ex.gateway.now()}
 	ex.lastUpstream = grant.Upstream.ID
-	ex.logEntry(eventlog.RequestPlaced).WithFields(logrus.Fields{
-		"upstream": grant.Upstream.ID, "address": grant.Upstream.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
+	fields := logrus.Fields{
+		"upstream": grant.Upstream.ID, "version": grant.Upstream.Version, "incarnation": grant.Upstream.Incarnation, "address": grant.Upstream.Address, "wait_ms": grant.Wait.Milliseconds(), "work_ms": grant.Work.Milliseconds(),
 		"route": ex.route.Name, "rank": ex.rank, "suspicion": ex.suspicion().String(), "load": grant.Load, "slots": grant.Upstream.Slots, "cached": grant.Cached, "home": grant.Preferred, "prompt": ex.request.PromptTokens, "output": ex.request.MaxOutputTokens, "parts": formatParts(ex.request.PromptPrefix), "attempt": ex.sentAttempts + 1,
-	}).Info("request placed")
+	}
+	if ex.request.Resumption != nil {
+		fields["resumes"] = ex.request.Resumption.FirstAttempt
+	}
+	ex.logEntry(eventlog.RequestPlaced).WithFields(fields).Info("request placed")
 	if err := a.run(); err != nil {
 		a.recordFailure(err)
 	}
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -125,8 +125,10 @@
 	ID, Service, Address, FailureDomain string
 	// Incarnation changes when the upstream starts again under its ID; it may be empty.
 	Incarnation string
-	Slots       int
-	Leaving     bool
+	// Version is the version of the upstream's software. Versions have no order.
+	Version string
+	Slots   int
+	Leaving bool
 }
 
 // routingTable is an immutable configuration indexed for request lookups.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,7 +173,7 @@
 			kvCapacityTokens = t.services[u.Service].KVCapacityTokens
 		}
 		upstreamsByService[u.Service] = append(upstreamsByService[u.Service], dispatch.Upstream{
-			ID: u.ID, Incarnation: u.Incarnation, Address: u.Address, Domain: u.FailureDomain, Slots: u.Slots, KVCapacityTokens: kvCapacityTokens, Leaving: u.Leaving,
+			ID: u.ID, Incarnation: u.Incarnation, Version: u.Version, Address: u.Address, Domain: u.FailureDomain, Slots: u.Slots, KVCapacityTokens: kvCapacityTokens, Leaving: u.Leaving,
 		})
 	}
 	now := g.now()
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -305,6 +305,6 @@
 		if u.Leaving {
 			state = "leaving"
 		}
-		g.log.WithFields(fields).WithFields(logrus.Fields{"state": state, "upstream": u.ID, "service": u.Service, "address": u.Address}).Info("upstream published")
+		g.log.WithFields(fields).WithFields(logrus.Fields{"state": state, "upstream": u.ID, "service": u.Service, "version": u.Version, "address": u.Address}).Info("upstream published")
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
@@ -216,7 +217,8 @@
 	lastID := ex.progress.lastID
 	next := &attempt{exchange: ex, grant: grant, startedAt: ex.gateway.now()}
 	ex.lastUpstream = grant.Upstream.ID
-	ex.logEntry(eventlog.StreamResumed).WithField("upstream", grant.Upstream.ID).WithField("after_event", lastID).Info("resuming stream at another upstream")
+	ex.logEntry(eventlog.StreamResumed).WithFields(logrus.Fields{"upstream": grant.Upstream.ID, "version": grant.Upstream.Version,
+		"previous": s.attempt.grant.Upstream.ID, "previous_version": s.attempt.grant.Upstream.Version, "after_event": lastID}).Info("resuming stream at another upstream")
 	s.attempt = next
 	if err := next.send(&lastID); err != nil {
 		return nil, err
