--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -185,12 +185,15 @@
 
 // available reports whether the upstream may receive the request, apart from its limit.
 func (d *Dispatcher) available(u *upstream, r *Request, pass int) bool {
-	if u.Leaving || pass < 2 && slices.Contains(r.Exclude, u.ID) {
+	if u.Leaving || !u.hasVersion(r) || pass < 2 && slices.Contains(r.Exclude, u.ID) {
 		return false
 	}
 	return pass > 0 || !u.ejected() && !(u.onTrial() && u.local.InFlight > 0)
 }
 
+// hasVersion reports whether the upstream's software has the version that the request needs.
+func (u *upstream) hasVersion(r *Request) bool { return r.Version == nil || u.Version == *r.Version }
+
 // rendezvousHash returns the weight of an upstream for a session in rendezvous hashing.
 func rendezvousHash(session, nameHash uint64) uint64 {
 	h := session*0x9e3779b97f4a7c15 ^ nameHash
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -187,14 +188,17 @@
 		out = append(out, decision)
 	}
 	// A less urgent request must not start while a more urgent one waits, whose shorter
-	// target allows a shorter wait at an upstream.
-	topTier, _ := d.queue.Best()
+	// target allows a shorter wait at an upstream. One that waits for upstreams of its version
+	// does not hold back those that may run elsewhere.
+	blockedTier := math.MaxInt
 	for _, w := range d.waitingByUrgency() {
-		if w.Tier > topTier {
+		if w.Tier > blockedTier {
 			break
 		}
 		if decision, ok := d.tryDecide(now, w); ok {
 			out = append(out, decision)
+		} else if w.request.Version == nil {
+			blockedTier = w.Tier
 		}
 	}
 	return out
--- a/internal/coordination/dispatch/limits.go
+++ b/internal/coordination/dispatch/limits.go
@@ -106,7 +106,7 @@
 	var next *upstream    // that this instance may send to first
 	var nextAt time.Duration
 	for _, u := range d.byHash {
-		if !u.limiter.Limited() || u.Leaving || u.ejected() {
+		if !u.limiter.Limited() || u.Leaving || !u.hasVersion(r) || u.ejected() {
 			continue
 		}
 		all += u.limiter.Limit().Rate
@@ -118,7 +118,7 @@
 		}
 	}
 	if all == 0 {
-		return d.reject(now, r, ReasonNoUpstream, 0)
+		return d.reject(now, r, noUpstreamReason(r), 0)
 	}
 	if next != nil {
 		predicted := nextAt + time.Duration(float64(d.waitingBefore(r))/held*float64(time.Second))
@@ -130,6 +130,14 @@
 	return d.reject(now, r, ReasonLimit, time.Duration(float64(1+len(d.waiting))/all*float64(time.Second)))
 }
 
+// noUpstreamReason returns the reason of a rejection for want of an upstream.
+func noUpstreamReason(r *Request) Reason {
+	if r.Version != nil {
+		return ReasonNoVersion
+	}
+	return ReasonNoUpstream
+}
+
 // waitingBefore returns the number of waiting requests that are served before the request.
 func (d *Dispatcher) waitingBefore(r *Request) int {
 	n := 0
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -54,6 +54,8 @@
 	Resubmitted bool
 	// Exclude lists upstreams to which the request has already been sent.
 	Exclude []string
+	// Version is the only software version at which the request may run; nil if any will do.
+	Version *string
 
 	long bool // a long prompt, as classified on arrival
 }
@@ -65,6 +67,8 @@
 const (
 	// ReasonNoUpstream means that no upstream of the service accepts requests.
 	ReasonNoUpstream Reason = "no_upstream"
+	// ReasonNoVersion means that no upstream of the version that the request needs accepts requests.
+	ReasonNoVersion Reason = "no_version"
 	// ReasonTarget means that the request has a long prompt and the least urgent rank, and
 	// is predicted to miss its target because of a backlog.
 	ReasonTarget Reason = "target"
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -46,6 +46,7 @@
 	mayHaveRun      bool
 	retries         retryState
 	progress        streamProgress
+	streamVersion   *string // at which the stream began; nil before its first event
 	outcome         string
 	streamErr       error            // what ended a stream
 	lastUpstream    string           // of the last attempt
@@ -252,7 +253,7 @@
 		ID: ex.gateway.requestSequence.Add(1), Class: ex.route.Name, Team: ex.team, Rank: ex.rank,
 		Arrived: ex.arrived, Target: ex.arrived + ex.route.LatencyTarget, Deadline: ex.firstOutputDeadline(),
 		Prompt: ex.request.PromptTokens, Output: ex.request.MaxOutputTokens, Prefix: ex.request.PromptPrefix,
-		InterTokenTarget: ex.route.InterTokenTarget, Exclude: ex.triedUpstreams,
+		InterTokenTarget: ex.route.InterTokenTarget, Exclude: ex.triedUpstreams, Version: ex.streamVersion,
 	}
 	r.Resubmitted = ex.sentAttempts > 0 || ex.request.Timeout > 0 && ex.route.Timeout > 0 &&
 		ex.request.Timeout < time.Duration(resubmitTimeoutRatio*float64(ex.route.Timeout))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,6 +96,7 @@
 		return err
 	}
 	a.recordFirstOutput()
+	ex.streamVersion = &a.grant.Upstream.Version
 	s.buffer(event)
 	ex.gateway.adapter.Upstream.CopyResponseHeader(&ex.httpCtx.Response.Header, &a.response.Response.Header)
 	ex.httpCtx.SetStatusCode(fasthttp.StatusOK)
