--- a/internal/coordination/membership/gossip.go
+++ b/internal/coordination/membership/gossip.go
@@ -146,7 +146,7 @@
 
 // maxMemberSize returns the maximum encoded size of a record.
 func maxMemberSize(record Member) int {
-	return 66 + len(record.Name) + len(record.Domain) + len(record.Pressure) + maxAddrSize(record.UDP) + maxAddrSize(record.TCP)
+	return 68 + len(record.Name) + len(record.Domain) + len(record.FailureDomain) + len(record.Pressure) + maxAddrSize(record.UDP) + maxAddrSize(record.TCP)
 }
 
 func maxAddrSize(addr netip.AddrPort) int {
--- a/internal/coordination/membership/handle.go
+++ b/internal/coordination/membership/handle.go
@@ -22,7 +22,8 @@
 
 func validMember(record *Member) bool {
 	return record.Incarnation.Process != Process{} && record.Name != "" && len(record.Name) <= MaxNameBytes &&
-		record.Domain != "" && len(record.Domain) <= MaxNameBytes && len(record.Pressure) <= MaxPressureBytes &&
+		record.Domain != "" && len(record.Domain) <= MaxNameBytes &&
+		len(record.FailureDomain) <= MaxNameBytes && len(record.Pressure) <= MaxPressureBytes &&
 		record.UDP.IsValid() && record.State >= Alive && record.State <= Dead && record.PressureAge >= 0
 }
 
--- a/internal/coordination/membership/member.go
+++ b/internal/coordination/membership/member.go
@@ -48,12 +48,15 @@
 // Member is the record of one process: its identity, addresses and state, and the
 // metadata that it reports about itself (Revision and Pressure).
 type Member struct {
-	Name        string
-	Domain      string
-	Incarnation Incarnation
-	UDP         netip.AddrPort
-	TCP         netip.AddrPort
-	State       State
+	Name string
+	// Domain is the group of members that probe each other.
+	Domain string
+	// FailureDomain is where the member stands; empty if it does not say so.
+	FailureDomain string
+	Incarnation   Incarnation
+	UDP           netip.AddrPort
+	TCP           netip.AddrPort
+	State         State
 	// Revision is the configuration revision that the member uses.
 	Revision uint64
 	// Pressure is an opaque value of at most MaxPressureBytes that was PressureAge old
--- /dev/null
+++ b/internal/coordination/streamorigin/history_test.go
@@ -0,0 +1,69 @@
+package streamorigin
+
+import (
+	"testing"
+	"time"
+)
+
+func published(versions ...string) map[string]map[string]bool {
+	set := map[string]bool{}
+	for _, v := range versions {
+		set[v] = true
+	}
+	return map[string]map[string]bool{"svc": set}
+}
+
+// Guards against taking the version that is published now for the one at which a stream began: it may have
+// begun before a release, or before this instance started.
+func TestSoleVersionIsProvenOnlyByTime(t *testing.T) {
+	h := NewVersionHistory()
+	expect := func(at time.Duration, want string, wantOK bool) {
+		t.Helper()
+		if got, ok := h.Sole(at, "svc"); got != want || ok != wantOK {
+			t.Errorf("at %v: %q %v, want %q %v", at, got, ok, want, wantOK)
+		}
+	}
+	expect(0, "", false)
+	h.Observe(time.Second, published("v1"))
+	expect(Lifetime, "", false)
+	expect(time.Second+Lifetime, "v1", true)
+	h.Observe(2*Lifetime, published("v1", "v2"))
+	expect(2*Lifetime+time.Second, "", false)
+	h.Observe(3*Lifetime, published("v2"))
+	expect(3*Lifetime+time.Second, "", false)
+	h.Observe(4*Lifetime-time.Second, published("v2"))
+	expect(4*Lifetime-time.Second, "", false)
+	expect(4*Lifetime, "v2", true)
+	h.Observe(5*Lifetime, published("v1", "v2")) // the release is taken back
+	expect(5*Lifetime, "", false)
+	if _, ok := h.Sole(5*Lifetime, "another"); ok {
+		t.Error("a service without upstreams has a version")
+	}
+}
+
+// Guards against an instance that has just started and takes the versions that it sees for all there were.
+func TestObservationsOfAPeerCount(t *testing.T) {
+	peer, started := NewVersionHistory(), NewVersionHistory()
+	peer.Observe(0, published("v1"))
+	peer.Observe(Lifetime, published("v2"))
+	started.Observe(time.Second, published("v2"))
+	started.Merge(time.Second, peer.Observations(Lifetime+time.Second))
+	if got, ok := started.Sole(2*time.Second, "svc"); ok {
+		t.Errorf("%q, but the peer has seen another one", got)
+	}
+	if got, ok := started.Sole(2*Lifetime, "svc"); !ok || got != "v2" {
+		t.Errorf("%q %v", got, ok)
+	}
+	fresh := NewVersionHistory()
+	fresh.Observe(time.Second, published("v1"))
+	fresh.Merge(time.Second, NewVersionHistory().Observations(time.Second))
+	if _, ok := fresh.Sole(2*time.Second, "svc"); ok {
+		t.Error("a peer that has observed nothing proves something")
+	}
+	long := NewVersionHistory()
+	long.Observe(0, published("v1"))
+	fresh.Merge(time.Second, long.Observations(2*Lifetime))
+	if got, ok := fresh.Sole(2*time.Second, "svc"); !ok || got != "v1" {
+		t.Errorf("%q %v after a peer that has observed one version for long", got, ok)
+	}
+}
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -70,6 +70,8 @@
 	CrashesReceived Event = "crashes_received"
 	// MismatchedResponse is logged when a response to another request is dropped.
 	MismatchedResponse Event = "foreign_answer"
+	// StreamLocated is logged when a caller goes on with a stream that another request began.
+	StreamLocated Event = "stream_located"
 	// StreamResumed is logged when a stream is resumed at another upstream.
 	StreamResumed Event = "stream_resumed"
 	// RequestEnded is logged when a request has ended.
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -87,6 +88,11 @@
 	return ""
 }
 
+// hasService reports whether requests of the route may run at the service.
+func (r *Route) hasService(name string) bool {
+	return slices.ContainsFunc(r.WeightedServices, func(s WeightedService) bool { return s.Service == name })
+}
+
 // Service is a group of interchangeable upstreams.
 type Service struct {
 	Name string
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
@@ -46,7 +47,9 @@
 	mayHaveRun      bool
 	retries         retryState
 	progress        streamProgress
-	streamVersion   *string // at which the stream began; nil before its first event
+	origin          *streamorigin.Origin // where the stream began; nil before its first event
+	originKey       streamorigin.Key     // zero if no caller can name the stream
+	originSharedAt  time.Duration        // when the holders were told last
 	outcome         string
 	streamErr       error            // what ended a stream
 	lastUpstream    string           // of the last attempt
@@ -106,6 +109,9 @@
 	if ex.service = ex.gateway.lookupService(ex.route.selectService(ex.request.ID)); ex.service == nil {
 		return apierror.New(apierror.NotReady, "the service of the route is not known")
 	}
+	if e := ex.locateStream(); e != nil {
+		return e
+	}
 	if !ex.reserveRequestBody() {
 		return ex.withRetryAfter(apierror.New(apierror.Overloaded, "the memory for bodies in progress is used up; the request did not run"))
 	}
@@ -253,7 +259,10 @@
 		ID: ex.gateway.requestSequence.Add(1), Class: ex.route.Name, Team: ex.team, Rank: ex.rank,
 		Arrived: ex.arrived, Target: ex.arrived + ex.route.LatencyTarget, Deadline: ex.firstOutputDeadline(),
 		Prompt: ex.request.PromptTokens, Output: ex.request.MaxOutputTokens, Prefix: ex.request.PromptPrefix,
-		InterTokenTarget: ex.route.InterTokenTarget, Exclude: ex.triedUpstreams, Version: ex.streamVersion,
+		InterTokenTarget: ex.route.InterTokenTarget, Exclude: ex.triedUpstreams,
+	}
+	if ex.origin != nil {
+		r.Version = &ex.origin.Version
 	}
 	r.Resubmitted = ex.sentAttempts > 0 || ex.request.Timeout > 0 && ex.route.Timeout > 0 &&
 		ex.request.Timeout < time.Duration(resubmitTimeoutRatio*float64(ex.route.Timeout))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
@@ -45,6 +46,8 @@
 	routing         atomic.Pointer[routingTable]
 
 	quarantine      *quarantine.Quarantine
+	origins         *streamorigin.Registry
+	versions        *streamorigin.VersionHistory
 	publishedMu     sync.Mutex
 	published       *publishedConfiguration
 	buffer          *bytebudget.Budget // for bodies in progress
@@ -65,6 +68,7 @@
 	g := &Gateway{
 		settings: s, adapter: adapter, log: log, metrics: newMetrics(), startedAt: time.Now(), seed: mathrand.Uint64(),
 		callerWatcher: caller.NewWatcher(), quarantine: quarantine.New(quarantine.Options{}),
+		origins: streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(),
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
 	}
@@ -165,6 +169,7 @@
 // assignUpstreams updates the upstreams of each service. The caller must hold
 // configurationMu.
 func (g *Gateway) assignUpstreams() {
+	g.observeVersions()
 	t := g.routing.Load()
 	upstreamsByService := map[string][]dispatch.Upstream{}
 	for _, u := range g.upstreams {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	retries              *prometheus.CounterVec
 	retrySlack           prometheus.Gauge
 	resumes              prometheus.Counter
+	streamsLocated       *prometheus.CounterVec
 	configurationVersion prometheus.Gauge
 }
 
@@ -35,8 +36,9 @@
 	m.retries = counter("gateway_retries_total", "Decisions of the retry budget.", "decision")
 	m.retrySlack = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_retry_slack", Help: "Share of this instance in the retries of one window that need no requests."})
 	m.resumes = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_resumes_total", Help: "Streams that went on at another upstream."})
+	m.streamsLocated = counter("gateway_streams_located_total", "Streams that callers went on with, by where their origin was known.", "source")
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_configuration_version", Help: "Version of the configuration in force."})
-	m.registry.MustRegister(m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.configurationVersion)
+	m.registry.MustRegister(m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
@@ -60,6 +61,7 @@
 	pullQueue  chan membership.Member // peers to pull from out of turn
 	seedCount  int
 	joined     atomic.Bool // a peer has answered a pull
+	placement  atomic.Pointer[streamorigin.Placement]
 }
 
 // pullMessage requests what the peer knows beyond this instance: a snapshot after a position, a
@@ -75,6 +77,8 @@
 	// one, if the platform has come back from an older copy.
 	Configuration *replica.Item
 	Suspicions    []quarantine.Suspicion
+	// Versions are the software versions that the peer has seen.
+	Versions streamorigin.Observations
 }
 
 // newPeers opens the sockets for peers; it returns nil if the settings do not configure
@@ -88,7 +92,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers.network")
 	}
-	p := &peers{gateway: g, self: membership.Member{Name: g.settings.Instance, Domain: sharedDomain}, pullQueue: make(chan membership.Member, maxQueuedPulls)}
+	p := &peers{gateway: g, self: membership.Member{Name: g.settings.Instance, Domain: sharedDomain, FailureDomain: g.settings.FailureDomain}, pullQueue: make(chan membership.Member, maxQueuedPulls)}
 	rand.Read(p.self.Incarnation.Process[:])
 	p.node, err = peer.Listen(peer.Options{
 		Self:           peerwire.Identity{Name: p.self.Name, Domain: p.self.Domain, Process: p.self.Incarnation.Process},
@@ -118,6 +122,7 @@
 	p.seedCount = len(seeds)
 	p.membership = membership.New(membership.Options{Self: p.self, Seeds: seeds}, mathrand.New(mathrand.NewPCG(g.seed, 1)))
 	p.gossip.SetMachine(p.membership)
+	p.updatePlacement()
 	p.reports = newReportExchange(p)
 	return p, nil
 }
@@ -166,13 +171,23 @@
 func (p *peers) livePeers() []membership.Member {
 	var out []membership.Member
 	for _, m := range p.membership.Members(sharedDomain) {
-		if m.Live() && m.Incarnation.Process != p.self.Incarnation.Process {
+		if m.Live() && !p.isSelf(m) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+// isSelf reports whether the member is this instance.
+func (p *peers) isSelf(m membership.Member) bool {
+	return m.Incarnation.Process == p.self.Incarnation.Process
+}
+
+// updatePlacement chooses the holders of records among the live instances and this one.
+func (p *peers) updatePlacement() {
+	p.placement.Store(streamorigin.NewPlacement(append(p.livePeers(), p.self)))
+}
+
 // liveNames returns the names of the other instances that are not dead.
 func (p *peers) liveNames() []string {
 	if p == nil {
@@ -187,6 +202,7 @@
 
 // updateInstances tells the dispatchers which instances are live.
 func (p *peers) updateInstances() {
+	p.updatePlacement()
 	names := p.liveNames()
 	for _, s := range p.gateway.sortedServices() {
 		s.dispatcher.SetInstances(p.gateway.now(), p.gateway.settings.Instance, names)
@@ -199,6 +215,7 @@
 	group.Go(func() error { return p.pullLoop(ctx) })
 	group.Go(func() error { return p.pullQueued(ctx) })
 	group.Go(func() error { return p.reports.run(ctx) })
+	group.Go(func() error { return p.spreadOrigins(ctx) })
 	return group.Wait()
 }
 
@@ -278,6 +295,7 @@
 		return
 	}
 	defer p.joined.Store(true)
+	p.gateway.versions.Merge(p.gateway.now(), reply.Versions)
 	if reply.Snapshot != nil {
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
 	}
@@ -313,6 +331,10 @@
 	switch m := m.(type) {
 	case peerwire.ReplicaPull:
 		return p.handlePull(m)
+	case peerwire.StreamOrigins:
+		return nil, p.handleOrigins(m)
+	case peerwire.StreamOriginQuery:
+		return p.handleOriginQuery(m)
 	case peerwire.DispatchReport:
 		return nil, p.reports.receive(from, m.Payload)
 	case peerwire.Suspicions:
@@ -335,6 +357,7 @@
 	reply := pushMessage{
 		Snapshot:      p.gateway.platformWatcher.snapshotAfter(replica.Position{Era: request.Era, Revision: request.Revision}),
 		Configuration: p.gateway.configurationNewerThan(request.ConfigurationVersion),
+		Versions:      p.gateway.versions.Observations(p.gateway.now()),
 	}
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
 		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -195,7 +195,9 @@
 	Platform   replica.Position `json:"platform"`
 	InProgress int              `json:"in_progress"`
 	Peers      []string         `json:"peers"`
-	Services   []ServiceState   `json:"services"`
+	// StreamOrigins is the number of streams of which this instance knows where they began.
+	StreamOrigins int            `json:"stream_origins"`
+	Services      []ServiceState `json:"services"`
 }
 
 // ServiceState is the state of one service.
@@ -221,6 +223,7 @@
 	}
 	state.Platform, _ = g.platformWatcher.replica.Position()
 	now := g.now()
+	state.StreamOrigins = g.origins.Len(now)
 	for _, svc := range g.sortedServices() {
 		state.Services = append(state.Services, ServiceState{Name: svc.name, Waiting: svc.dispatcher.Waiting(), Retries: svc.budget.Usage(now), RetrySlack: g.retrySlack(), Upstreams: svc.dispatcher.Snapshot(now)})
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -194,6 +194,14 @@
 	return c
 }
 
+// publishedUpstream returns the upstream that is published under an ID.
+func (s *service) publishedUpstream(id string) (dispatch.Upstream, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, ok := s.published[id]
+	return u, ok
+}
+
 // updateUpstreams replaces the list of upstreams and closes the idle connections to removed
 // ones. It returns the upstreams in the place of which another process runs now.
 func (s *service) updateUpstreams(now time.Duration, upstreams []dispatch.Upstream) (replaced []dispatch.Upstream) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,7 +96,7 @@
 		return err
 	}
 	a.recordFirstOutput()
-	ex.streamVersion = &a.grant.Upstream.Version
+	a.recordOrigin()
 	s.buffer(event)
 	ex.gateway.adapter.Upstream.CopyResponseHeader(&ex.httpCtx.Response.Header, &a.response.Response.Header)
 	ex.httpCtx.SetStatusCode(fasthttp.StatusOK)
@@ -180,6 +180,10 @@
 	}
 	for ex.callCtx.Err() == nil && ex.canResume() {
 		s.attempt.recordFailure(err)
+		if ex.originSuperseded() {
+			err = errOriginUncertain
+			break
+		}
 		if !ex.allowRetry() {
 			break
 		}
@@ -264,6 +268,7 @@
 		s.done, s.err = true, err
 		s.attempt.finish(status, status == dispatch.Succeeded)
 		s.attempt.exchange.outcome, s.attempt.exchange.streamErr = outcome, err
+		s.attempt.exchange.renewOrigin()
 		s.attempt.exchange.finish()
 	})
 }
--- a/internal/protocol/apierror/apierror.go
+++ b/internal/protocol/apierror/apierror.go
@@ -32,6 +32,7 @@
 	UpstreamFailed          Code = "upstream_failed"
 	UpstreamTimeout         Code = "upstream_timeout"
 	RequestCrashesUpstreams Code = "request_crashes_upstreams"
+	StreamNotResumable      Code = "stream_not_resumable"
 	Draining                Code = "draining"
 	NotReady                Code = "not_ready"
 )
@@ -69,6 +70,7 @@
 	UpstreamFailed:          502,
 	UpstreamTimeout:         504,
 	RequestCrashesUpstreams: 422,
+	StreamNotResumable:      503,
 	Draining:                503,
 	NotReady:                503,
 }
--- a/internal/protocol/peerwire/body.go
+++ b/internal/protocol/peerwire/body.go
@@ -54,6 +54,12 @@
 		w.bytes(m.Payload)
 	case DispatchReport:
 		w.bytes(m.Payload)
+	case StreamOrigins:
+		w.bytes(m.Payload)
+	case StreamOriginQuery:
+		w.bytes(m.Payload)
+	case StreamOriginAnswer:
+		w.bytes(m.Payload)
 	case Failure:
 		w.string(m.Reason[:min(len(m.Reason), maxReasonBytes)])
 	case KeepAlive, Done:
@@ -87,6 +93,12 @@
 		m = ReplicaPush{Payload: r.bytes(MaxFrameBytes)}
 	case TypeDispatchReport:
 		m = DispatchReport{Payload: r.bytes(MaxFrameBytes)}
+	case TypeStreamOrigins:
+		m = StreamOrigins{Payload: r.bytes(MaxFrameBytes)}
+	case TypeStreamOriginQuery:
+		m = StreamOriginQuery{Payload: r.bytes(MaxFrameBytes)}
+	case TypeStreamOriginAnswer:
+		m = StreamOriginAnswer{Payload: r.bytes(MaxFrameBytes)}
 	case TypeIntent:
 		m = Intent{Payload: r.bytes(MaxFrameBytes)}
 	case TypeIntentAck:
--- a/internal/protocol/peerwire/datagram_test.go
+++ b/internal/protocol/peerwire/datagram_test.go
@@ -24,7 +24,7 @@
 
 func testMember(i byte) membership.Member {
 	return membership.Member{
-		Name: fmt.Sprintf("lanester-%d", i), Domain: "lanester",
+		Name: fmt.Sprintf("lanester-%d", i), Domain: "lanester", FailureDomain: "keroman",
 		Incarnation: membership.Incarnation{Process: membership.Process{i, 1}, Number: 1 << 31},
 		UDP:         netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 7000),
 		TCP:         netip.MustParseAddrPort("[2001:db8::2]:65535"),
--- a/internal/protocol/peerwire/frame.go
+++ b/internal/protocol/peerwire/frame.go
@@ -11,7 +11,7 @@
 
 const (
 	// Version is the version byte of frames and datagrams.
-	Version = 1
+	Version = 2
 	// MaxFrameBytes is the largest value of the length field.
 	MaxFrameBytes = 2 << 20
 	// MaxHandshakeFrameBytes bounds frames read before the peer is authenticated.
--- a/internal/protocol/peerwire/frame_test.go
+++ b/internal/protocol/peerwire/frame_test.go
@@ -29,6 +29,8 @@
 	Suspicions{[]byte("a")}, LeavingUpstreams{[]byte("b")}, OrderForward{[]byte("c")}, OrderAnswer{[]byte("d")},
 	Intent{[]byte("e")}, IntentAck{[]byte("f")}, Outcome{[]byte("g")}, Query{[]byte("h")},
 	LedgerHandover{bytes.Repeat([]byte("i"), 200_000)}, KeepAlive{}, Done{}, Failure{Reason: "no"},
+	ReplicaPull{[]byte("j")}, ReplicaPush{[]byte("k")}, DispatchReport{[]byte("l")}, StreamOrigins{[]byte("m")},
+	StreamOriginQuery{[]byte("n")}, StreamOriginAnswer{[]byte("o")},
 }
 
 func testMACs() (*FrameMAC, *FrameMAC) {
--- a/internal/protocol/peerwire/member.go
+++ b/internal/protocol/peerwire/member.go
@@ -65,6 +65,7 @@
 func (w *fieldWriter) member(m *membership.Member) {
 	w.string(m.Name)
 	w.string(m.Domain)
+	w.string(m.FailureDomain)
 	w.process(m.Incarnation.Process)
 	w.uint(uint64(m.Incarnation.Number))
 	w.addr(m.UDP)
@@ -76,7 +77,7 @@
 }
 
 func (r *fieldReader) member() membership.Member {
-	m := membership.Member{Name: r.string(membership.MaxNameBytes), Domain: r.string(membership.MaxNameBytes)}
+	m := membership.Member{Name: r.string(membership.MaxNameBytes), Domain: r.string(membership.MaxNameBytes), FailureDomain: r.string(membership.MaxNameBytes)}
 	m.Incarnation.Process = r.process()
 	number := r.uint()
 	if number > math.MaxUint32 {
--- a/internal/protocol/peerwire/message.go
+++ b/internal/protocol/peerwire/message.go
@@ -33,11 +33,15 @@
 	TypeReplicaPull
 	TypeReplicaPush
 	TypeDispatchReport
+	TypeStreamOrigins
+	TypeStreamOriginQuery
+	TypeStreamOriginAnswer
 )
 
 var typeNames = [...]string{"unknown", "hello", "config_pull", "config_push", "suspicions",
 	"pressure", "order_forward", "order_answer", "intent", "intent_ack", "outcome", "query",
-	"ledger_handover", "keep_alive", "done", "failure", "replica_pull", "replica_push", "placed"}
+	"ledger_handover", "keep_alive", "done", "failure", "replica_pull", "replica_push", "placed",
+	"stream_origins", "stream_origin_query", "stream_origin_answer"}
 
 // String returns the name of t in logs and metrics.
 func (t Type) String() string {
@@ -95,6 +99,12 @@
 	ReplicaPush struct{ Payload []byte }
 	// DispatchReport reports the work that an instance has in progress at the upstreams.
 	DispatchReport struct{ Payload []byte }
+	// StreamOrigins carries records of where streams began.
+	StreamOrigins struct{ Payload []byte }
+	// StreamOriginQuery asks where a stream began; it is answered with a StreamOriginAnswer.
+	StreamOriginQuery struct{ Payload []byte }
+	// StreamOriginAnswer answers a StreamOriginQuery.
+	StreamOriginAnswer struct{ Payload []byte }
 	// KeepAlive shows that the connection still works.
 	KeepAlive struct{}
 	// Done answers a request that has no other answer.
@@ -104,24 +114,27 @@
 )
 
 // Type returns TypeHello. The other messages return their types in the same way.
-func (Hello) Type() Type            { return TypeHello }
-func (ConfigPull) Type() Type       { return TypeConfigPull }
-func (ConfigPush) Type() Type       { return TypeConfigPush }
-func (Suspicions) Type() Type       { return TypeSuspicions }
-func (LeavingUpstreams) Type() Type { return TypeLeavingUpstreams }
-func (OrderForward) Type() Type     { return TypeOrderForward }
-func (OrderAnswer) Type() Type      { return TypeOrderAnswer }
-func (Intent) Type() Type           { return TypeIntent }
-func (IntentAck) Type() Type        { return TypeIntentAck }
-func (Outcome) Type() Type          { return TypeOutcome }
-func (Query) Type() Type            { return TypeQuery }
-func (LedgerHandover) Type() Type   { return TypeLedgerHandover }
-func (ReplicaPull) Type() Type      { return TypeReplicaPull }
-func (ReplicaPush) Type() Type      { return TypeReplicaPush }
-func (DispatchReport) Type() Type   { return TypeDispatchReport }
-func (KeepAlive) Type() Type        { return TypeKeepAlive }
-func (Done) Type() Type             { return TypeDone }
-func (Failure) Type() Type          { return TypeFailure }
+func (Hello) Type() Type              { return TypeHello }
+func (ConfigPull) Type() Type         { return TypeConfigPull }
+func (ConfigPush) Type() Type         { return TypeConfigPush }
+func (Suspicions) Type() Type         { return TypeSuspicions }
+func (LeavingUpstreams) Type() Type   { return TypeLeavingUpstreams }
+func (OrderForward) Type() Type       { return TypeOrderForward }
+func (OrderAnswer) Type() Type        { return TypeOrderAnswer }
+func (Intent) Type() Type             { return TypeIntent }
+func (IntentAck) Type() Type          { return TypeIntentAck }
+func (Outcome) Type() Type            { return TypeOutcome }
+func (Query) Type() Type              { return TypeQuery }
+func (LedgerHandover) Type() Type     { return TypeLedgerHandover }
+func (ReplicaPull) Type() Type        { return TypeReplicaPull }
+func (ReplicaPush) Type() Type        { return TypeReplicaPush }
+func (DispatchReport) Type() Type     { return TypeDispatchReport }
+func (StreamOrigins) Type() Type      { return TypeStreamOrigins }
+func (StreamOriginQuery) Type() Type  { return TypeStreamOriginQuery }
+func (StreamOriginAnswer) Type() Type { return TypeStreamOriginAnswer }
+func (KeepAlive) Type() Type          { return TypeKeepAlive }
+func (Done) Type() Type               { return TypeDone }
+func (Failure) Type() Type            { return TypeFailure }
 
 // Error returns the reason, so that a Failure can be returned as an error.
 func (f Failure) Error() string { return "peer reported a failure: " + f.Reason }
--- a/internal/transport/peer/node.go
+++ b/internal/transport/peer/node.go
@@ -219,7 +219,8 @@
 func isIdempotent(t peerwire.Type) bool {
 	switch t {
 	case peerwire.TypeConfigPull, peerwire.TypeConfigPush, peerwire.TypeSuspicions,
-		peerwire.TypeLeavingUpstreams, peerwire.TypeIntent, peerwire.TypeOutcome, peerwire.TypeQuery, peerwire.TypeReplicaPull:
+		peerwire.TypeLeavingUpstreams, peerwire.TypeIntent, peerwire.TypeOutcome, peerwire.TypeQuery, peerwire.TypeReplicaPull,
+		peerwire.TypeStreamOriginQuery:
 		return true
 	}
 	return false
