--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -156,6 +156,11 @@
 	if tb.options.Faults == RetryFaults {
 		callers.Go(func() { tb.runCrashingCaller(ctx, seed, out) })
 	}
+	if tb.options.Faults == ReleaseFaults {
+		for n := range versionedCallers {
+			callers.Go(func() { tb.runVersionedCaller(faultCtx, seed, n) })
+		}
+	}
 	if tb.options.Faults == DrillFaults {
 		callers.Go(func() { tb.runDeadlyPartCaller(faultCtx, seed, out) })
 		callers.Go(func() { tb.runLeavingCaller(faultCtx, seed) })
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -27,6 +27,10 @@
 // without length or chunks halfway, while instances are killed, paused, restarted and cut off. Some requests
 // share a part that crashes upstreams, and some callers leave soon.
 //
+// The release plan ([ReleaseFaults]) replaces upstreams by others of other versions, forwards and back,
+// while upstreams crash and break responses and instances in several failure domains are killed, stopped
+// and paused. Callers go on at any instance with streams that break off.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -40,6 +44,9 @@
 //     connection without a response to a request that it has read.
 //   - An instance that reaches the store applies added routes and revoked keys in time.
 //   - A change that was in force before the store came back from an older copy stays in force.
+//   - A stream holds events of one software version only, over all tries of its caller. While two
+//     upstreams of its version serve, it goes on at undisturbed instances at least half as often as new
+//     streams begin.
 //   - Once a part of prompts has crashed five upstreams, at most three more requests with it are
 //     sent by undisturbed instances.
 //   - Nothing is sent to upstreams longer than half a second after its caller has left.
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -103,13 +103,13 @@
 // addresses are the listen addresses of an instance.
 type addresses struct{ callers, operations, peers string }
 
-func newInstance(o Options, name string, listen addresses, seeds []string, store *proxy) (*instance, error) {
+func newInstance(o Options, name, failureDomain string, listen addresses, seeds []string, store *proxy) (*instance, error) {
 	in := &instance{name: name, daemon: o.Daemon, dir: o.Dir, addresses: listen, storeProxy: store}
 	quoted := strings.Join(seeds, `", "`)
-	text := fmt.Sprintf("instance: %s\nfailure_domain: zone\ncallers: {address: %s}\noperations: {address: %s}\nready_path: /ready\n"+
+	text := fmt.Sprintf("instance: %s\nfailure_domain: %s\ncallers: {address: %s}\noperations: {address: %s}\nready_path: /ready\n"+
 		"freshness: %s\nplatform: {address: %s}\npeers: {address: %s, gossip: %s, seeds: [\"%s\"], network: yuccabridge fault soak}\n"+
 		"retries: {ratio: %g, window: %s, slack: %d}\ngrace: %s\ndrain_delay: 300ms\nmemory_mb: %d\n",
-		in.name, in.callers, in.operations, freshness, store.address(), in.peers, in.peers, quoted, retryRatio, retryWindow, retrySlack, gracePeriod, int(memoryLimit/1e6))
+		in.name, failureDomain, in.callers, in.operations, freshness, store.address(), in.peers, in.peers, quoted, retryRatio, retryWindow, retrySlack, gracePeriod, int(memoryLimit/1e6))
 	return in, errors.Wrap(os.WriteFile(in.settingsFile(), []byte(text), 0o600), "write settings")
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -25,14 +25,16 @@
 	rejectRequests     // requests are rejected as not run
 	sendStaleResponses // responses to other requests are sent first
 	// The kinds from here on are drawn only by the other plans.
-	breakMany     // most responses are interrupted
-	rejectMany    // most requests are rejected as not run
-	pauseMany     // upstreams read nothing and then go on with all that has arrived
-	delayInstance // an instance starts only after the load
-	stateLimit    // an upstream states a limit in its answers
-	sendEndless   // responses are replaced by bytes without end
-	endResponses  // responses without length or chunks end halfway with their connection
-	returnStore   // the store comes back from an older copy
+	breakMany       // most responses are interrupted
+	rejectMany      // most requests are rejected as not run
+	pauseMany       // upstreams read nothing and then go on with all that has arrived
+	delayInstance   // an instance starts only after the load
+	stateLimit      // an upstream states a limit in its answers
+	sendEndless     // responses are replaced by bytes without end
+	endResponses    // responses without length or chunks end halfway with their connection
+	returnStore     // the store comes back from an older copy
+	releaseUpstream // another version takes the place of an upstream
+	crashUpstream   // an upstream crashes and starts again
 	faultKindCount
 
 	// mixedKindCount is the number of kinds that mixed plans draw.
@@ -41,7 +43,8 @@
 
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
 	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
-	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless", "upstream_ends", "store_returns"}
+	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless", "upstream_ends", "store_returns",
+	"release", "upstream_crashes"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -90,6 +93,8 @@
 		return newEndlessPlan(seed, o)
 	case DrillFaults:
 		return newDrillPlan(seed, o)
+	case ReleaseFaults:
+		return newReleasePlan(seed, o)
 	}
 	return newMixedPlan(seed, o)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -52,6 +52,9 @@
 	EndlessFaults Faults = "endless"
 	// DrillFaults makes the store come back from an older copy, and upstreams end responses halfway.
 	DrillFaults Faults = "drill"
+	// ReleaseFaults replaces upstreams by others of other versions, and lets callers go on with broken
+	// streams at any instance.
+	ReleaseFaults Faults = "releases"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -82,6 +85,8 @@
 	LimitedArrivals int
 	// LargestMemory is the largest resident memory of an instance in bytes.
 	LargestMemory int
+	// TakenUp counts the broken streams that callers went on with, by how that ended.
+	TakenUp map[string]int
 }
 
 // Command returns the command line that repeats the run.
@@ -106,6 +111,9 @@
 	if r.Options.Faults == LimitFaults {
 		fmt.Fprintf(&b, "requests from told instances to upstreams with a limit: %d\n", r.LimitedArrivals)
 	}
+	if r.Options.Faults == ReleaseFaults {
+		fmt.Fprintf(&b, "streams taken up:%s\n", formatCounts(r.TakenUp))
+	}
 	fmt.Fprintf(&b, "largest memory of an instance: %d MB\n", r.LargestMemory/1e6)
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise was broken\n")
@@ -169,6 +177,7 @@
 	tb.checkLimits(observations)
 	tb.checkDeadlyPart(observations)
 	tb.checkDepartures()
+	tb.checkStreamVersions()
 	return tb.report(observations), ctx.Err()
 }
 
@@ -185,12 +194,12 @@
 	if tb.ports, err = claimPorts(); err != nil {
 		return nil, err
 	}
-	ports, err := tb.ports.free(3*o.Instances + o.Upstreams)
+	ports, err := tb.ports.free(3*o.Instances + o.upstreamCount())
 	if err != nil {
 		return nil, err
 	}
 	ports, upstreamPorts := ports[:3*o.Instances], ports[3*o.Instances:]
-	for i := range o.Upstreams {
+	for i := range o.upstreamCount() {
 		s, err := standin.NewUpstream(fmt.Sprintf("i-%02d", i))
 		if err != nil {
 			return nil, errors.Wrap(err, "start upstream")
@@ -199,12 +208,20 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "start proxy")
 		}
-		u := &upstream{Upstream: s, proxy: p, rng: rand.New(rand.NewPCG(o.Seed, uint64(i)))}
+		u := &upstream{Upstream: s, proxy: p, rng: rand.New(rand.NewPCG(o.Seed, uint64(i))), version: versionName(i / o.Upstreams)}
 		u.publish = func() { u.register(tb.store, serving) }
+		if o.Faults == ReleaseFaults {
+			u.publish = func() { u.writeAgain(tb.store) } // another upstream may have its place
+		}
 		u.reportError = func(err error) { tb.addViolation("%s cannot start again: %v", u.Name, err) }
 		s.SetBehaviour(u.behaviour)
 		tb.upstreams = append(tb.upstreams, u)
-		u.publish()
+		if i < o.Upstreams {
+			u.register(tb.store, serving)
+			tb.active = append(tb.active, u)
+		} else {
+			u.register(tb.store, removed)
+		}
 	}
 	seeds := ports[:o.Instances]
 	for i := range o.Instances {
@@ -213,7 +230,7 @@
 			return nil, errors.Wrap(err, "start proxy")
 		}
 		listen := addresses{peers: ports[i], callers: ports[o.Instances+2*i], operations: ports[o.Instances+2*i+1]}
-		in, err := newInstance(o, fmt.Sprintf("front-%d", i), listen, seeds, p)
+		in, err := newInstance(o, fmt.Sprintf("front-%d", i), o.failureDomain(i), listen, seeds, p)
 		if err != nil {
 			return nil, err
 		}
@@ -330,7 +347,7 @@
 const finalCallerNumber = maxCallers + 1
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -57,6 +57,10 @@
 	configuration       standin.Configuration
 	drills              []drill
 	departures          []departure
+	// active are the upstreams that serve, one for each place; releases replace them.
+	active           []*upstream
+	versionedStreams []versionedStream
+	takenUp          map[string]int
 }
 
 func (tb *testbed) addViolation(format string, args ...any) {
@@ -79,7 +83,11 @@
 	}
 	stream := route("stream", streamPrefix, "streaming")
 	stream.Resumable, stream.InterTokenTarget = true, interTokenTarget
-	routes := []standin.Route{route("lookup", lookupPrefix, "idempotent"), route("order", orderPrefix, "non_idempotent"), stream}
+	versioned := stream
+	versioned.Name, versioned.PathPrefix = "versioned", versionedPrefix
+	once := versioned
+	once.Name, once.PathPrefix, once.MaxAttempts = "once", oncePrefix, 1
+	routes := []standin.Route{route("lookup", lookupPrefix, "idempotent"), route("order", orderPrefix, "non_idempotent"), stream, versioned, once}
 	for _, r := range tb.routes {
 		if r.removedAt.IsZero() {
 			routes = append(routes, route(r.name, "/"+r.name+"/", "idempotent"))
@@ -185,6 +193,13 @@
 		u.activeEnds.Add(1)
 		waitForEnd()
 		u.activeEnds.Add(-1)
+	case releaseUpstream:
+		tb.release(f.target%tb.options.Upstreams, waitForEnd)
+	case crashUpstream:
+		tb.mu.Lock()
+		crashing := tb.active[f.target%tb.options.Upstreams]
+		tb.mu.Unlock()
+		crashing.crash("")
 	case returnStore:
 		tb.returnStore(waitForEnd)
 	case delayInstance: // applied at the start of the run
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -30,6 +30,7 @@
 	down, closed bool
 	crashes      []upstreamCrash
 	limit        float64 // stated now; 0 if there is none
+	version      string  // of its software
 	// limitIntervals are the times at which a limit was stated.
 	limitIntervals []limitInterval
 	endPause       func()
@@ -72,6 +73,9 @@
 	if strings.HasPrefix(execution.URI, streamPrefix) {
 		b.Events, b.Delay = eventsPerStream, eventInterval
 	}
+	if strings.HasPrefix(execution.URI, versionedPrefix) {
+		b.Events, b.Delay, b.Version = eventsPerVersionedStream, eventInterval, u.version
+	}
 	switch {
 	case !faulty:
 	case u.activeEndless.Load() > 0:
@@ -91,7 +95,7 @@
 // registration returns the upstream's registration. It has the address of the proxy, so that all
 // connections pass through it.
 func (u *upstream) registration(leaving bool) standin.Registration {
-	r := standin.Registration{Address: u.proxy.address(), Service: serviceName, FailureDomain: "zone", Slots: 16, Leaving: leaving}
+	r := standin.Registration{Address: u.proxy.address(), Service: serviceName, FailureDomain: "zone", Slots: 16, Leaving: leaving, Version: u.version}
 	if ms := u.bornMS.Load(); ms > 0 {
 		r.Born = time.UnixMilli(ms)
 	}
