--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -45,15 +45,15 @@
 	Reports []originReport
 }
 
-// encode returns a compact encoding of the batch: relays send it many times, possibly over
-// slow links.
-func (b reportBatch) encode() ([]byte, error) {
+// encodeCompact encodes a message that is sent often, possibly over slow links, without the names of
+// its fields.
+func encodeCompact(message any) ([]byte, error) {
 	var buf bytes.Buffer
 	enc := msgpack.NewEncoder(&buf)
 	enc.UseCompactInts(true)
 	enc.UseArrayEncodedStructs(true)
-	if err := enc.Encode(b); err != nil {
-		return nil, errors.Wrap(err, "encode reports")
+	if err := enc.Encode(message); err != nil {
+		return nil, errors.Wrapf(err, "encode %T", message)
 	}
 	return buf.Bytes(), nil
 }
@@ -146,7 +146,7 @@
 }
 
 func (r *reportExchange) send(ctx context.Context, members []membership.Member, batch reportBatch) {
-	payload, err := batch.encode()
+	payload, err := encodeCompact(batch)
 	if err != nil {
 		r.peers.logCallFailure("report", "all", err)
 		return
--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -60,7 +60,7 @@
 		for i := range origins {
 			b.Reports = append(b.Reports, newReport(i))
 		}
-		payload, err := b.encode()
+		payload, err := encodeCompact(b)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gateway/stream_origin.go
+++ b/internal/gateway/stream_origin.go
@@ -212,8 +212,8 @@
 	if record, ok := p.gateway.origins.Record(p.gateway.now(), streamorigin.Key(m.Payload)); ok {
 		records = append(records, record)
 	}
-	payload, err := msgpack.Marshal(records)
-	return peerwire.StreamOriginAnswer{Payload: payload}, errors.Wrap(err, "stream origin")
+	payload, err := encodeCompact(records)
+	return peerwire.StreamOriginAnswer{Payload: payload}, err
 }
 
 func (p *peers) handleOrigins(m peerwire.StreamOrigins) error {
@@ -235,7 +235,7 @@
 		return
 	}
 	for batch := range slices.Chunk(records, maxOriginsPerMessage) {
-		payload, err := msgpack.Marshal(batch)
+		payload, err := encodeCompact(batch)
 		if err != nil {
 			p.logCallFailure("stream_origins", "all", err)
 			return
