--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	mathrand "math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -30,6 +31,8 @@
 	Upstream UpstreamProtocol
 	Store    PlatformStore
 	Decoder  Decoder
+	// DialUpstream replaces the dialer for upstreams, so that tests can interrupt links; nil: the default.
+	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Gateway is one instance of the router.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -40,6 +41,7 @@
 	name       string
 	dispatcher *dispatch.Dispatcher
 	budget     *retry.Window
+	dial       func(ctx context.Context, address string) (net.Conn, error)
 
 	mu        sync.Mutex
 	published map[string]dispatch.Upstream // by ID
@@ -55,6 +57,7 @@
 		dispatcher: dispatch.New(dispatch.Options{Domain: g.settings.FailureDomain, TokensPerMS: g.settings.PromptTokensPerMS},
 			rand.New(rand.NewPCG(g.seed, xxhash.Sum64String(name)))),
 		budget:  retry.NewWindow(retryRatioFraction*g.settings.Retries.Ratio, g.settings.Retries.Window.Std()),
+		dial:    g.adapter.DialUpstream,
 		clients: map[string]*upstream.Client{},
 		waiters: map[uint64]chan dispatch.Decision{},
 	}
@@ -187,7 +190,7 @@
 	if c == nil {
 		c = upstream.New(target.Address, upstream.Options{
 			DialTimeout: dialTimeout, ReuseWindow: idleConnectionTimeout, MaxIdle: maxIdleConnections,
-			TCPUserTimeout: unackedDataTimeout, KeepAliveInterval: keepAliveInterval, PreserveHeaderCase: true,
+			TCPUserTimeout: unackedDataTimeout, KeepAliveInterval: keepAliveInterval, PreserveHeaderCase: true, Dial: s.dial,
 		})
 		s.clients[key] = c
 	}
