--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -70,6 +70,12 @@
 	CrashesReceived Event = "crashes_received"
 	// MismatchedResponse is logged when a response to another request is dropped.
 	MismatchedResponse Event = "foreign_answer"
+	// PathChanged is logged when connections to an upstream go through peers, or directly again.
+	PathChanged Event = "path_changed"
+	// RelayRefused is logged when a peer did not relay a connection to an upstream.
+	RelayRefused Event = "relay_refused"
+	// RelayServed is logged when this instance relays a connection for a peer.
+	RelayServed Event = "relay_served"
 	// StreamLocated is logged when a caller goes on with a stream that another request began.
 	StreamLocated Event = "stream_located"
 	// StreamResumed is logged when a stream is resumed at another upstream.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -345,7 +345,7 @@
 // confirmCrash dials the upstream and records a crash if that fails; otherwise the connection is
 // kept for the next request.
 func (a *attempt) confirmCrash() {
-	dialCtx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	dialCtx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	if a.exchange.service.clientFor(a.grant.Upstream).Warm(dialCtx) != nil {
 		a.recordCrash()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	configurationMu sync.Mutex
 	upstreams       map[string]Upstream // by the key of their entry
 	services        map[string]*service
+	paths           *upstreamPaths
 
 	callerServer     *fasthttp.Server
 	operationsServer *fasthttp.Server
@@ -75,6 +76,7 @@
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
 	}
+	g.paths = newUpstreamPaths(g)
 	g.platformWatcher = newPlatformWatcher(g)
 	g.callerServer = g.newCallerServer()
 	g.operationsServer = g.newOperationsServer()
@@ -173,6 +175,7 @@
 // configurationMu.
 func (g *Gateway) assignUpstreams() {
 	g.observeVersions()
+	g.retainPaths()
 	t := g.routing.Load()
 	upstreamsByService := map[string][]dispatch.Upstream{}
 	for _, u := range g.upstreams {
@@ -232,6 +235,7 @@
 		s.logUpstreamSplit(g)
 		s.probeEjected(g)
 	}
+	g.paths.probe(now)
 }
 
 const (
@@ -257,7 +261,7 @@
 	shutdown := make(chan error, 1)
 	go func() { shutdown <- g.callerServer.Shutdown() }()
 	deadline := startedAt.Add(g.settings.Grace.Std() - exitMargin)
-	for g.callerWatcher.InProgress() > 0 && time.Now().Before(deadline) {
+	for g.callerWatcher.InProgress()+g.peers.busyRelays() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
 	select {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,17 +6,19 @@
 // rank rather than by route or team, since routes and teams change with the
 // configuration.
 type metrics struct {
-	registry             *prometheus.Registry
-	firstOutputSeconds   *prometheus.HistogramVec
-	queueSeconds         *prometheus.HistogramVec
-	requests             *prometheus.CounterVec
-	errorResponses       *prometheus.CounterVec
-	attempts             *prometheus.CounterVec
-	retries              *prometheus.CounterVec
-	retrySlack           prometheus.Gauge
-	resumes              prometheus.Counter
-	streamsLocated       *prometheus.CounterVec
-	configurationVersion prometheus.Gauge
+	registry              *prometheus.Registry
+	firstOutputSeconds    *prometheus.HistogramVec
+	queueSeconds          *prometheus.HistogramVec
+	requests              *prometheus.CounterVec
+	errorResponses        *prometheus.CounterVec
+	attempts              *prometheus.CounterVec
+	retries               *prometheus.CounterVec
+	retrySlack            prometheus.Gauge
+	resumes               prometheus.Counter
+	streamsLocated        *prometheus.CounterVec
+	relays                *prometheus.CounterVec
+	upstreamsThroughPeers prometheus.Gauge
+	configurationVersion  prometheus.Gauge
 }
 
 const namespace = "yuccabridge"
@@ -37,8 +39,10 @@
 	m.retrySlack = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_retry_slack", Help: "Share of this instance in the retries of one window that need no requests."})
 	m.resumes = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_resumes_total", Help: "Streams that went on at another upstream."})
 	m.streamsLocated = counter("gateway_streams_located_total", "Streams that callers went on with, by where their origin was known.", "source")
+	m.relays = counter("gateway_relays_total", "Connections to upstreams through peers, by side and result.", "side", "result")
+	m.upstreamsThroughPeers = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_upstreams_through_peers", Help: "Upstreams that this instance reaches through peers only."})
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_configuration_version", Help: "Version of the configuration in force."})
-	m.registry.MustRegister(m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.configurationVersion)
+	m.registry.MustRegister(m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -100,6 +100,8 @@
 		Keys:           keys,
 		PrivateNetwork: true,
 		Handler:        peer.HandlerFunc(p.handleMessage),
+		Relay:          p.relay,
+		RelayDialer:    relayDialer(),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -195,6 +195,8 @@
 	Platform   replica.Position `json:"platform"`
 	InProgress int              `json:"in_progress"`
 	Peers      []string         `json:"peers"`
+	// UpstreamsThroughPeers is the number of upstreams that this instance reaches through peers only.
+	UpstreamsThroughPeers int `json:"upstreams_through_peers"`
 	// StreamOrigins is the number of streams of which this instance knows where they began.
 	StreamOrigins int            `json:"stream_origins"`
 	Services      []ServiceState `json:"services"`
@@ -223,6 +225,7 @@
 	}
 	state.Platform, _ = g.platformWatcher.replica.Position()
 	now := g.now()
+	state.UpstreamsThroughPeers = g.paths.relayedCount()
 	state.StreamOrigins = g.origins.Len(now)
 	for _, svc := range g.sortedServices() {
 		state.Services = append(state.Services, ServiceState{Name: svc.name, Waiting: svc.dispatcher.Waiting(), Retries: svc.budget.Usage(now), RetrySlack: g.retrySlack(), Upstreams: svc.dispatcher.Snapshot(now)})
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -41,7 +41,7 @@
 	name       string
 	dispatcher *dispatch.Dispatcher
 	budget     *retry.Window
-	dial       func(ctx context.Context, address string) (net.Conn, error)
+	paths      *upstreamPaths
 
 	mu        sync.Mutex
 	published map[string]dispatch.Upstream // by ID
@@ -57,7 +57,7 @@
 		dispatcher: dispatch.New(dispatch.Options{Domain: g.settings.FailureDomain, TokensPerMS: g.settings.PromptTokensPerMS},
 			rand.New(rand.NewPCG(g.seed, xxhash.Sum64String(name)))),
 		budget:  retry.NewWindow(retryRatioFraction*g.settings.Retries.Ratio, g.settings.Retries.Window.Std()),
-		dial:    g.adapter.DialUpstream,
+		paths:   g.paths,
 		clients: map[string]*upstream.Client{},
 		waiters: map[uint64]chan dispatch.Decision{},
 	}
@@ -163,7 +163,7 @@
 func (s *service) probeEjected(g *Gateway) {
 	for _, ejected := range s.dispatcher.ProbesDue(g.now()) {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 			defer cancel()
 			err := s.clientFor(ejected).Warm(ctx)
 			s.dispatcher.RecordProbe(g.now(), ejected.ID, err == nil)
@@ -189,8 +189,8 @@
 	c := s.clients[key]
 	if c == nil {
 		c = upstream.New(target.Address, upstream.Options{
-			DialTimeout: dialTimeout, ReuseWindow: idleConnectionTimeout, MaxIdle: maxIdleConnections,
-			TCPUserTimeout: unackedDataTimeout, KeepAliveInterval: keepAliveInterval, PreserveHeaderCase: true, Dial: s.dial,
+			DialTimeout: connectTimeout, ReuseWindow: idleConnectionTimeout, MaxIdle: maxIdleConnections,
+			PreserveHeaderCase: true, Dial: func(ctx context.Context, _ string) (net.Conn, error) { return s.paths.dial(ctx, target) },
 		})
 		s.clients[key] = c
 	}
--- a/internal/protocol/peerwire/body.go
+++ b/internal/protocol/peerwire/body.go
@@ -12,6 +12,8 @@
 	maxSections    = 16 << 10
 	maxReasonBytes = 1 << 10
 	maxNonceBytes  = 64
+	// maxUpstreamNameBytes bounds the ID of an upstream, which is part of a key of the platform.
+	maxUpstreamNameBytes = 256
 )
 
 func encodeBody(enc *msgpack.Encoder, m Message) error {
@@ -60,9 +62,14 @@
 		w.bytes(m.Payload)
 	case StreamOriginAnswer:
 		w.bytes(m.Payload)
+	case RelayOpen:
+		w.string(m.Upstream)
+		w.string(m.Address)
+	case RelayData:
+		w.bytes(m.Payload)
 	case Failure:
 		w.string(m.Reason[:min(len(m.Reason), maxReasonBytes)])
-	case KeepAlive, Done:
+	case KeepAlive, Done, RelayEnd:
 	default:
 		return ErrMalformed
 	}
@@ -99,6 +106,12 @@
 		m = StreamOriginQuery{Payload: r.bytes(MaxFrameBytes)}
 	case TypeStreamOriginAnswer:
 		m = StreamOriginAnswer{Payload: r.bytes(MaxFrameBytes)}
+	case TypeRelayOpen:
+		m = RelayOpen{Upstream: r.string(maxUpstreamNameBytes), Address: r.string(maxNameBytes)}
+	case TypeRelayData:
+		m = RelayData{Payload: r.bytes(MaxFrameBytes)}
+	case TypeRelayEnd:
+		m = RelayEnd{}
 	case TypeIntent:
 		m = Intent{Payload: r.bytes(MaxFrameBytes)}
 	case TypeIntentAck:
--- a/internal/protocol/peerwire/message.go
+++ b/internal/protocol/peerwire/message.go
@@ -36,12 +36,16 @@
 	TypeStreamOrigins
 	TypeStreamOriginQuery
 	TypeStreamOriginAnswer
+	TypeRelayOpen
+	TypeRelayData
+	TypeRelayEnd
 )
 
 var typeNames = [...]string{"unknown", "hello", "config_pull", "config_push", "suspicions",
 	"pressure", "order_forward", "order_answer", "intent", "intent_ack", "outcome", "query",
 	"ledger_handover", "keep_alive", "done", "failure", "replica_pull", "replica_push", "placed",
-	"stream_origins", "stream_origin_query", "stream_origin_answer"}
+	"stream_origins", "stream_origin_query", "stream_origin_answer",
+	"relay_open", "relay_data", "relay_end"}
 
 // String returns the name of t in logs and metrics.
 func (t Type) String() string {
@@ -105,6 +109,13 @@
 	StreamOriginQuery struct{ Payload []byte }
 	// StreamOriginAnswer answers a StreamOriginQuery.
 	StreamOriginAnswer struct{ Payload []byte }
+	// RelayOpen, as the first message of a connection, asks the peer to relay bytes to and from an
+	// upstream. It is answered with Done or Failure; RelayData and RelayEnd follow.
+	RelayOpen struct{ Upstream, Address string }
+	// RelayData carries bytes of a relayed connection.
+	RelayData struct{ Payload []byte }
+	// RelayEnd shows that the upstream has closed the relayed connection regularly.
+	RelayEnd struct{}
 	// KeepAlive shows that the connection still works.
 	KeepAlive struct{}
 	// Done answers a request that has no other answer.
@@ -132,6 +143,9 @@
 func (StreamOrigins) Type() Type      { return TypeStreamOrigins }
 func (StreamOriginQuery) Type() Type  { return TypeStreamOriginQuery }
 func (StreamOriginAnswer) Type() Type { return TypeStreamOriginAnswer }
+func (RelayOpen) Type() Type          { return TypeRelayOpen }
+func (RelayData) Type() Type          { return TypeRelayData }
+func (RelayEnd) Type() Type           { return TypeRelayEnd }
 func (KeepAlive) Type() Type          { return TypeKeepAlive }
 func (Done) Type() Type               { return TypeDone }
 func (Failure) Type() Type            { return TypeFailure }
--- a/internal/transport/peer/handshake.go
+++ b/internal/transport/peer/handshake.go
@@ -41,6 +41,18 @@
 	return err
 }
 
+// readFrame reads one frame within the timeout.
+func (s *session) readFrame(timeout time.Duration) (peerwire.Frame, error) {
+	if err := s.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return peerwire.Frame{}, err
+	}
+	b, err := peerwire.ReadFrame(s.reader, peerwire.MaxFrameBytes)
+	if err != nil {
+		return peerwire.Frame{}, err
+	}
+	return peerwire.DecodeFrame(b, s.checkMAC)
+}
+
 func (s *session) readHello() (peerwire.Hello, error) {
 	b, err := peerwire.ReadFrame(s.reader, peerwire.MaxHandshakeFrameBytes)
 	if err != nil {
--- a/internal/transport/peer/node.go
+++ b/internal/transport/peer/node.go
@@ -40,6 +40,8 @@
 	inbound int
 	links   map[netip.AddrPort]*link
 	closed  bool
+
+	relays relays
 }
 
 // link is the outbound connection to one peer.
@@ -56,7 +58,7 @@
 	if err := o.validate(); err != nil {
 		return nil, err
 	}
-	n := &Node{opts: o, self: o.Self, started: time.Now(), links: map[netip.AddrPort]*link{}}
+	n := &Node{opts: o, self: o.Self, started: time.Now(), links: map[netip.AddrPort]*link{}, relays: relays{active: map[*relay]bool{}}}
 	if o.TLS != nil {
 		var err error
 		if n.certificates, err = loadCertificates(*o.TLS); err != nil {
@@ -183,7 +185,18 @@
 		n.updateStats(func(s *Stats) { s.HandshakeFailures++ })
 		return
 	}
-	n.newConnection(s, false).run()
+	first, err := s.readFrame(n.opts.LivenessTimeout)
+	if err != nil {
+		n.countReadError(err)
+		return
+	}
+	if open, ok := first.Message.(peerwire.RelayOpen); ok {
+		n.serveRelay(s, open)
+		return
+	}
+	inbound := n.newConnection(s, false)
+	inbound.handleFrame(first)
+	inbound.run()
 }
 
 // Call sends a request to the peer at an address and returns its answer. When the connection
@@ -303,15 +316,39 @@
 }
 
 func (n *Node) dial(ctx context.Context, to netip.AddrPort) (*connection, error) {
+	s, err := n.connect(ctx, to, n.opts.Dialer)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		s.conn.Close()
+		return nil, ErrClosed
+	}
+	n.stats.Dialed++
+	c := n.newConnection(s, true)
+	n.goroutines.Add(1)
+	go func() {
+		defer n.goroutines.Done()
+		c.run()
+	}()
+	return c, nil
+}
+
+// connect dials a peer and authenticates both ends.
+func (n *Node) connect(ctx context.Context, to netip.AddrPort, dial DialFunc) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.opts.HandshakeTimeout)
 	defer cancel()
-	raw, err := n.opts.Dialer(ctx, "tcp", to.String())
+	raw, err := dial(ctx, "tcp", to.String())
 	if err != nil {
 		n.updateStats(func(s *Stats) { s.DialFailures++ })
 		return nil, errors.Wrapf(ErrUnreachable, "dial %s: %v", to, err)
 	}
 	stop := context.AfterFunc(n.ctx, func() { raw.Close() })
 	defer stop()
+	abort := context.AfterFunc(ctx, func() { raw.Close() })
+	defer abort()
 	wrapped := raw
 	if n.certificates != nil {
 		wrapped = tls.Client(raw, n.certificates.config(x509.ExtKeyUsageServerAuth))
@@ -322,18 +359,5 @@
 		n.updateStats(func(s *Stats) { s.HandshakeFailures++ })
 		return nil, errors.Wrapf(ErrUnreachable, "handshake with %s: %v", to, err)
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.closed {
-		raw.Close()
-		return nil, ErrClosed
-	}
-	n.stats.Dialed++
-	c := n.newConnection(s, true)
-	n.goroutines.Add(1)
-	go func() {
-		defer n.goroutines.Done()
-		c.run()
-	}()
-	return c, nil
+	return s, nil
 }
--- a/internal/transport/peer/options.go
+++ b/internal/transport/peer/options.go
@@ -60,6 +60,12 @@
 	// Dialer replaces the default dialer, so that tests can interrupt links.
 	Dialer DialFunc
 
+	// Relay dials an upstream for a peer; nil if this instance relays nothing.
+	Relay func(ctx context.Context, from peerwire.Identity, open peerwire.RelayOpen) (net.Conn, error)
+	// RelayDialer dials the peers that relay. Its connections must notice a link that has failed.
+	// Default: Dialer.
+	RelayDialer DialFunc
+
 	KeepAliveInterval time.Duration // between keep-alive frames; default 1 s
 	LivenessTimeout   time.Duration // without a received frame until a connection is closed; default 3 s
 	HandshakeTimeout  time.Duration // for dial and handshake; default 2 s
@@ -68,6 +74,7 @@
 	MaxPeers          int           // peers that are called; default 512
 	MaxPending        int           // calls waiting on one connection; default 256
 	MaxHandlers       int           // requests of one connection handled at once; default 64
+	MaxRelays         int           // relayed connections; default 256
 }
 
 func (o Options) withDefaults() Options {
@@ -89,9 +96,13 @@
 	setCount(&o.MaxPeers, 512)
 	setCount(&o.MaxPending, 256)
 	setCount(&o.MaxHandlers, 64)
+	setCount(&o.MaxRelays, 256)
 	if o.Dialer == nil {
 		o.Dialer = new(net.Dialer).DialContext
 	}
+	if o.RelayDialer == nil {
+		o.RelayDialer = o.Dialer
+	}
 	return o
 }
 
--- a/internal/transport/upstream/peek.go
+++ b/internal/transport/upstream/peek.go
@@ -14,8 +14,11 @@
 }
 
 // isReusable reports whether an idle connection is open and holds no unread bytes: bytes
-// that arrive after a response belong to no request.
+// that arrive after a response belong to no request. A connection with a method Reusable decides, too.
 func isReusable(c net.Conn) bool {
+	if own, ok := c.(interface{ Reusable() bool }); ok && !own.Reusable() {
+		return false
+	}
 	closed, unread := peekSocket(c)
 	return !closed && !unread
 }
