soak: a plan in which instances lose their links to all upstreams (RECOVER)

Each instance has links of its own: the stand-in of the store shows it other addresses of the upstreams. A peer that relays now uses the address that is published to it for the upstream's ID, so the question names the ID only.

--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -247,7 +247,7 @@
 func (p *upstreamPaths) dialThrough(ctx context.Context, member membership.Member, target dispatch.Upstream) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayPeerTimeout)
 	defer cancel()
-	c, err := p.gateway.peers.node.OpenRelay(ctx, member.TCP, peerwire.RelayOpen{Upstream: target.ID, Address: target.Address})
+	c, err := p.gateway.peers.node.OpenRelay(ctx, member.TCP, peerwire.RelayOpen{Upstream: target.ID})
 	if err != nil {
 		return nil, err
 	}
@@ -387,7 +387,8 @@
 )
 
 // relay opens a connection to a published upstream for a peer. It never asks another peer, so a request
-// passes one peer at most.
+// passes one peer at most. The address is the one that is published here; each request names the upstream
+// that it is for.
 func (p *peers) relay(ctx context.Context, from peerwire.Identity, open peerwire.RelayOpen) (net.Conn, error) {
 	c, err := p.openRelay(ctx, open)
 	result := "opened"
@@ -396,7 +397,7 @@
 	}
 	g := p.gateway
 	g.metrics.relays.WithLabelValues("relay", result).Inc()
-	entry := g.log.WithFields(logrus.Fields{"event": eventlog.RelayServed, "peer": from.Name, "upstream": open.Upstream, "address": open.Address, "result": result})
+	entry := g.log.WithFields(logrus.Fields{"event": eventlog.RelayServed, "peer": from.Name, "upstream": open.Upstream, "result": result})
 	if err != nil {
 		entry = entry.WithField("error", err.Error())
 	}
@@ -408,16 +409,16 @@
 	g := p.gateway
 	target, ok := g.publishedUpstream(open.Upstream)
 	switch {
-	case !ok || target.Address != open.Address:
+	case !ok:
 		return nil, errUnknownUpstream
 	case target.Leaving || g.draining.Load():
 		return nil, errLeaving
-	case g.paths.isRelayed(open.Address):
+	case g.paths.isRelayed(target.Address):
 		return nil, errNotReached
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
 	defer cancel()
-	c, err := g.paths.direct(ctx, open.Address)
+	c, err := g.paths.direct(ctx, target.Address)
 	switch {
 	case err == nil:
 		return c, nil
--- a/internal/protocol/peerwire/body.go
+++ b/internal/protocol/peerwire/body.go
@@ -64,7 +64,6 @@
 		w.bytes(m.Payload)
 	case RelayOpen:
 		w.string(m.Upstream)
-		w.string(m.Address)
 	case RelayData:
 		w.bytes(m.Payload)
 	case Failure:
@@ -107,7 +106,7 @@
 	case TypeStreamOriginAnswer:
 		m = StreamOriginAnswer{Payload: r.bytes(MaxFrameBytes)}
 	case TypeRelayOpen:
-		m = RelayOpen{Upstream: r.string(maxUpstreamNameBytes), Address: r.string(maxNameBytes)}
+		m = RelayOpen{Upstream: r.string(maxUpstreamNameBytes)}
 	case TypeRelayData:
 		m = RelayData{Payload: r.bytes(MaxFrameBytes)}
 	case TypeRelayEnd:
--- a/internal/protocol/peerwire/frame_test.go
+++ b/internal/protocol/peerwire/frame_test.go
@@ -31,7 +31,7 @@
 	LedgerHandover{bytes.Repeat([]byte("i"), 200_000)}, KeepAlive{}, Done{}, Failure{Reason: "no"},
 	ReplicaPull{[]byte("j")}, ReplicaPush{[]byte("k")}, DispatchReport{[]byte("l")}, StreamOrigins{[]byte("m")},
 	StreamOriginQuery{[]byte("n")}, StreamOriginAnswer{[]byte("o")},
-	RelayOpen{Upstream: "i-1", Address: "10.0.0.1:80"}, RelayData{[]byte("p")}, RelayEnd{},
+	RelayOpen{Upstream: "i-1"}, RelayData{[]byte("p")}, RelayEnd{},
 }
 
 func testMACs() (*FrameMAC, *FrameMAC) {
--- a/internal/protocol/peerwire/message.go
+++ b/internal/protocol/peerwire/message.go
@@ -111,7 +111,7 @@
 	StreamOriginAnswer struct{ Payload []byte }
 	// RelayOpen, as the first message of a connection, asks the peer to relay bytes to and from an
 	// upstream. It is answered with Done or Failure; RelayData and RelayEnd follow.
-	RelayOpen struct{ Upstream, Address string }
+	RelayOpen struct{ Upstream string }
 	// RelayData carries bytes of a relayed connection.
 	RelayData struct{ Payload []byte }
 	// RelayEnd shows that the upstream has closed the relayed connection regularly.
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -31,6 +31,9 @@
 // while upstreams crash and break responses and instances in several failure domains are killed, stopped
 // and paused. Callers go on at any instance with streams that break off.
 //
+// The partition plan ([PartitionFaults]) gives each instance links of its own to the upstreams and refuses
+// all of those of one instance or of a failure domain; open connections are reset or live on.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -47,6 +50,8 @@
 //   - A stream holds events of one software version only, over all tries of its caller. While two
 //     upstreams of its version serve, it goes on at undisturbed instances at least half as often as new
 //     streams begin.
+//   - While instances are partitioned from all upstreams, from 3 s on, their callers' first tries are
+//     served at least two thirds as often as the others', unless few fail.
 //   - Once a part of prompts has crashed five upstreams, at most three more requests with it are
 //     sent by undisturbed instances.
 //   - Nothing is sent to upstreams longer than half a second after its caller has left.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -25,16 +25,17 @@
 	rejectRequests     // requests are rejected as not run
 	sendStaleResponses // responses to other requests are sent first
 	// The kinds from here on are drawn only by the other plans.
-	breakMany       // most responses are interrupted
-	rejectMany      // most requests are rejected as not run
-	pauseMany       // upstreams read nothing and then go on with all that has arrived
-	delayInstance   // an instance starts only after the load
-	stateLimit      // an upstream states a limit in its answers
-	sendEndless     // responses are replaced by bytes without end
-	endResponses    // responses without length or chunks end halfway with their connection
-	returnStore     // the store comes back from an older copy
-	releaseUpstream // another version takes the place of an upstream
-	crashUpstream   // an upstream crashes and starts again
+	breakMany          // most responses are interrupted
+	rejectMany         // most requests are rejected as not run
+	pauseMany          // upstreams read nothing and then go on with all that has arrived
+	delayInstance      // an instance starts only after the load
+	stateLimit         // an upstream states a limit in its answers
+	sendEndless        // responses are replaced by bytes without end
+	endResponses       // responses without length or chunks end halfway with their connection
+	returnStore        // the store comes back from an older copy
+	releaseUpstream    // another version takes the place of an upstream
+	crashUpstream      // an upstream crashes and starts again
+	partitionInstances // instances lose their links to all upstreams
 	faultKindCount
 
 	// mixedKindCount is the number of kinds that mixed plans draw.
@@ -44,7 +45,7 @@
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
 	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
 	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless", "upstream_ends", "store_returns",
-	"release", "upstream_crashes"}
+	"release", "upstream_crashes", "partition"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -54,6 +55,8 @@
 	mode            proxyMode // of the proxy, for link faults
 	share           float64   // of the upstreams, for faults of several
 	limit           float64   // requests per second, for limits
+	domain          bool      // all instances of the failure domain of the target, for partitions
+	keepOpen        bool      // open connections live on, for partitions
 }
 
 func (f fault) String() string {
@@ -95,6 +98,8 @@
 		return newDrillPlan(seed, o)
 	case ReleaseFaults:
 		return newReleasePlan(seed, o)
+	case PartitionFaults:
+		return newPartitionPlan(seed, o)
 	}
 	return newMixedPlan(seed, o)
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// refuseNew refuses new connections; open ones live on.
+func (p *proxy) refuseNew() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener.Close()
+}
+
 // resume accepts connections again at the same address. Connections that are still closing may
 // hold the address for a moment.
 func (p *proxy) resume() error {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -55,6 +55,8 @@
 	// ReleaseFaults replaces upstreams by others of other versions, and lets callers go on with broken
 	// streams at any instance.
 	ReleaseFaults Faults = "releases"
+	// PartitionFaults cuts instances off from all upstreams.
+	PartitionFaults Faults = "partitions"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -87,6 +89,8 @@
 	LargestMemory int
 	// TakenUp counts the broken streams that callers went on with, by how that ended.
 	TakenUp map[string]int
+	// AtPartitioned and AtOthers count the first tries while instances are partitioned from all upstreams.
+	AtPartitioned, AtOthers firstTries
 }
 
 // Command returns the command line that repeats the run.
@@ -114,6 +118,9 @@
 	if r.Options.Faults == ReleaseFaults {
 		fmt.Fprintf(&b, "streams taken up:%s\n", formatCounts(r.TakenUp))
 	}
+	if r.Options.Faults == PartitionFaults {
+		fmt.Fprintf(&b, "served at partitioned instances: %v, at the others: %v\n", r.AtPartitioned, r.AtOthers)
+	}
 	fmt.Fprintf(&b, "largest memory of an instance: %d MB\n", r.LargestMemory/1e6)
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise was broken\n")
@@ -178,6 +185,7 @@
 	tb.checkDeadlyPart(observations)
 	tb.checkDepartures()
 	tb.checkStreamVersions()
+	tb.checkPartitions(observations)
 	return tb.report(observations), ctx.Err()
 }
 
@@ -225,7 +233,16 @@
 	}
 	seeds := ports[:o.Instances]
 	for i := range o.Instances {
-		p, err := newProxy(anyLoopbackPort, tb.store.Address())
+		storeAddress := tb.store.Address()
+		if o.Faults == PartitionFaults {
+			links, err := newInstanceLinks(tb.upstreams)
+			if err != nil {
+				return nil, err
+			}
+			tb.links = append(tb.links, links)
+			storeAddress = tb.store.View(links.addressFor)
+		}
+		p, err := newProxy(anyLoopbackPort, storeAddress)
 		if err != nil {
 			return nil, errors.Wrap(err, "start proxy")
 		}
@@ -347,7 +364,7 @@
 const finalCallerNumber = maxCallers + 1
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
@@ -391,6 +408,9 @@
 		u.proxy.close()
 		u.Close()
 	}
+	for _, links := range tb.links {
+		links.close()
+	}
 	tb.store.Close()
 	tb.ports.close()
 }
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -61,6 +61,10 @@
 	active           []*upstream
 	versionedStreams []versionedStream
 	takenUp          map[string]int
+	links            []*instanceLinks // by instance; only for partitions
+	partitions       []partition
+	atPartitioned    firstTries
+	atOthers         firstTries
 }
 
 func (tb *testbed) addViolation(format string, args ...any) {
@@ -193,6 +197,8 @@
 		u.activeEnds.Add(1)
 		waitForEnd()
 		u.activeEnds.Add(-1)
+	case partitionInstances:
+		tb.partition(f, waitForEnd)
 	case releaseUpstream:
 		tb.release(f.target%tb.options.Upstreams, waitForEnd)
 	case crashUpstream:
--- a/internal/transport/peer/relay_test.go
+++ b/internal/transport/peer/relay_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	return func(o *Options) {
 		o.Relay = func(ctx context.Context, _ peerwire.Identity, open peerwire.RelayOpen) (net.Conn, error) {
-			return new(net.Dialer).DialContext(ctx, "tcp", open.Address)
+			return new(net.Dialer).DialContext(ctx, "tcp", open.Upstream)
 		}
 	}
 }
@@ -65,7 +65,7 @@
 				}
 			})
 			relaying, caller := startNode(t, "relay", relayTo(t)), startNode(t, "caller", nil)
-			c, err := caller.OpenRelay(t.Context(), relaying.Addr(), peerwire.RelayOpen{Upstream: "i-1", Address: address})
+			c, err := caller.OpenRelay(t.Context(), relaying.Addr(), peerwire.RelayOpen{Upstream: address})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -91,7 +91,7 @@
 		c.Close()
 	})
 	relaying, caller := startNode(t, "relay", relayTo(t)), startNode(t, "caller", nil)
-	c, err := caller.OpenRelay(t.Context(), relaying.Addr(), peerwire.RelayOpen{Address: address})
+	c, err := caller.OpenRelay(t.Context(), relaying.Addr(), peerwire.RelayOpen{Upstream: address})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -118,7 +118,7 @@
 // reaches no upstream.
 func TestRelayIsRefused(t *testing.T) {
 	address := startUpstream(t, func(c *net.TCPConn) { io.Copy(io.Discard, c) })
-	open := peerwire.RelayOpen{Address: address}
+	open := peerwire.RelayOpen{Upstream: address}
 	limited := startNode(t, "limited", func(o *Options) { relayTo(t)(o); o.MaxRelays = 1 })
 	unwilling := startNode(t, "unwilling", nil)
 	caller := startNode(t, "caller", nil)
