--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -185,7 +185,7 @@
 
 // available reports whether the upstream may receive the request, apart from its limit.
 func (d *Dispatcher) available(u *upstream, r *Request, pass int) bool {
-	if u.Leaving || !u.hasVersion(r) || pass < 2 && slices.Contains(r.Exclude, u.ID) {
+	if u.leaves() || !u.hasVersion(r) || pass < 2 && slices.Contains(r.Exclude, u.ID) {
 		return false
 	}
 	return pass > 0 || !u.ejected() && !(u.onTrial() && u.local.InFlight > 0)
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -71,6 +71,7 @@
 	self             uint64   // hash of the name of this instance
 	leaving          bool     // this instance holds no limits any more
 	lapsedLimits     []lapsedLimit
+	lapsedStatements []lapsedStatement
 	medianBuffer     []float64
 	cachedMedians    medians
 }
@@ -123,11 +124,13 @@
 		if u == nil || u.Address != published.Address || u.Incarnation != published.Incarnation || u.KVCapacityTokens != published.KVCapacityTokens {
 			u = newUpstream(published)
 			d.restoreLimit(now, u, old)
+			d.restoreStatements(u, old)
 		}
 		u.Upstream = published
 		next[published.ID] = u
 	}
 	d.keepLimits(now, next)
+	d.keepStatements(now, next)
 	d.upstreams, d.byTag = next, make(map[Tag]*upstream, len(next))
 	d.byHash = d.byHash[:0]
 	for _, u := range next {
--- a/internal/coordination/dispatch/feedback.go
+++ b/internal/coordination/dispatch/feedback.go
@@ -172,7 +172,7 @@
 	defer d.mu.Unlock()
 	var out []Upstream
 	for _, u := range d.byHash {
-		if u.ejected() && !u.Leaving && u.probeDue(now) {
+		if u.ejected() && !u.leaves() && u.probeDue(now) {
 			u.probing = true
 			out = append(out, u.Upstream)
 		}
@@ -210,6 +210,8 @@
 	// 0 if there is none. LimitHolder reports whether this instance sends to it meanwhile.
 	Limit       float64 `json:",omitempty"`
 	LimitHolder bool    `json:",omitempty"`
+	// StatedLeaving reports whether the upstream has stated that it leaves.
+	StatedLeaving bool `json:",omitempty"`
 }
 
 // Snapshot returns the state of all upstreams, ordered by nameHash.
@@ -221,7 +223,7 @@
 		out = append(out, UpstreamState{
 			Upstream: u.Upstream, InFlight: u.local.InFlight, Load: u.load(), Wait: u.predictedWait(now, Ranks), Slowness: u.slownessFactor(now, d.medians(now)),
 			Failures: u.failures.decayed(now), Ejected: u.ejected(), ForLong: u.forLong,
-			Limit: u.limiter.Limit().Rate, LimitHolder: u.limiter.Limited() && u.limiter.Holder(),
+			Limit: u.limiter.Limit().Rate, LimitHolder: u.limiter.Limited() && u.limiter.Holder(), StatedLeaving: u.stated.leaving,
 		})
 	}
 	return out
--- a/internal/coordination/dispatch/limits.go
+++ b/internal/coordination/dispatch/limits.go
@@ -106,7 +106,7 @@
 	var next *upstream    // that this instance may send to first
 	var nextAt time.Duration
 	for _, u := range d.byHash {
-		if !u.limiter.Limited() || u.Leaving || !u.hasVersion(r) || u.ejected() {
+		if !u.limiter.Limited() || u.leaves() || !u.hasVersion(r) || u.ejected() {
 			continue
 		}
 		all += u.limiter.Limit().Rate
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -18,6 +18,10 @@
 			u.limitReported = true
 			r.Limits = append(r.Limits, UpstreamLimit{Upstream: u.tag, Incarnation: u.incarnationHash(), Limit: u.limiter.Limit()})
 		}
+		if u.stated.leaving && (r.Full || !u.leavingReported) {
+			u.leavingReported = true
+			r.Leaving = append(r.Leaving, LeavingUpstream{Upstream: u.tag, Incarnation: u.incarnationHash()})
+		}
 		u.local.Upstream = u.tag
 		if u.KVCapacityTokens > 0 && (u.local != u.reported || r.Full && u.local.InFlight > 0) {
 			u.reported = u.local
@@ -48,6 +52,7 @@
 			d.placeInHolderOrder(now, u)
 		}
 	}
+	d.mergeLeaving(r.Leaving)
 	if r.Full {
 		d.clearPeerLoads(peer)
 	}
--- /dev/null
+++ b/internal/coordination/dispatch/statement.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Statement is what an upstream states about itself in an answer.
+type Statement struct {
+	// Limit is the number of requests per second that it takes from all instances together; 0 if it
+	// states no limit, negative if the statement cannot be read.
+	Limit float64
+	// Leaving means that the process takes no new requests any more.
+	Leaving bool
+	// RetryAfter is how long it wants nothing from this instance; 0 if it states no such time.
+	RetryAfter time.Duration
+}
+
+const (
+	// statementLifetime is how long the statements of an upstream without an entry are kept. Entries
+	// lapse while the platform is unavailable.
+	statementLifetime = 5 * time.Minute
+	// maxLapsedStatements bounds the number of upstreams without an entry whose statements are kept.
+	maxLapsedStatements = 256
+)
+
+// stated is what the process of an upstream has stated and what holds until another process runs.
+type stated struct {
+	leaving bool
+	// silentUntil is the time before which it wants no requests from this instance.
+	silentUntil time.Duration
+}
+
+// lapsedStatement is what an upstream without an entry has stated.
+type lapsedStatement struct {
+	id, incarnation string
+	stated          stated
+	lapsedAt        time.Duration
+}
+
+// RecordStatement records what the upstream of a grant states in its answer. It reports whether that differs
+// from what it stated before, its limit aside.
+func (d *Dispatcher) RecordStatement(now time.Duration, token uint64, s Statement) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.grants[token]
+	if g == nil || !s.Leaving || g.upstream.stated.leaving {
+		return false
+	}
+	g.upstream.stated.leaving = true
+	g.upstream.leavingReported = false
+	return true
+}
+
+// MaySend reports whether the upstream of a grant still takes requests: it may have stated otherwise since
+// the grant was given.
+func (d *Dispatcher) MaySend(token uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.grants[token]
+	return g == nil || !g.upstream.leaves()
+}
+
+// leaves reports whether the upstream takes no new requests, as published or as stated.
+func (u *upstream) leaves() bool { return u.Leaving || u.stated.leaving }
+
+// LeavingUpstream is an upstream that has stated that it leaves.
+type LeavingUpstream struct {
+	Upstream Tag
+	// Incarnation is the low half of the hash of the upstream's incarnation.
+	Incarnation uint32
+}
+
+// mergeLeaving records what upstreams have stated to a peer.
+func (d *Dispatcher) mergeLeaving(list []LeavingUpstream) {
+	for _, l := range list {
+		if u := d.byTag[l.Upstream]; u != nil && l.Incarnation == u.incarnationHash() {
+			u.stated.leaving = true
+		}
+	}
+}
+
+// keepStatements keeps what upstreams have stated that are not among the next ones.
+func (d *Dispatcher) keepStatements(now time.Duration, next map[string]*upstream) {
+	for id, u := range d.upstreams {
+		if next[id] == nil && u.stated != (stated{}) {
+			d.lapsedStatements = append(d.lapsedStatements, lapsedStatement{id: id, incarnation: u.Incarnation, stated: u.stated, lapsedAt: now})
+		}
+	}
+	d.lapsedStatements = slices.DeleteFunc(d.lapsedStatements, func(l lapsedStatement) bool { return now-l.lapsedAt >= statementLifetime })
+	d.lapsedStatements = d.lapsedStatements[max(0, len(d.lapsedStatements)-maxLapsedStatements):]
+}
+
+// restoreStatements gives an upstream what the same process stated before its entry changed, in old, or
+// lapsed.
+func (d *Dispatcher) restoreStatements(u, old *upstream) {
+	if old != nil {
+		if old.Incarnation == u.Incarnation {
+			u.stated = old.stated
+		}
+		return
+	}
+	i := slices.IndexFunc(d.lapsedStatements, func(l lapsedStatement) bool { return l.id == u.ID })
+	if i < 0 {
+		return
+	}
+	if d.lapsedStatements[i].incarnation == u.Incarnation {
+		u.stated = d.lapsedStatements[i].stated
+	}
+	d.lapsedStatements = slices.Delete(d.lapsedStatements, i, i+1)
+}
+
+// LimitReadable reports whether the limit could be read.
+func (s Statement) LimitReadable() bool { return s.Limit >= 0 && !math.IsNaN(s.Limit) }
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -197,6 +197,8 @@
 	// Limits are the limits stated by upstreams that have changed; a full report also has those that
 	// the reporting instance holds.
 	Limits []UpstreamLimit
+	// Leaving are the upstreams that have stated that they leave; a full report has all of them.
+	Leaving []LeavingUpstream
 }
 
 // UpstreamLimit is the limit that an upstream has stated.
@@ -210,7 +212,7 @@
 
 // Empty reports whether the report contains nothing to send.
 func (r Report) Empty() bool {
-	return len(r.Placed) == 0 && len(r.Loads) == 0 && len(r.Limits) == 0 && !r.Full
+	return len(r.Placed) == 0 && len(r.Loads) == 0 && len(r.Limits) == 0 && len(r.Leaving) == 0 && !r.Full
 }
 
 // Options configure a Dispatcher. Zero values take the defaults.
--- a/internal/coordination/dispatch/upstream.go
+++ b/internal/coordination/dispatch/upstream.go
@@ -63,6 +63,9 @@
 	cache          *expiring.Map[uint64, struct{}]
 	limiter        sharedlimit.Limiter
 	limitReported  bool // the limit is unchanged since the last report to the peers
+	stated         stated
+	// leavingReported is unset until the peers have been told that the upstream leaves.
+	leavingReported bool
 
 	connectFailures int // consecutive failures to reach the upstream
 	nextProbeAt     time.Duration
@@ -72,7 +75,7 @@
 }
 
 func newUpstream(published Upstream) *upstream {
-	u := &upstream{Upstream: published, nameHash: xxhash.Sum64String(published.ID), limitReported: true}
+	u := &upstream{Upstream: published, nameHash: xxhash.Sum64String(published.ID), limitReported: true, leavingReported: true}
 	u.tag = Tag(u.nameHash)
 	if published.KVCapacityTokens > 0 {
 		u.cache = expiring.New(expiring.Options[uint64, struct{}]{
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -55,6 +55,8 @@
 	RequestPlaced Event = "request_placed"
 	// UpstreamLimitChanged is logged when an upstream states another limit, or none.
 	UpstreamLimitChanged Event = "upstream_limit_changed"
+	// UpstreamStated is logged when an upstream states that it leaves, or when it wants requests again.
+	UpstreamStated Event = "upstream_stated"
 	// AttemptFailed is logged when an attempt fails.
 	AttemptFailed Event = "attempt_failed"
 	// ResponseReset is logged when a response without length or chunks ends incomplete.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,7 +113,7 @@
 	response, err := ex.service.clientFor(a.grant.Upstream).Do(ex.callCtx, upstream.Call{
 		Request:       req,
 		HeaderTimeout: a.timeout,
-		BeforeSend:    func() bool { a.recordSending(); return true },
+		BeforeSend:    a.beforeSend,
 		IsForeign: func(header *fasthttp.ResponseHeader) bool {
 			matches := ex.gateway.adapter.Upstream.MatchesRequest(header, ex.request.ID)
 			if !matches {
@@ -130,7 +130,7 @@
 	a.response = response
 	ex.lastFraming = response.Framing()
 	a.responseKind = ex.gateway.adapter.Upstream.ClassifyResponse(&response.Response.Header)
-	a.recordLimit(&response.Response.Header)
+	a.recordStatement(&response.Response.Header)
 	switch a.responseKind {
 	case ResponseNotRun, ResponseMisdirected:
 		return errNotRun
@@ -154,17 +154,41 @@
 	a.exchange.countedAttempts++
 }
 
-// recordLimit records the limit that the upstream states in its answer. An answer that states none
-// ends a limit only if the upstream has run the request.
-func (a *attempt) recordLimit(h *fasthttp.ResponseHeader) {
+// beforeSend reports whether the request may be sent: the upstream may have stated that it leaves while
+// this attempt dialed it.
+func (a *attempt) beforeSend() bool {
+	if !a.exchange.service.dispatcher.MaySend(a.grant.Token) {
+		return false
+	}
+	a.recordSending()
+	return true
+}
+
+// recordStatement records what the upstream states about itself in its answer. One that may come from
+// another upstream states nothing.
+func (a *attempt) recordStatement(h *fasthttp.ResponseHeader) {
+	if a.responseKind != ResponseValid && a.responseKind != ResponseNotRun {
+		return
+	}
+	ex := a.exchange
+	now, statement := ex.gateway.now(), ex.gateway.adapter.Upstream.ReadStatement(h)
+	a.recordLimit(now, statement)
+	if ex.service.dispatcher.RecordStatement(now, a.grant.Token, statement) {
+		ex.logEntry(eventlog.UpstreamStated).WithFields(logrus.Fields{"service": ex.service.name, "upstream": a.grant.Upstream.ID,
+			"leaving": statement.Leaving, "retry_after_ms": statement.RetryAfter.Milliseconds()}).Info("upstream states that it wants no requests")
+	}
+}
+
+// recordLimit records a stated limit. An answer that states none ends a limit only if the upstream has run
+// the request.
+func (a *attempt) recordLimit(now time.Duration, s dispatch.Statement) {
 	ex := a.exchange
-	limit, ok := ex.gateway.adapter.Upstream.StatedLimit(h)
-	valid := a.responseKind == ResponseValid || a.responseKind == ResponseNotRun && limit > 0
-	if !ok || !valid || !ex.service.dispatcher.RecordLimit(ex.gateway.now(), a.grant.Token, limit) {
+	valid := a.responseKind == ResponseValid || s.Limit > 0
+	if !s.LimitReadable() || !valid || !ex.service.dispatcher.RecordLimit(now, a.grant.Token, s.Limit) {
 		return
 	}
 	ex.logEntry(eventlog.UpstreamLimitChanged).WithFields(logrus.Fields{"service": ex.service.name, "upstream": a.grant.Upstream.ID,
-		"limit": limit}).Info("upstream states another limit")
+		"limit": s.Limit}).Info("upstream states another limit")
 }
 
 // responseTimeout returns how long the upstream may send nothing before the request is
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -97,9 +97,8 @@
 	MatchesRequest(h *fasthttp.ResponseHeader, id string) bool
 	// ClassifyResponse classifies a response by its header.
 	ClassifyResponse(h *fasthttp.ResponseHeader) ResponseKind
-	// StatedLimit returns the requests per second that the upstream states to take from all
-	// instances together; 0 if it states no limit. ok is false if the statement cannot be read.
-	StatedLimit(h *fasthttp.ResponseHeader) (limit float64, ok bool)
+	// ReadStatement returns what the upstream states about itself.
+	ReadStatement(h *fasthttp.ResponseHeader) dispatch.Statement
 	// CopyResponseHeader copies the header fields that are forwarded to the caller.
 	CopyResponseHeader(dst, src *fasthttp.ResponseHeader)
 }
