--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -110,7 +110,7 @@
 		if ok {
 			return best, true
 		}
-		if d.onlyLimited(r, pass) {
+		if d.onlyHeldBack(now, r, pass) {
 			return best, false
 		}
 	}
@@ -180,7 +180,7 @@
 // eligible reports whether the upstream may receive the request now. The second pass includes
 // ejected upstreams, the third pass also those in r.Exclude.
 func (d *Dispatcher) eligible(now time.Duration, u *upstream, r *Request, pass int) bool {
-	return u.limiter.Permitted(now) && d.available(u, r, pass)
+	return u.limiter.Permitted(now) && !u.heldBack(now) && d.available(u, r, pass)
 }
 
 // available reports whether the upstream may receive the request, apart from its limit.
--- a/internal/coordination/dispatch/feedback.go
+++ b/internal/coordination/dispatch/feedback.go
@@ -100,6 +100,7 @@
 	case Succeeded:
 		d.recordAnswer(g)
 		u.malformed = 0
+		u.recordSuccess()
 		u.failures.observe(now, 0, failureWeight)
 	case Failed:
 		d.recordAnswer(g)
@@ -212,6 +213,8 @@
 	LimitHolder bool    `json:",omitempty"`
 	// StatedLeaving reports whether the upstream has stated that it leaves.
 	StatedLeaving bool `json:",omitempty"`
+	// Silent reports whether it has stated that it wants no requests from this instance yet.
+	Silent bool `json:",omitempty"`
 }
 
 // Snapshot returns the state of all upstreams, ordered by nameHash.
@@ -223,7 +226,7 @@
 		out = append(out, UpstreamState{
 			Upstream: u.Upstream, InFlight: u.local.InFlight, Load: u.load(), Wait: u.predictedWait(now, Ranks), Slowness: u.slownessFactor(now, d.medians(now)),
 			Failures: u.failures.decayed(now), Ejected: u.ejected(), ForLong: u.forLong,
-			Limit: u.limiter.Limit().Rate, LimitHolder: u.limiter.Limited() && u.limiter.Holder(), StatedLeaving: u.stated.leaving,
+			Limit: u.limiter.Limit().Rate, LimitHolder: u.limiter.Limited() && u.limiter.Holder(), StatedLeaving: u.stated.leaving, Silent: u.silent(now),
 		})
 	}
 	return out
--- a/internal/coordination/dispatch/limits.go
+++ b/internal/coordination/dispatch/limits.go
@@ -87,11 +87,11 @@
 // incarnationHash returns the low half of the hash of the upstream's incarnation.
 func (u *upstream) incarnationHash() uint32 { return uint32(xxhash.Sum64String(u.Incarnation)) }
 
-// onlyLimited reports whether there are upstreams that only their limits keep from receiving the
-// request in this pass. Upstreams of the next pass, which are most likely down, are no substitute.
-func (d *Dispatcher) onlyLimited(r *Request, pass int) bool {
+// onlyHeldBack reports whether there are upstreams that only what they have stated keeps from receiving
+// the request in this pass. Upstreams of the next pass, which are most likely down, are no substitute.
+func (d *Dispatcher) onlyHeldBack(now time.Duration, r *Request, pass int) bool {
 	for _, u := range d.byHash {
-		if u.limiter.Limited() && d.available(u, r, pass) {
+		if (u.limiter.Limited() || u.heldBack(now)) && d.available(u, r, pass) {
 			return true
 		}
 	}
@@ -118,6 +118,9 @@
 		}
 	}
 	if all == 0 {
+		if decision, ok := d.decideHeldBack(now, r); ok {
+			return decision
+		}
 		return d.reject(now, r, noUpstreamReason(r), 0)
 	}
 	if next != nil {
--- a/internal/coordination/dispatch/statement.go
+++ b/internal/coordination/dispatch/statement.go
@@ -45,21 +45,75 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.grants[token]
-	if g == nil || !s.Leaving || g.upstream.stated.leaving {
+	if g == nil {
 		return false
 	}
-	g.upstream.stated.leaving = true
-	g.upstream.leavingReported = false
-	return true
+	u, changed := g.upstream, false
+	if s.Leaving && !u.stated.leaving {
+		u.stated.leaving, u.leavingReported, changed = true, false, true
+	}
+	if s.RetryAfter > 0 {
+		changed = changed || !u.silent(now)
+		// The jitter keeps instances that were told at the same time from coming back together.
+		jitter := time.Duration(d.rng.Float64() * float64(min(s.RetryAfter/maxReturnJitterFraction, maxReturnJitter)))
+		u.stated.silentUntil = max(u.stated.silentUntil, now+s.RetryAfter+jitter)
+		u.returning = 1
+	}
+	return changed
+}
+
+const (
+	// maxReturnJitter and one part in maxReturnJitterFraction of the stated time bound the random time
+	// after which an instance sends to an upstream again that has stated when to come back.
+	maxReturnJitter         = time.Second
+	maxReturnJitterFraction = 5
+)
+
+// silent reports whether the upstream has stated that it wants no requests from this instance yet.
+func (u *upstream) silent(now time.Duration) bool { return now < u.stated.silentUntil }
+
+// full reports whether the upstream, which has wanted no requests for a while, has as many from this instance
+// as it may get for now: one at first, and twice as many after each that succeeds.
+func (u *upstream) full() bool { return u.returning > 0 && u.local.InFlight >= u.returning }
+
+// heldBack reports whether the upstream may get no request now although it serves.
+func (u *upstream) heldBack(now time.Duration) bool { return u.silent(now) || u.full() }
+
+// recordSuccess raises the number of requests that an upstream which comes back may get.
+func (u *upstream) recordSuccess() {
+	if u.returning *= 2; u.returning >= u.Slots {
+		u.returning = 0
+	}
+}
+
+// decideHeldBack decides a request for which all upstreams are held back: it waits if one of them may get it
+// before its target, and is rejected otherwise with the earliest time. ok is false if there is none.
+func (d *Dispatcher) decideHeldBack(now time.Duration, r *Request) (decision Decision, ok bool) {
+	var first *upstream
+	for _, u := range d.byHash {
+		if u.leaves() || !u.hasVersion(r) || u.ejected() || !u.heldBack(now) {
+			continue
+		}
+		if first == nil || u.stated.silentUntil < first.stated.silentUntil {
+			first = u
+		}
+	}
+	if first == nil {
+		return Decision{}, false
+	}
+	if wait := first.stated.silentUntil - now; first.stated.silentUntil > min(r.Target, r.Deadline) {
+		return Decision{ID: r.ID, Rejection: &Rejection{Reason: ReasonSilent, Predicted: wait, RetryAfter: wait}}, true
+	}
+	return Decision{ID: r.ID, Wait: Wait{Reason: WaitSilent, Upstream: first.ID, Load: first.load()}}, true
 }
 
 // MaySend reports whether the upstream of a grant still takes requests: it may have stated otherwise since
 // the grant was given.
-func (d *Dispatcher) MaySend(token uint64) bool {
+func (d *Dispatcher) MaySend(now time.Duration, token uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.grants[token]
-	return g == nil || !g.upstream.leaves()
+	return g == nil || !g.upstream.leaves() && !g.upstream.silent(now)
 }
 
 // leaves reports whether the upstream takes no new requests, as published or as stated.
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -77,6 +77,9 @@
 	// ReasonLimit means that the available upstreams have stated limits that allow no further
 	// request in time.
 	ReasonLimit Reason = "limit"
+	// ReasonSilent means that the available upstreams have stated that they want no requests before the
+	// target of the request.
+	ReasonSilent Reason = "silent"
 	// ReasonQueueFull means that the queue holds Options.QueueLimit requests and the request
 	// was selected for removal.
 	ReasonQueueFull Reason = "queue_full"
@@ -117,6 +120,9 @@
 	// WaitLimit means that the available upstreams have stated limits, and that the next request
 	// is allowed in time.
 	WaitLimit WaitReason = "limit"
+	// WaitSilent means that the available upstreams have stated that they want no requests yet, or come
+	// back from such a time and get few at first.
+	WaitSilent WaitReason = "silent"
 	// WaitQueue means that other requests that are served first are waiting.
 	WaitQueue WaitReason = "queue"
 )
--- a/internal/coordination/dispatch/upstream.go
+++ b/internal/coordination/dispatch/upstream.go
@@ -64,6 +64,9 @@
 	limiter        sharedlimit.Limiter
 	limitReported  bool // the limit is unchanged since the last report to the peers
 	stated         stated
+	// returning is the number of requests that the upstream may get from this instance after it has wanted
+	// none; 0 means no such bound.
+	returning int
 	// leavingReported is unset until the peers have been told that the upstream leaves.
 	leavingReported bool
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -154,10 +154,10 @@
 	a.exchange.countedAttempts++
 }
 
-// beforeSend reports whether the request may be sent: the upstream may have stated that it leaves while
-// this attempt dialed it.
+// beforeSend reports whether the request may be sent: the upstream may have stated that it wants no
+// requests while this attempt dialed it.
 func (a *attempt) beforeSend() bool {
-	if !a.exchange.service.dispatcher.MaySend(a.grant.Token) {
+	if !a.exchange.service.dispatcher.MaySend(a.exchange.gateway.now(), a.grant.Token) {
 		return false
 	}
 	a.recordSending()
