--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -34,6 +34,9 @@
 // The partition plan ([PartitionFaults]) gives each instance links of its own to the upstreams and refuses
 // all of those of one instance or of a failure domain; open connections are reset or live on.
 //
+// The statement plan ([StatementFaults]) makes upstreams state in their answers that they leave, or when
+// they want requests again, while instances start late, are killed, stopped and paused.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -52,6 +55,8 @@
 //     streams begin.
 //   - While instances are partitioned from all upstreams, from 3 s on, their callers' first tries are
 //     served at least two thirds as often as the others', unless few fail.
+//   - An upstream that has told an instance that it leaves gets none of the requests that the instance's
+//     callers send more than 2 s later; one that wants no requests for a time gets two at most.
 //   - Once a part of prompts has crashed five upstreams, at most three more requests with it are
 //     sent by undisturbed instances.
 //   - Nothing is sent to upstreams longer than half a second after its caller has left.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,6 +36,8 @@
 	releaseUpstream    // another version takes the place of an upstream
 	crashUpstream      // an upstream crashes and starts again
 	partitionInstances // instances lose their links to all upstreams
+	stateLeaving       // an upstream states that it leaves, and then starts again
+	statePause         // an upstream rejects requests and states when to come back
 	faultKindCount
 
 	// mixedKindCount is the number of kinds that mixed plans draw.
@@ -45,7 +47,7 @@
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
 	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
 	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless", "upstream_ends", "store_returns",
-	"release", "upstream_crashes", "partition"}
+	"release", "upstream_crashes", "partition", "states_leaving", "states_pause"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -98,6 +100,8 @@
 		return newDrillPlan(seed, o)
 	case ReleaseFaults:
 		return newReleasePlan(seed, o)
+	case StatementFaults:
+		return newStatementPlan(seed, o)
 	case PartitionFaults:
 		return newPartitionPlan(seed, o)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -57,6 +57,8 @@
 	ReleaseFaults Faults = "releases"
 	// PartitionFaults cuts instances off from all upstreams.
 	PartitionFaults Faults = "partitions"
+	// StatementFaults makes upstreams state in their answers that they leave, or when to come back.
+	StatementFaults Faults = "statements"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -91,6 +93,8 @@
 	TakenUp map[string]int
 	// AtPartitioned and AtOthers count the first tries while instances are partitioned from all upstreams.
 	AtPartitioned, AtOthers firstTries
+	// Statements is the number of answers in which upstreams stated something to known callers.
+	Statements int
 }
 
 // Command returns the command line that repeats the run.
@@ -121,6 +125,9 @@
 	if r.Options.Faults == PartitionFaults {
 		fmt.Fprintf(&b, "served at partitioned instances: %v, at the others: %v\n", r.AtPartitioned, r.AtOthers)
 	}
+	if r.Options.Faults == StatementFaults {
+		fmt.Fprintf(&b, "answers with statements: %d\n", r.Statements)
+	}
 	fmt.Fprintf(&b, "largest memory of an instance: %d MB\n", r.LargestMemory/1e6)
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise was broken\n")
@@ -186,6 +193,7 @@
 	tb.checkDepartures()
 	tb.checkStreamVersions()
 	tb.checkPartitions(observations)
+	tb.checkStatements(observations)
 	return tb.report(observations), ctx.Err()
 }
 
@@ -364,7 +372,7 @@
 const finalCallerNumber = maxCallers + 1
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -65,6 +65,7 @@
 	partitions       []partition
 	atPartitioned    firstTries
 	atOthers         firstTries
+	statementsTold   int
 }
 
 func (tb *testbed) addViolation(format string, args ...any) {
@@ -197,6 +198,15 @@
 		u.activeEnds.Add(1)
 		waitForEnd()
 		u.activeEnds.Add(-1)
+	case stateLeaving:
+		u.activeLeaving.Add(1)
+		waitForEnd()
+		u.crash("")
+		u.activeLeaving.Add(-1)
+	case statePause:
+		u.activePausing.Add(1)
+		waitForEnd()
+		u.activePausing.Add(-1)
 	case partitionInstances:
 		tb.partition(f, waitForEnd)
 	case releaseUpstream:
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -17,6 +17,7 @@
 	activeBreaks, activeRejections, activeStaleResponses atomic.Int32
 	activeFaultsOfMany                                   atomic.Int32 // raise the share of affected requests
 	activePauses, activeEndless, activeEnds              atomic.Int32
+	activeLeaving, activePausing                         atomic.Int32
 	bornMS                                               atomic.Int64 // Unix time of the last start after a crash
 	linkFaults                                           faultIntervals
 	publish                                              func() // publishes the registration
@@ -34,6 +35,7 @@
 	// limitIntervals are the times at which a limit was stated.
 	limitIntervals []limitInterval
 	endPause       func()
+	statements     []statement
 }
 
 const (
@@ -76,6 +78,7 @@
 	if strings.HasPrefix(execution.URI, versionedPrefix) {
 		b.Events, b.Delay, b.Version = eventsPerVersionedStream, eventInterval, u.version
 	}
+	u.addStatements(execution, &b, faulty)
 	switch {
 	case !faulty:
 	case u.activeEndless.Load() > 0:
