gateway: serving relayed connections has a file of its own

paths.go chooses how an instance reaches an upstream, relay.go serves peers; moved, not changed. One errors package in place of two. The package comment names the new files and promises.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -10,7 +10,8 @@
 // The code follows the path of a request: server.go (caller connections), configuration.go
 // (route, team and service lookup), exchange.go (the lifecycle of a request: admission,
 // attempts, final response), attempt.go (one attempt at one upstream), stream.go (event
-// streams and their resumption). Published data arrives through platform_watcher.go, data
+// streams and their resumption), stream_origin.go (where a stream began), paths.go and relay.go
+// (connections to upstreams, directly or through a peer). Published data arrives through platform_watcher.go, data
 // from other instances through peers.go and reports.go. Package dispatch selects the
 // upstream, queues requests and rejects them.
 //
@@ -21,6 +22,9 @@
 //     response says that the request may have run.
 //   - A non-idempotent request is not sent again once a byte of it may have been sent,
 //     unless the upstream stated that it did not run it.
+//   - A stream goes on only at the service and software version that began it, also when another
+//     instance takes it up.
+//   - A connection passes one other instance at most, which only relays its bytes.
 //   - A stream ends as complete only if its upstream ended it. A resumed stream continues
 //     after the last complete event that the caller received.
 //   - The work of one request is bounded by its attempts: each turn of a loop over them sends
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -2,21 +2,19 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
-	pkgerrors "github.com/pkg/errors"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
-	"github.com/yuccabridge/yuccabridge/internal/transport/peer"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
@@ -45,7 +43,7 @@
 	minRelayedForPartition = 2
 )
 
-var errNoRelay = pkgerrors.New("no peer reaches the upstream")
+var errNoRelay = errors.New("no peer reaches the upstream")
 
 // upstreamPaths opens connections to upstreams: directly, or through a peer if the link of this instance to
 // an upstream has failed. A peer only relays bytes, so everything that concerns a request is decided here,
@@ -81,12 +79,6 @@
 	return &upstreamPaths{gateway: g, direct: direct, byAddress: map[string]*upstreamPath{}, peerFailedAt: map[membership.Process]time.Duration{}}
 }
 
-// relayDialer dials the peers that relay.
-func relayDialer() peer.DialFunc {
-	dial := upstream.Dialer(unackedDataTimeout, keepAliveInterval)
-	return func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
-}
-
 // dial opens a connection to an upstream.
 func (p *upstreamPaths) dial(ctx context.Context, target dispatch.Upstream) (net.Conn, error) {
 	if p.asksPeersFirst(target.Address) {
@@ -360,91 +352,3 @@
 	path.probing = true
 	return path.target, true
 }
-
-// relayedConn is a connection to an upstream through a peer.
-type relayedConn struct {
-	*peer.RelayConn
-	paths   *upstreamPaths
-	address string
-	peer    membership.Process
-}
-
-// Reusable reports whether a further request may be sent: the path still leads through peers, and the peer
-// does not leave.
-func (c *relayedConn) Reusable() bool {
-	if c.Buffered() > 0 || !c.paths.isRelayed(c.address) {
-		return false
-	}
-	return slices.ContainsFunc(c.paths.gateway.peers.livePeers(), func(m membership.Member) bool { return m.Incarnation.Process == c.peer })
-}
-
-// Answers to a peer that asks for a relayed connection.
-var (
-	errUnknownUpstream = pkgerrors.New("the upstream is not known")
-	errNotReached      = pkgerrors.New("the upstream is not reached from here")
-	errUpstreamRefuses = pkgerrors.New("the upstream refuses connections")
-	errLeaving         = pkgerrors.New("the instance or the upstream leaves")
-)
-
-// relay opens a connection to a published upstream for a peer. It never asks another peer, so a request
-// passes one peer at most. The address is the one that is published here; each request names the upstream
-// that it is for.
-func (p *peers) relay(ctx context.Context, from peerwire.Identity, open peerwire.RelayOpen) (net.Conn, error) {
-	c, err := p.openRelay(ctx, open)
-	result := "opened"
-	if err != nil {
-		result = "refused"
-	}
-	g := p.gateway
-	g.metrics.relays.WithLabelValues("relay", result).Inc()
-	entry := g.log.WithFields(logrus.Fields{"event": eventlog.RelayServed, "peer": from.Name, "upstream": open.Upstream, "result": result})
-	if err != nil {
-		entry = entry.WithField("error", err.Error())
-	}
-	entry.Debug("connection relayed for a peer")
-	return c, err
-}
-
-func (p *peers) openRelay(ctx context.Context, open peerwire.RelayOpen) (net.Conn, error) {
-	g := p.gateway
-	target, ok := g.publishedUpstream(open.Upstream)
-	switch {
-	case !ok:
-		return nil, errUnknownUpstream
-	case target.Leaving || g.draining.Load():
-		return nil, errLeaving
-	case g.paths.isRelayed(target.Address):
-		return nil, errNotReached
-	}
-	ctx, cancel := context.WithTimeout(ctx, relayDialTimeout)
-	defer cancel()
-	c, err := g.paths.direct(ctx, target.Address)
-	switch {
-	case err == nil:
-		return c, nil
-	case refusedConnection(err):
-		return nil, errUpstreamRefuses
-	}
-	return nil, errNotReached
-}
-
-// busyRelays returns the number of connections that this instance relays and that carry a request or a
-// response.
-func (p *peers) busyRelays() int {
-	if p == nil {
-		return 0
-	}
-	return p.node.BusyRelays()
-}
-
-// publishedUpstream returns a published upstream by its ID.
-func (g *Gateway) publishedUpstream(id string) (Upstream, bool) {
-	g.configurationMu.Lock()
-	defer g.configurationMu.Unlock()
-	for _, u := range g.upstreams {
-		if u.ID == id {
-			return u, true
-		}
-	}
-	return Upstream{}, false
-}
