--- a/internal/coordination/streamorigin/history.go
+++ b/internal/coordination/streamorigin/history.go
@@ -19,9 +19,14 @@
 	lastSeen  time.Duration
 }
 
-// NewVersionHistory returns a history that has observed nothing.
-func NewVersionHistory() *VersionHistory {
-	return &VersionHistory{services: map[string]map[string]*observedVersion{}}
+// NewVersionHistory returns a history that has observed nothing. If firstStart is set, there have been no
+// streams before, so what it observes from now on is all there was.
+func NewVersionHistory(firstStart bool) *VersionHistory {
+	h := &VersionHistory{services: map[string]map[string]*observedVersion{}}
+	if firstStart {
+		h.started, h.observedSince = true, -Lifetime
+	}
+	return h
 }
 
 // Observe records the versions that are published now, by service.
--- a/internal/coordination/streamorigin/history_test.go
+++ b/internal/coordination/streamorigin/history_test.go
@@ -16,7 +16,7 @@
 // Guards against taking the version that is published now for the one at which a stream began: it may have
 // begun before a release, or before this instance started.
 func TestSoleVersionIsProvenOnlyByTime(t *testing.T) {
-	h := NewVersionHistory()
+	h := NewVersionHistory(false)
 	expect := func(at time.Duration, want string, wantOK bool) {
 		t.Helper()
 		if got, ok := h.Sole(at, "svc"); got != want || ok != wantOK {
@@ -43,7 +43,7 @@
 
 // Guards against an instance that has just started and takes the versions that it sees for all there were.
 func TestObservationsOfAPeerCount(t *testing.T) {
-	peer, started := NewVersionHistory(), NewVersionHistory()
+	peer, started := NewVersionHistory(false), NewVersionHistory(false)
 	peer.Observe(0, published("v1"))
 	peer.Observe(Lifetime, published("v2"))
 	started.Observe(time.Second, published("v2"))
@@ -54,16 +54,37 @@
 	if got, ok := started.Sole(2*Lifetime, "svc"); !ok || got != "v2" {
 		t.Errorf("%q %v", got, ok)
 	}
-	fresh := NewVersionHistory()
+	fresh := NewVersionHistory(false)
 	fresh.Observe(time.Second, published("v1"))
-	fresh.Merge(time.Second, NewVersionHistory().Observations(time.Second))
+	fresh.Merge(time.Second, NewVersionHistory(false).Observations(time.Second))
 	if _, ok := fresh.Sole(2*time.Second, "svc"); ok {
 		t.Error("a peer that has observed nothing proves something")
 	}
-	long := NewVersionHistory()
+	long := NewVersionHistory(false)
 	long.Observe(0, published("v1"))
 	fresh.Merge(time.Second, long.Observations(2*Lifetime))
 	if got, ok := fresh.Sole(2*time.Second, "svc"); !ok || got != "v1" {
 		t.Errorf("%q %v after a peer that has observed one version for long", got, ok)
 	}
 }
+
+// Guards against a fleet that cannot know the only version that there has been since it was first started.
+func TestHistoryIsCompleteFromTheFirstStart(t *testing.T) {
+	h, later := NewVersionHistory(true), NewVersionHistory(false)
+	if got, ok := h.Sole(0, "svc"); ok {
+		t.Errorf("%q before anything was observed", got)
+	}
+	h.Observe(time.Second, published("v1"))
+	later.Observe(0, published("v1"))
+	later.Merge(time.Second, h.Observations(2*time.Second))
+	for _, history := range []*VersionHistory{h, later} {
+		if got, ok := history.Sole(2*time.Second, "svc"); !ok || got != "v1" {
+			t.Errorf("%q %v", got, ok)
+		}
+		history.Observe(3*time.Second, published("v1", "v2"))
+		history.Observe(4*time.Second, published("v2"))
+		if got, ok := history.Sole(5*time.Second, "svc"); ok {
+			t.Errorf("%q after a release", got)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	g := &Gateway{
 		settings: s, adapter: adapter, log: log, metrics: newMetrics(), startedAt: time.Now(), seed: mathrand.Uint64(),
 		callerWatcher: caller.NewWatcher(), quarantine: quarantine.New(quarantine.Options{}),
-		origins: streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(),
+		origins: streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(s.FirstStart),
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -22,6 +22,9 @@
 	Operations Listener `yaml:"operations"`
 	// ReadyPath is the path of the readiness probe. Default /readyz.
 	ReadyPath string `yaml:"ready_path,omitempty" validate:"omitempty,startswith=/"`
+	// FirstStart means that all instances are started for the first time, so that no stream is older than
+	// this process. Default false.
+	FirstStart bool `yaml:"first_start,omitempty"`
 	// Platform is the source of the configuration and of the upstreams.
 	Platform Platform `yaml:"platform"`
 	// Freshness bounds the time until a published change takes effect, even if a connection
