--- a/internal/transport/peer/relay.go
+++ b/internal/transport/peer/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
 )
@@ -260,7 +261,7 @@
 func (n *Node) relayToUpstream(s *session, upstream net.Conn, r *relay) {
 	for {
 		data, err := s.readRelayed()
-		if err != nil {
+		if err != nil || s.closedByPeer() {
 			return
 		}
 		r.toUpstreamAt.Store(int64(n.now()))
@@ -273,6 +274,29 @@
 	}
 }
 
+// tcpEstablished is the state of an open connection in TCP_INFO.
+const tcpEstablished = 1
+
+// closedByPeer reports whether the peer has closed the connection, though bytes from before may be unread: they
+// are of a request that was given up while this process was paused. Where the kernel does not tell, it
+// returns false.
+func (s *session) closedByPeer() bool {
+	tcp, ok := tcpConn(s.conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State != tcpEstablished
+	})
+	return closed || err != nil
+}
+
 // relayFromUpstream relays until the upstream ends the connection. Only a regular end is passed on as such.
 func (n *Node) relayFromUpstream(s *session, upstream net.Conn, r *relay) {
 	buf := make([]byte, relayChunkBytes)
--- a/internal/transport/peer/relay_test.go
+++ b/internal/transport/peer/relay_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -138,3 +139,55 @@
 		t.Errorf("a stranger: %v", err)
 	}
 }
+
+// heldConn is a connection to an upstream whose first write waits.
+type heldConn struct {
+	net.Conn
+	began, release chan struct{}
+	once           sync.Once
+}
+
+// Write implements net.Conn.
+func (c *heldConn) Write(p []byte) (int, error) {
+	c.once.Do(func() {
+		close(c.began)
+		<-c.release
+	})
+	return c.Conn.Write(p)
+}
+
+// Guards against a request that a relaying instance passes on after its caller has given it up, because the
+// instance was paused in between.
+func TestRelayDropsWhatItsCallerHasGivenUp(t *testing.T) {
+	received := make(chan string, 1)
+	address := startUpstream(t, func(c *net.TCPConn) {
+		text, _ := io.ReadAll(c)
+		received <- string(text)
+		c.Close()
+	})
+	held := &heldConn{began: make(chan struct{}), release: make(chan struct{})}
+	relaying := startNode(t, "relay", func(o *Options) {
+		o.Relay = func(ctx context.Context, _ peerwire.Identity, open peerwire.RelayOpen) (net.Conn, error) {
+			c, err := new(net.Dialer).DialContext(ctx, "tcp", open.Upstream)
+			held.Conn = c
+			return held, err
+		}
+	})
+	caller := startNode(t, "caller", nil)
+	c, err := caller.OpenRelay(t.Context(), relaying.Addr(), peerwire.RelayOpen{Upstream: address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{"first ", "second"} {
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-held.began
+	c.Close()
+	time.Sleep(100 * time.Millisecond) // the end of the connection arrives while the first write waits
+	close(held.release)
+	if got := <-received; got != "first " {
+		t.Errorf("the upstream received %q", got)
+	}
+}
