--- a/internal/soak/partitions.go
+++ b/internal/soak/partitions.go
@@ -53,10 +53,12 @@
 	faults  int               // overlapping partitions; guarded by testbed.mu
 }
 
-func newInstanceLinks(upstreams []*upstream) (*instanceLinks, error) {
+// newInstanceLinks starts a proxy at each of the addresses, one for each upstream. They are claimed: a port
+// that the kernel chooses may be taken while the proxy refuses connections.
+func newInstanceLinks(upstreams []*upstream, addresses []string) (*instanceLinks, error) {
 	links := &instanceLinks{proxies: map[string]*proxy{}}
-	for _, u := range upstreams {
-		p, err := newProxy(anyLoopbackPort, u.proxy.address())
+	for i, u := range upstreams {
+		p, err := newProxy(addresses[i], u.proxy.address())
 		if err != nil {
 			return nil, errors.Wrap(err, "start proxy of a link")
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -243,7 +243,11 @@
 	for i := range o.Instances {
 		storeAddress := tb.store.Address()
 		if o.Faults == PartitionFaults {
-			links, err := newInstanceLinks(tb.upstreams)
+			linkPorts, err := tb.ports.free(len(tb.upstreams))
+			if err != nil {
+				return nil, err
+			}
+			links, err := newInstanceLinks(tb.upstreams, linkPorts)
 			if err != nil {
 				return nil, err
 			}
