upstream: an exchange that is given up resets its connection

Cause: a connection whose caller had left was closed regularly.

Change: an exchange that ends before its response is complete resets the connection, also through a peer, and a relaying instance resets its connection to the upstream when the peer has left. A connection whose response is complete is closed regularly.

Packages of internal/transport with the race detector: pass.

Ruled out: asking the kernel for unacknowledged bytes first, and resetting only then: one more system call for each end, for connections that are of no use afterwards anyway.

--- a/internal/transport/peer/relay.go
+++ b/internal/transport/peer/relay.go
@@ -119,6 +119,15 @@
 	return tcp.SyscallConn()
 }
 
+// SetLinger sets what happens to unsent data when the connection is closed, as net.TCPConn does.
+func (c *RelayConn) SetLinger(seconds int) error {
+	tcp, ok := tcpConn(c.Conn)
+	if !ok {
+		return errors.New("the connection has no socket")
+	}
+	return tcp.SetLinger(seconds)
+}
+
 func tcpConn(c net.Conn) (*net.TCPConn, bool) {
 	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
 		c = wrapped.NetConn()
@@ -228,7 +237,7 @@
 	}
 	var fromPeer sync.WaitGroup
 	fromPeer.Go(func() {
-		defer upstream.Close() // the peer has left: the upstream must see that its caller is gone
+		defer resetConn(upstream) // the peer has left: nothing of its request may arrive later
 		n.relayToUpstream(s, upstream, r)
 	})
 	n.relayFromUpstream(s, upstream, r)
@@ -236,6 +245,15 @@
 	fromPeer.Wait()
 }
 
+// resetConn closes a connection and drops what the network still holds back of it.
+func resetConn(c net.Conn) {
+	if tcp, ok := tcpConn(c); ok {
+		// The connection may have been closed already; then there is nothing to hold back.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 func (n *Node) acceptRelay(s *session, open peerwire.RelayOpen, r *relay) (net.Conn, error) {
 	if n.opts.Relay == nil {
 		return nil, errors.New("this instance relays nothing")
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -112,7 +112,7 @@
 var errBeforeSendRefused = errors.New("the request was refused before it was sent")
 
 // Do sends the request and reads the response header. The body is read through
-// [Response.Body]. When ctx ends, the connection is closed, which cancels the request at the
+// [Response.Body]. When ctx ends, the connection is reset, which cancels the request at the
 // upstream. Every error is a *Failure.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	cn, err := c.acquireConn(ctx, call.FreshConnection)
@@ -169,10 +169,10 @@
 }
 
 func (c *Client) exchange(ctx context.Context, cn *conn, call Call) (*Response, *Failure) {
-	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	stop := context.AfterFunc(ctx, cn.abandon)
 	fail := func(phase Phase, err error) (*Response, *Failure) {
 		stop()
-		cn.Close()
+		cn.abandon()
 		return nil, &Failure{Phase: phase, Sent: cn.written.Load(), Reused: cn.reused, Timeout: isTimeout(err), Malformed: phase == PhaseHeader && isMalformed(err), Err: err}
 	}
 	if call.BeforeSend != nil && !call.BeforeSend() {
--- a/internal/transport/upstream/client_test.go
+++ b/internal/transport/upstream/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -350,6 +351,56 @@
 	<-ended
 }
 
+// Guards against a request that the network holds back and delivers after it was given up: a regular close
+// delivers what was sent before, a reset drops it.
+func TestGivenUpExchangesResetTheConnection(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+	for name, step := range map[string]struct {
+		response  string
+		giveUp    func(t *testing.T, c *Client, call Call, readRequest <-chan struct{})
+		wantReset bool
+	}{
+		"cancelled before the response": {"", func(t *testing.T, c *Client, call Call, readRequest <-chan struct{}) {
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { <-readRequest; cancel() }()
+			if _, err := c.Do(ctx, call); err == nil {
+				t.Error("no error")
+			}
+		}, true},
+		"no response in time": {"", func(t *testing.T, c *Client, call Call, _ <-chan struct{}) {
+			call.HeaderTimeout = expiringTimeout
+			if _, err := c.Do(t.Context(), call); err == nil {
+				t.Error("no error")
+			}
+		}, true},
+		"released inside the body": {head, func(t *testing.T, c *Client, call Call, _ <-chan struct{}) {
+			response, err := c.Do(t.Context(), call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response.Release(false)
+		}, true},
+		"complete": {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", func(t *testing.T, c *Client, call Call, _ <-chan struct{}) {
+			mustExchange(t, c, call)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			readRequest, ended := make(chan struct{}, 1), make(chan error, 1)
+			address, _ := listen(t, func(_ int, c *serverConn) {
+				c.readRequest()
+				c.respond(step.response)
+				readRequest <- struct{}{}
+				_, err := c.reader.ReadByte()
+				ended <- err
+			})
+			step.giveUp(t, newClient(t, address, Options{}), newCall(address), readRequest)
+			if err := <-ended; errors.Is(err, syscall.ECONNRESET) != step.wantReset {
+				t.Errorf("the connection ended with %v; want a reset: %v", err, step.wantReset)
+			}
+		})
+	}
+}
+
 // Guards against reusing a connection before the end of the body was read: the next request
 // would parse it as its own response. The reader of an event stream stops at the last event.
 func TestBodyEndIsReadBeforeReuse(t *testing.T) {
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -55,6 +55,16 @@
 	return cn.Conn.Write(p)
 }
 
+// abandon closes the connection of an exchange that has not completed. It resets the connection, so that a
+// request which the network still holds back does not reach the upstream after it was given up.
+func (cn *conn) abandon() {
+	if c, ok := cn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		// The connection may have been closed already; then there is nothing to hold back.
+		_ = c.SetLinger(0)
+	}
+	cn.Close()
+}
+
 const (
 	// maxFramingBytes bounds what is read beside the data of a body: chunk sizes and extensions,
 	// trailers. maxFramingFactor allows for chunks of few bytes.
--- a/internal/transport/upstream/response.go
+++ b/internal/transport/upstream/response.go
@@ -60,19 +60,23 @@
 	return &BodyReader{response: r, readTimeout: readTimeout}
 }
 
-// Abort closes the connection, so that a read in progress fails. It may be called concurrently
+// Abort resets the connection, so that a read in progress fails. It may be called concurrently
 // with reads.
-func (r *Response) Abort() { r.conn.Close() }
+func (r *Response) Abort() { r.conn.abandon() }
 
 // Release ends the exchange. When the body was read to its end, the connection returns to
-// the pool; otherwise it is closed, which cancels the request at the upstream.
+// the pool or is closed; otherwise it is reset, which cancels the request at the upstream.
 func (r *Response) Release(complete bool) {
 	if r.released {
 		return
 	}
 	r.released = true
 	cancelled := !r.stop()
-	reusable := complete && !cancelled && !r.Response.ConnectionClose() && r.Framing() != FramingClose && r.atBodyEnd()
+	if !complete || cancelled {
+		r.conn.abandon()
+		return
+	}
+	reusable := !r.Response.ConnectionClose() && r.Framing() != FramingClose && r.atBodyEnd()
 	if !reusable {
 		r.conn.Close()
 		return
