--- a/internal/coordination/membership/crossdomain.go
+++ b/internal/coordination/membership/crossdomain.go
@@ -20,6 +20,8 @@
 	// isolatedJoinPings is the number of attempts per probe period, each to a seed and
 	// to a dead member, of a member that knows no other live member of its domain.
 	isolatedJoinPings = 3
+	// startPingTime is how long after its start an instance pings all seeds at each tick.
+	startPingTime = 2 * time.Second
 )
 
 // pingOtherDomains pings the targets in the other domains, at most MaxCrossDomainPings
@@ -113,6 +115,19 @@
 	d.crossTargetsStale = false
 }
 
+// pingSeedsAtStart pings all seeds at each tick after the start until a member of the domain is known: when
+// all instances start together, seeds come up within moments of the first ping.
+func (m *Machine) pingSeedsAtStart(now time.Duration) {
+	if now-m.startedAt >= startPingTime || now == m.startedAt || len(m.self.domain.live) > 1 {
+		return
+	}
+	for _, addr := range m.seeds {
+		if addr != m.self.UDP && !m.isLiveAddr(addr) {
+			m.sendToAddr(now, addr, nil, Message{Kind: Ping, Seq: m.nextSeq()})
+		}
+	}
+}
+
 // reconnect pings a random seed and a random dead member that did not announce to
 // leave, so that a process is found again after a partition.
 func (m *Machine) reconnect(now time.Duration) {
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -16,7 +16,9 @@
 	actions []Action
 	stats   Stats
 	started bool
-	seq     uint64
+	// startedAt is the time of the first tick.
+	startedAt time.Duration
+	seq       uint64
 
 	self    *memberState
 	members map[Process]*memberState
@@ -82,7 +84,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.detectPause(now)
+	if !m.started {
+		m.startedAt = now
+	}
 	m.started, m.lastTick = true, now
+	m.pingSeedsAtStart(now)
 	m.stepProbe(now)
 	m.expireSuspects(now)
 	m.expireTombstones(now)
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -7,6 +7,8 @@
 const (
 	// Started is logged when an instance starts to serve.
 	Started Event = "started"
+	// Joined is logged when an instance need not wait for its peers any longer.
+	Joined Event = "joined"
 	// Draining is logged when a graceful shutdown begins.
 	Draining Event = "draining"
 	// Stopped is logged when a graceful shutdown has completed.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,12 +88,13 @@
 
 // admit determines the route, team and service of the request.
 func (ex *exchange) admit() *apierror.Error {
+	ex.awaitStart()
 	routing := ex.gateway.routing.Load()
 	if routing == nil {
-		return apierror.New(apierror.NotReady, "the instance has no configuration yet")
+		return notReadyError("the instance has no configuration yet")
 	}
-	if !ex.gateway.peers.mayServe(ex.gateway.now()) {
-		return apierror.New(apierror.NotReady, "the instance has not heard from its peers yet")
+	if !ex.gateway.peers.settled() {
+		return notReadyError("the instance has not heard from its peers yet")
 	}
 	uri := ex.httpCtx.Request.Header.RequestURI()
 	ex.route = routing.findRoute(string(ex.httpCtx.Request.Header.Host()), string(trimQuery(uri)))
@@ -107,7 +108,7 @@
 		return apierror.New(apierror.BodyTooLarge, "the request body is too large")
 	}
 	if ex.service = ex.gateway.lookupService(ex.route.selectService(ex.request.ID)); ex.service == nil {
-		return apierror.New(apierror.NotReady, "the service of the route is not known")
+		return notReadyError("the service of the route is not known")
 	}
 	if e := ex.locateStream(); e != nil {
 		return e
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,8 @@
 	requestSequence atomic.Uint64
 	callerWatcher   *caller.Watcher
 	draining        atomic.Bool
+	serving         atomic.Bool   // set once mayServe has been seen
+	servingSignal   chan struct{} // closed when serving is set
 	routing         atomic.Pointer[routingTable]
 
 	quarantine      *quarantine.Quarantine
@@ -71,7 +73,7 @@
 func New(s *settings.Gateway, adapter Adapter, log *logrus.Logger) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, adapter: adapter, log: log, metrics: newMetrics(), startedAt: time.Now(), seed: mathrand.Uint64(),
-		callerWatcher: caller.NewWatcher(), quarantine: quarantine.New(quarantine.Options{}),
+		callerWatcher: caller.NewWatcher(), servingSignal: make(chan struct{}), quarantine: quarantine.New(quarantine.Options{}),
 		origins: streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(s.FirstStart),
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
@@ -226,8 +228,8 @@
 	return group.Wait()
 }
 
-// tick delivers scheduling decisions, logs changes of the upstream split and starts due
-// probes.
+// tick delivers scheduling decisions, logs changes of the upstream split, starts due probes and ends the start
+// of the instance when it may serve.
 func (g *Gateway) tick() {
 	now := g.now()
 	for _, s := range g.sortedServices() {
@@ -236,6 +238,8 @@
 		s.probeEjected(g)
 	}
 	g.paths.probe(now)
+	g.peers.tickJoining(now)
+	g.signalServing()
 }
 
 const (
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	relays                *prometheus.CounterVec
 	upstreamsThroughPeers prometheus.Gauge
 	configurationVersion  prometheus.Gauge
+	heldAtStart           prometheus.Counter
 }
 
 const namespace = "yuccabridge"
@@ -42,7 +43,8 @@
 	m.relays = counter("gateway_relays_total", "Connections to upstreams through peers, by side and result.", "side", "result")
 	m.upstreamsThroughPeers = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_upstreams_through_peers", Help: "Upstreams that this instance reaches through peers only."})
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_configuration_version", Help: "Version of the configuration in force."})
-	m.registry.MustRegister(m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.heldAtStart = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_held_at_start_total", Help: "Requests that arrived while the instance was starting and were held."})
+	m.registry.MustRegister(m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/yuccabridge/yuccabridge/internal/coordination/joining"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
@@ -36,9 +37,6 @@
 	// joinPullTime is how long after its start an instance pulls from each peer that it learns
 	// of, because it knows nothing of what was broadcast before.
 	joinPullTime = 10 * time.Second
-	// joinTimeout is how long after its start an instance waits for the answer of a peer before it
-	// serves. Its peers may be down or cut off.
-	joinTimeout = time.Second
 	// maxQueuedPulls bounds the peers from which an instance pulls out of turn; any of them
 	// knows what the others on its side of a partition know.
 	maxQueuedPulls = 4
@@ -59,8 +57,8 @@
 	node       *peer.Node
 	reports    *reportExchange
 	pullQueue  chan membership.Member // peers to pull from out of turn
-	seedCount  int
-	joined     atomic.Bool // a peer has answered a pull
+	joining    *joining.Barrier
+	joinLogged atomic.Bool
 	placement  atomic.Pointer[streamorigin.Placement]
 }
 
@@ -79,6 +77,8 @@
 	Suspicions    []quarantine.Suspicion
 	// Versions are the software versions that the peer has seen.
 	Versions streamorigin.Observations
+	// Settled is set if the peer serves: it knows what was broadcast before this instance started.
+	Settled bool
 }
 
 // newPeers opens the sockets for peers; it returns nil if the settings do not configure
@@ -121,7 +121,7 @@
 			seeds = append(seeds, address)
 		}
 	}
-	p.seedCount = len(seeds)
+	p.joining = joining.New(seeds)
 	p.membership = membership.New(membership.Options{Self: p.self, Seeds: seeds}, mathrand.New(mathrand.NewPCG(g.seed, 1)))
 	p.gossip.SetMachine(p.membership)
 	p.updatePlacement()
@@ -221,9 +221,23 @@
 	return group.Wait()
 }
 
-// mayServe reports whether this instance knows what its peers refuse, or has waited for them long enough.
-func (p *peers) mayServe(now time.Duration) bool {
-	return p == nil || p.seedCount == 0 || p.joined.Load() || now >= joinTimeout
+// settled reports whether this instance knows what its peers refuse, or need not wait for them any longer.
+func (p *peers) settled() bool { return p == nil || p.joining.Settled() }
+
+// tickJoining ends the wait for peers when its time is over.
+func (p *peers) tickJoining(now time.Duration) {
+	if p == nil || p.joining.Settled() {
+		return
+	}
+	p.joining.Tick(now)
+	p.logJoined()
+}
+
+// logJoined logs that this instance has finished joining, if it has.
+func (p *peers) logJoined() {
+	if reason := p.joining.Reason(); reason != joining.Joining && p.joinLogged.CompareAndSwap(false, true) {
+		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.Joined, "reason": string(reason), "after_ms": p.gateway.now().Milliseconds()}).Info("instance may serve")
+	}
 }
 
 func (p *peers) leave() { p.gossip.Leave() }
@@ -250,14 +264,23 @@
 	})
 }
 
-// pullQueued pulls the configuration and the refused requests, but no snapshots, from the peers in the pull queue.
+// pullRefused pulls the configuration and the refused requests, but no snapshot.
+func (p *peers) pullRefused(ctx context.Context, member membership.Member) {
+	p.pull(ctx, member, replica.Position{Era: math.MaxUint64, Revision: math.MaxUint64})
+}
+
+// pullQueued pulls from the peers in the pull queue: while this instance is joining, from all at once.
 func (p *peers) pullQueued(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case member := <-p.pullQueue:
-			p.pull(ctx, member, replica.Position{Era: math.MaxUint64, Revision: math.MaxUint64})
+			if !p.joining.Settled() {
+				go p.pullRefused(ctx, member)
+				continue
+			}
+			p.pullRefused(ctx, member)
 		}
 		select {
 		case <-ctx.Done():
@@ -296,7 +319,10 @@
 		p.logCallFailure("pull", member.Name, err)
 		return
 	}
-	defer p.joined.Store(true)
+	defer func() {
+		p.joining.Answered(p.gateway.now(), member.UDP, reply.Settled)
+		p.logJoined()
+	}()
 	p.gateway.versions.Merge(p.gateway.now(), reply.Versions)
 	if reply.Snapshot != nil {
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
@@ -360,6 +386,7 @@
 		Snapshot:      p.gateway.platformWatcher.snapshotAfter(replica.Position{Era: request.Era, Revision: request.Revision}),
 		Configuration: p.gateway.configurationNewerThan(request.ConfigurationVersion),
 		Versions:      p.gateway.versions.Observations(p.gateway.now()),
+		Settled:       p.settled(),
 	}
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
 		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -174,7 +174,7 @@
 
 // ready reports whether the instance should receive requests.
 func (g *Gateway) ready() bool {
-	return g.routing.Load() != nil && g.platformWatcher.hasSnapshot() && g.peers.mayServe(g.now()) && !g.draining.Load()
+	return g.mayServe() && !g.draining.Load()
 }
 
 func (g *Gateway) handleReady(ctx *fasthttp.RequestCtx) {
