--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -226,6 +226,27 @@
 	return ended
 }
 
+// LastOutage returns when the last outage of the platform ended, which is now during one; false if there was
+// none.
+func (r *Replica) LastOutage(now time.Duration) (endedAt time.Duration, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unavailable {
+		return now, true
+	}
+	return r.availableSince, r.outages > 0
+}
+
+// RecordOutage records an outage of the platform that a peer has noticed and that ended at a time.
+func (r *Replica) RecordOutage(endedAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.outages == 0 || endedAt > r.availableSince {
+		r.outages++
+		r.availableSince = endedAt
+	}
+}
+
 // ApplyDueRemovals applies and returns the deferred removals once the grace period has
 // passed.
 func (r *Replica) ApplyDueRemovals(now time.Duration) []Change {
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -28,6 +28,10 @@
 	PlatformUnavailable Event = "platform_lost"
 	// PlatformRecovered is logged when the platform responds again.
 	PlatformRecovered Event = "platform_regained"
+	// ReaderChanged is logged when an instance becomes a reader of the platform, or is none any longer.
+	ReaderChanged Event = "reader_changed"
+	// ReaderFailed is logged when a reader does not serve a follower.
+	ReaderFailed Event = "reader_failed"
 	// UpstreamChanged is logged when an upstream is published, changed or removed.
 	UpstreamChanged Event = "upstream_changed"
 	// UpstreamReconnected is logged when an ejected upstream accepts connections again.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,8 @@
 	upstreamsThroughPeers prometheus.Gauge
 	configurationVersion  prometheus.Gauge
 	heldAtStart           prometheus.Counter
+	platformReads         *prometheus.CounterVec
+	readsPlatform         prometheus.Gauge
 }
 
 const namespace = "yuccabridge"
@@ -44,7 +46,9 @@
 	m.upstreamsThroughPeers = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_upstreams_through_peers", Help: "Upstreams that this instance reaches through peers only."})
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_configuration_version", Help: "Version of the configuration in force."})
 	m.heldAtStart = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_held_at_start_total", Help: "Requests that arrived while the instance was starting and were held."})
-	m.registry.MustRegister(m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.platformReads = counter("gateway_platform_reads_total", "Calls for changes of what the platform publishes, by source.", "source")
+	m.readsPlatform = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_reads_platform", Help: "1 if this instance reads the platform for its failure domain."})
+	m.registry.MustRegister(m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -65,7 +65,10 @@
 // pullMessage requests what the peer knows beyond this instance: a snapshot after a position, a
 // configuration with a newer version, and the requests that are refused because they crash
 // upstreams, if their digest differs.
-type pullMessage struct{ Era, Revision, ConfigurationVersion, RefusedDigest uint64 }
+type pullMessage struct {
+	Era, Revision, ConfigurationVersion, RefusedDigest uint64
+	Follow                                             followMessage
+}
 
 // pushMessage is the answer to a pullMessage. Snapshot is nil if the peer has nothing
 // newer.
@@ -79,6 +82,8 @@
 	Versions streamorigin.Observations
 	// Settled is set if the peer serves: it knows what was broadcast before this instance started.
 	Settled bool
+	// Follow is the answer to a follower of this instance.
+	Follow followAnswer
 }
 
 // newPeers opens the sockets for peers; it returns nil if the settings do not configure
@@ -205,6 +210,7 @@
 // updateInstances tells the dispatchers which instances are live.
 func (p *peers) updateInstances() {
 	p.updatePlacement()
+	p.updateReaders()
 	names := p.liveNames()
 	for _, s := range p.gateway.sortedServices() {
 		s.dispatcher.SetInstances(p.gateway.now(), p.gateway.settings.Instance, names)
@@ -293,32 +299,22 @@
 	return p.gateway.platformWatcher.replica.Unavailable() || !p.gateway.platformWatcher.hasSnapshot()
 }
 
+// newPullMessage returns a request for what a peer knows beyond this instance, with a snapshot if the peer's is
+// after the position.
+func (p *peers) newPullMessage(after replica.Position) pullMessage {
+	return pullMessage{Era: after.Era, Revision: after.Revision, ConfigurationVersion: p.gateway.configurationVersion(), RefusedDigest: p.gateway.quarantine.RefusedDigest(p.gateway.now())}
+}
+
 // pull requests what a peer knows beyond this instance, with a snapshot if the peer's is after the
 // position.
 func (p *peers) pull(ctx context.Context, member membership.Member, after replica.Position) {
-	request := pullMessage{Era: after.Era, Revision: after.Revision, ConfigurationVersion: p.gateway.configurationVersion(), RefusedDigest: p.gateway.quarantine.RefusedDigest(p.gateway.now())}
-	payload, err := msgpack.Marshal(request)
-	if err != nil {
-		p.logCallFailure("pull", member.Name, err)
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	answer, err := p.node.Call(ctx, member.TCP, peerwire.ReplicaPull{Payload: payload})
+	reply, err := p.exchangePull(ctx, member, p.newPullMessage(after))
 	if err != nil {
 		p.logCallFailure("pull", member.Name, err)
 		return
 	}
-	push, ok := answer.(peerwire.ReplicaPush)
-	if !ok {
-		p.logCallFailure("pull", member.Name, errors.Errorf("answer of type %s", answer.Type()))
-		return
-	}
-	var reply pushMessage
-	if err := msgpack.Unmarshal(push.Payload, &reply); err != nil {
-		p.logCallFailure("pull", member.Name, err)
-		return
-	}
 	defer func() {
 		p.joining.Answered(p.gateway.now(), member.UDP, reply.Settled)
 		p.logJoined()
@@ -355,10 +351,10 @@
 }
 
 // handleMessage handles a message from a peer and returns the answer.
-func (p *peers) handleMessage(_ context.Context, from peerwire.Identity, m peerwire.Message) (peerwire.Message, error) {
+func (p *peers) handleMessage(ctx context.Context, from peerwire.Identity, m peerwire.Message) (peerwire.Message, error) {
 	switch m := m.(type) {
 	case peerwire.ReplicaPull:
-		return p.handlePull(m)
+		return p.handlePull(ctx, m)
 	case peerwire.StreamOrigins:
 		return nil, p.handleOrigins(m)
 	case peerwire.StreamOriginQuery:
@@ -377,11 +373,14 @@
 	return nil, errors.Errorf("unexpected message of type %s from %s", m.Type(), from.Name)
 }
 
-func (p *peers) handlePull(m peerwire.ReplicaPull) (peerwire.Message, error) {
+func (p *peers) handlePull(ctx context.Context, m peerwire.ReplicaPull) (peerwire.Message, error) {
 	var request pullMessage
 	if err := msgpack.Unmarshal(m.Payload, &request); err != nil {
 		return nil, errors.Wrap(err, "pull")
 	}
+	if wait := time.Duration(request.Follow.WaitMS) * time.Millisecond; wait > 0 {
+		return p.encodePush(pushMessage{Follow: p.gateway.platformWatcher.serveFollower(ctx, replica.Position{Era: request.Era, Revision: request.Revision}, wait)})
+	}
 	reply := pushMessage{
 		Snapshot:      p.gateway.platformWatcher.snapshotAfter(replica.Position{Era: request.Era, Revision: request.Revision}),
 		Configuration: p.gateway.configurationNewerThan(request.ConfigurationVersion),
@@ -391,6 +390,10 @@
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
 		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
 	}
+	return p.encodePush(reply)
+}
+
+func (p *peers) encodePush(reply pushMessage) (peerwire.Message, error) {
 	payload, err := msgpack.Marshal(reply)
 	if err != nil {
 		return nil, errors.Wrap(err, "push")
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -5,22 +5,20 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/yuccabridge/yuccabridge/internal/coordination/readers"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 )
 
 const (
-	// watchWaitFraction is the fraction of the freshness bound that a watch waits for
-	// changes. A watch whose connection is cut off receives neither changes nor a response,
-	// so it must time out well within the bound.
-	watchWaitFraction = 0.6
 	// callTimeFraction is the fraction of the freshness bound reserved for the call that
 	// follows a watch.
 	callTimeFraction = 0.1
@@ -41,25 +39,40 @@
 )
 
 // platformWatcher maintains a replica of the published entries. A single watch covers all
-// of them because each call counts against the platform's rate limit.
+// of them because each call counts against the platform's rate limit. Instances that are no readers learn
+// the changes from those that are; see following.go.
 type platformWatcher struct {
 	gateway *Gateway
 	prefix  string
 	replica *replica.Replica
-	// watchWait is how long a watch waits for changes, watchPause the delay between a watch
-	// that returned changes and the next one.
-	watchWait, watchPause time.Duration
+	// watchPause is the delay between a watch that returned changes and the next one.
+	watchPause time.Duration
+
+	schedule *readers.Schedule
+	paused   time.Duration                 // since the last answer; used by syncLoop only
+	recent   *replica.Recent               // for followers
+	changed  atomic.Pointer[chan struct{}] // closed when the position changes
 }
 
 func newPlatformWatcher(g *Gateway) *platformWatcher {
 	w := &platformWatcher{gateway: g, prefix: g.adapter.Decoder.Prefix()}
 	w.replica = replica.New(replica.Options{GracePeriod: expiredEntryGrace, IsOlder: w.isOlderUpstream})
 	freshness := g.settings.Freshness.Std()
-	w.watchWait = time.Duration(watchWaitFraction * float64(freshness))
-	w.watchPause = max(minWatchPause, time.Duration((1-watchWaitFraction-callTimeFraction)*float64(freshness))-WatchTimeoutMargin)
+	w.watchPause = max(minWatchPause, time.Duration((1-readers.WatchWaitFraction-callTimeFraction)*float64(freshness))-WatchTimeoutMargin)
+	w.schedule = readers.NewSchedule(freshness)
+	w.recent = replica.NewRecent(maxRecentBytes)
+	w.signalChange()
 	return w
 }
 
+// signalChange wakes the calls of followers that wait for a change.
+func (w *platformWatcher) signalChange() {
+	next := make(chan struct{})
+	if previous := w.changed.Swap(&next); previous != nil {
+		close(*previous)
+	}
+}
+
 func (w *platformWatcher) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return w.syncLoop(ctx) })
@@ -156,6 +169,7 @@
 	}
 	w.markAvailable()
 	w.applySnapshot(snapshot, "platform")
+	w.schedule.Confirmed(w.gateway.now())
 	return nil
 }
 
@@ -166,6 +180,10 @@
 func (w *platformWatcher) applySnapshot(snapshot replica.Snapshot, source string) {
 	before, loaded := w.replica.Position()
 	changes := w.replica.ApplySnapshot(w.gateway.now(), snapshot)
+	if after, _ := w.replica.Position(); after != before || !loaded {
+		w.recent.Reset(after)
+		defer w.signalChange()
+	}
 	if after, _ := w.replica.Position(); loaded && after.Era != before.Era {
 		deferred, withheld := w.replica.Pending()
 		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.EraChanged, "prefix": w.prefix, "source": source, "era": after.Era, "previous": before.Era,
@@ -175,15 +193,25 @@
 	w.apply(changes, source)
 }
 
+// watch learns of the next changes, from a reader or from the platform.
 func (w *platformWatcher) watch(ctx context.Context) error {
+	question := w.schedule.Next(w.gateway.now(), w.paused)
+	w.paused = 0
+	if question.Reader != nil {
+		w.follow(ctx, question)
+		return nil
+	}
 	after, _ := w.replica.Position()
-	changes, position, err := w.gateway.adapter.Store.Watch(ctx, w.prefix, after, w.watchWait)
+	w.gateway.metrics.platformReads.WithLabelValues("platform").Inc()
+	changes, position, err := w.gateway.adapter.Store.Watch(ctx, w.prefix, after, question.Wait)
 	if err != nil {
 		return err
 	}
+	w.schedule.Confirmed(w.gateway.now())
 	w.markAvailable()
-	w.apply(w.replica.ApplyChanges(w.gateway.now(), changes, position), "platform")
+	w.applyChanges(changes, position, "platform")
 	if len(changes) > 0 {
+		w.paused = w.watchPause
 		select {
 		case <-ctx.Done():
 		case <-time.After(w.watchPause):
@@ -192,6 +220,17 @@
 	return nil
 }
 
+// applyChanges applies the changes between the position of the replica and another one.
+func (w *platformWatcher) applyChanges(changes []replica.Change, position replica.Position, source string) {
+	before, _ := w.replica.Position()
+	applied := w.replica.ApplyChanges(w.gateway.now(), changes, position)
+	if position.Compare(before) > 0 {
+		w.recent.Add(before, changes, position)
+		defer w.signalChange()
+	}
+	w.apply(applied, source)
+}
+
 func (w *platformWatcher) markUnavailable(err error) {
 	if w.replica.MarkUnavailable() {
 		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.PlatformUnavailable, "prefix": w.prefix, "error": err.Error()}).Warn("platform unavailable")
--- a/internal/gateway/platform_watcher_test.go
+++ b/internal/gateway/platform_watcher_test.go
@@ -31,7 +31,7 @@
 	for _, freshness := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second} {
 		s := &settings.Gateway{Freshness: config.Duration(freshness)}
 		w := newPlatformWatcher(&Gateway{settings: s, adapter: Adapter{Decoder: prefixDecoder{}}})
-		if total := w.watchPause + w.watchWait + WatchTimeoutMargin + maxBackoff/2; total > freshness {
+		if total := w.watchPause + w.schedule.Next(0, 0).Wait + WatchTimeoutMargin + maxBackoff/2; total > freshness {
 			t.Errorf("freshness %v: a change may take %v to be seen", freshness, total)
 		}
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -192,9 +192,14 @@
 	Draining bool   `json:"draining"`
 	Version  uint64 `json:"configuration_version"`
 	// Platform is the position up to which the published entries have been read.
-	Platform   replica.Position `json:"platform"`
-	InProgress int              `json:"in_progress"`
-	Peers      []string         `json:"peers"`
+	Platform replica.Position `json:"platform"`
+	// PlatformAgeMS is the time in milliseconds since this instance knew that it had read everything.
+	PlatformAgeMS int64 `json:"platform_age_ms"`
+	// ReadsPlatform is set if the instance reads the platform for its failure domain; the others
+	// learn changes from such instances.
+	ReadsPlatform bool     `json:"reads_platform"`
+	InProgress    int      `json:"in_progress"`
+	Peers         []string `json:"peers"`
 	// UpstreamsThroughPeers is the number of upstreams that this instance reaches through peers only.
 	UpstreamsThroughPeers int `json:"upstreams_through_peers"`
 	// StreamOrigins is the number of streams of which this instance knows where they began.
@@ -225,6 +230,8 @@
 	}
 	state.Platform, _ = g.platformWatcher.replica.Position()
 	now := g.now()
+	age, _ := g.platformWatcher.schedule.Age(now)
+	state.PlatformAgeMS, state.ReadsPlatform = age.Milliseconds(), g.platformWatcher.schedule.IsReader()
 	state.UpstreamsThroughPeers = g.paths.relayedCount()
 	state.StreamOrigins = g.origins.Len(now)
 	for _, svc := range g.sortedServices() {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -30,6 +30,9 @@
 	// Freshness bounds the time until a published change takes effect, even if a connection
 	// to the platform stalls. Default 2s.
 	Freshness config.Duration `yaml:"freshness,omitempty" validate:"min=0"`
+	// ReadersPerDomain is the number of instances of a failure domain that read the platform; the others
+	// learn changes from them. Default 2.
+	ReadersPerDomain int `yaml:"readers_per_domain,omitempty" validate:"min=0,max=1000"`
 	// Peers configures the traffic between instances. If absent, the instance runs
 	// standalone.
 	Peers *GatewayPeers `yaml:"peers,omitempty"`
@@ -112,6 +115,7 @@
 	setDefault(&s.Retries.Ratio, 0.1)
 	setDefault(&s.Retries.Window, config.Duration(10*time.Second))
 	setDefault(&s.Freshness, config.Duration(2*time.Second))
+	setDefault(&s.ReadersPerDomain, 2)
 	setDefault(&s.Grace, config.Duration(8*time.Second))
 	setDefault(&s.DrainDelay, config.Duration(2500*time.Millisecond))
 	setDefault(&s.MaxConnections, 1024)
