--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -58,6 +58,7 @@
 	demand                demand
 	split                 split
 	recentRanks           recentRanks
+	drain                 drainRate
 	classPrompts          classPrompts
 
 	queue            *fairqueue.Queue[*waitingRequest]
@@ -223,7 +224,7 @@
 		if earliest <= r.Target {
 			continue
 		}
-		if predicted := earliest + d.predictedQueueDelay(r); predicted > r.Deadline {
+		if predicted := earliest + d.serviceTime(now, d.workAhead(r)); predicted > r.Deadline {
 			d.removeWaiting(w)
 			out = append(out, d.reject(now, r, ReasonDeadline, predicted-now))
 		} else if !w.Deferred() {
@@ -289,13 +290,13 @@
 // it would miss its target because of a backlog, since it would also delay the requests behind
 // it. Short prompts are not rejected for this reason because they cost little.
 func (d *Dispatcher) decideArrival(now time.Duration, r *Request) Decision {
-	queueDelay := d.predictedQueueDelay(r)
-	if r.long && !r.Resubmitted && len(r.Exclude) == 0 && d.recentRanks.isLeastUrgent(now, r.Rank) {
+	queuedWork := d.workAhead(r)
+	if queueDelay := d.bestServiceTime(queuedWork); r.long && !r.Resubmitted && len(r.Exclude) == 0 && d.recentRanks.isLeastUrgent(now, r.Rank) {
 		if c, ok := d.choose(now, r); ok && c.upstream.KVCapacityTokens > 0 && now+queueDelay+c.timeToFirstOutput() > r.Target && c.predictedWait+queueDelay > c.work {
 			return d.reject(now, r, ReasonTarget, queueDelay+c.timeToFirstOutput())
 		}
 	}
-	return d.decide(now, r, queueDelay)
+	return d.decide(now, r, d.serviceTime(now, queuedWork))
 }
 
 // decide places the request, keeps it waiting or rejects it. queueDelay is the predicted
@@ -346,11 +347,10 @@
 	return ""
 }
 
-// predictedQueueDelay is the predicted delay by waiting requests that are served first: those
-// of the request's team, and from each other team as much work as the request's team receives
-// in the same time. When one team sends many times its usual load, the requests of other teams
-// are predicted and accepted as if it did not.
-func (d *Dispatcher) predictedQueueDelay(r *Request) time.Duration {
+// workAhead is the work of waiting requests that are served first, in seconds: those of the request's team, and
+// from each other team as much work as the request's team receives in the same time. When one team
+// sends many times its usual load, the requests of other teams are predicted and accepted as if it did not.
+func (d *Dispatcher) workAhead(r *Request) float64 {
 	if len(d.waiting) == 0 || len(d.byHash) == 0 {
 		return 0
 	}
@@ -365,21 +365,16 @@
 	for _, seconds := range secondsByTeam {
 		workSeconds += min(seconds, ownSeconds)
 	}
-	return d.serviceTime(workSeconds)
-}
-
-// serviceTime is the time in which all upstreams together complete the given work.
-func (d *Dispatcher) serviceTime(workSeconds float64) time.Duration {
-	return time.Duration(workSeconds / float64(max(1, len(d.byHash))) * float64(time.Second))
+	return workSeconds
 }
 
 // backlogTime is the predicted time until all waiting requests have been processed.
-func (d *Dispatcher) backlogTime() time.Duration {
+func (d *Dispatcher) backlogTime(now time.Duration) time.Duration {
 	workSeconds := 0.0
 	for _, w := range d.waiting {
 		workSeconds += w.Cost
 	}
-	return d.serviceTime(workSeconds)
+	return d.serviceTime(now, workSeconds)
 }
 
 // grantUpstream records that the request is sent to the candidate's upstream.
@@ -398,6 +393,7 @@
 	}
 	if u.KVCapacityTokens > 0 {
 		d.demand.addWork(now, c.work, r.long)
+		d.drain.add(now, prefillTime(d.tokensPerMS, r.Prompt, 0).Seconds())
 		u.addWork(now, r.Rank, c.work)
 		u.cachePrefix(now, sharedParts(r.Prefix))
 		if len(d.unreportedWork) < maxUnreportedWork {
@@ -422,7 +418,7 @@
 			shortestWait = wait
 		}
 	}
-	delay := max(d.backlogTime()+max(shortestWait, 0), predicted, minRetryAfter)
+	delay := max(d.backlogTime(now)+max(shortestWait, 0), predicted, minRetryAfter)
 	return min(delay+time.Duration(d.rng.Float64()*float64(delay)), maxRetryAfter)
 }
 
--- a/internal/coordination/dispatch/doc.go
+++ b/internal/coordination/dispatch/doc.go
@@ -72,7 +72,9 @@
 //
 // # Rejection
 //
-// A request is rejected as soon as it is predicted not to start within its deadline. A long
+// A request is rejected as soon as it is predicted not to start within its deadline. The work ahead of it
+// in the queue counts at the rate at which this instance has placed work lately, or at least at its equal
+// share of the upstreams, which serve the queues of all instances. A long
 // prompt of the least urgent rank is also rejected on arrival if it would miss its target
 // because of a backlog: it would be late and would delay the requests behind it. Resubmitted
 // requests are judged only by their deadline. Waiting requests that can no longer meet their
--- a/internal/coordination/dispatch/sim_test.go
+++ b/internal/coordination/dispatch/sim_test.go
@@ -29,6 +29,7 @@
 	engine          string
 	token           uint64
 	rejection       *Rejection
+	rejectedAt      time.Duration
 	refusedFull     bool // refused because the engine's queue was full
 	firstOutputAt   time.Duration
 	longestInterval time.Duration // between two events
@@ -279,6 +280,15 @@
 		d.Update(0, upstreams)
 		sim.dispatchers = append(sim.dispatchers, d)
 	}
+	for i, d := range sim.dispatchers {
+		var others []string
+		for j := range sim.dispatchers {
+			if j != i {
+				others = append(others, fmt.Sprint("front-", j))
+			}
+		}
+		d.SetInstances(0, fmt.Sprint("front-", i), others)
+	}
 	return sim
 }
 
@@ -369,7 +379,7 @@
 	}
 	delete(sim.waiting, decision.ID)
 	if decision.Rejection != nil {
-		r.rejection = decision.Rejection
+		r.rejection, r.rejectedAt = decision.Rejection, now
 		return
 	}
 	r.engine, r.token, r.preferred = decision.Grant.Upstream.ID, decision.Grant.Token, decision.Grant.Preferred
