streamorigin: versions that came and went unseen count (ORDER)

Cause: an instance that could not reach the store, and then read everything anew because the history was gone, still counted as having seen every version since the first start. If all its peers had ended meanwhile, a stream that they began at a version of that time went on at the only one left, with 200 and nothing to show it. It also told instances that had just started that it had seen everything while its copy was old.

Change: an observation that is interrupted counts from its end; an instance whose copy is not current proves nothing; a version is recorded when its entry is seen, also if it is gone at the end of the same batch. Gaps shorter than freshness do not interrupt: upstreams are published for longer.

--- a/internal/coordination/streamorigin/history.go
+++ b/internal/coordination/streamorigin/history.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// Seen records that an upstream of a version was published, though it may be gone by now.
+func (h *VersionHistory) Seen(now time.Duration, service, version string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v := h.version(service, version)
+	v.lastSeen = max(v.lastSeen, now)
+}
+
+// Interrupted records that versions may have come and gone unseen until now.
+func (h *VersionHistory) Interrupted(now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.started {
+		h.observedSince = now
+	}
+}
+
 // version returns the record of a version and creates it if necessary. The caller must hold mu.
 func (h *VersionHistory) version(service, version string) *observedVersion {
 	versions := h.services[service]
@@ -89,7 +106,8 @@
 
 // Observations is what an instance has observed, as sent to one that starts.
 type Observations struct {
-	// ObservedFor is how long the instance has observed the published versions; negative if it has not.
+	// ObservedFor is how long the instance has observed the published versions until now; negative if it has
+	// not.
 	ObservedFor time.Duration
 	Versions    []ObservedVersion
 }
@@ -100,14 +118,15 @@
 	Age              time.Duration
 }
 
-// Observations returns what has been observed within a Lifetime.
-func (h *VersionHistory) Observations(now time.Duration) Observations {
+// Observations returns what has been observed within a Lifetime. current tells whether the observation
+// lasts until now; otherwise it proves nothing about other versions.
+func (h *VersionHistory) Observations(now time.Duration, current bool) Observations {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.started {
-		return Observations{ObservedFor: -1}
-	}
 	o := Observations{ObservedFor: now - h.observedSince}
+	if !h.started || !current {
+		o.ObservedFor = -1
+	}
 	for service, versions := range h.services {
 		for version, v := range versions {
 			age := now - v.lastSeen
@@ -124,15 +143,15 @@
 
 // Merge adds what another instance has observed.
 func (h *VersionHistory) Merge(now time.Duration, o Observations) {
-	if o.ObservedFor < 0 {
-		return
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, observed := range o.Versions {
 		v := h.version(observed.Service, observed.Version)
 		v.lastSeen = max(v.lastSeen, now-max(observed.Age, 0))
 	}
+	if o.ObservedFor < 0 {
+		return
+	}
 	if since := now - o.ObservedFor; !h.started || since < h.observedSince {
 		h.started, h.observedSince = true, since
 	}
--- a/internal/coordination/streamorigin/history_test.go
+++ b/internal/coordination/streamorigin/history_test.go
@@ -47,7 +47,7 @@
 	peer.Observe(0, published("v1"))
 	peer.Observe(Lifetime, published("v2"))
 	started.Observe(time.Second, published("v2"))
-	started.Merge(time.Second, peer.Observations(Lifetime+time.Second))
+	started.Merge(time.Second, peer.Observations(Lifetime+time.Second, true))
 	if got, ok := started.Sole(2*time.Second, "svc"); ok {
 		t.Errorf("%q, but the peer has seen another one", got)
 	}
@@ -56,18 +56,50 @@
 	}
 	fresh := NewVersionHistory(false)
 	fresh.Observe(time.Second, published("v1"))
-	fresh.Merge(time.Second, NewVersionHistory(false).Observations(time.Second))
+	fresh.Merge(time.Second, NewVersionHistory(false).Observations(time.Second, true))
 	if _, ok := fresh.Sole(2*time.Second, "svc"); ok {
 		t.Error("a peer that has observed nothing proves something")
 	}
 	long := NewVersionHistory(false)
 	long.Observe(0, published("v1"))
-	fresh.Merge(time.Second, long.Observations(2*Lifetime))
+	fresh.Merge(time.Second, long.Observations(2*Lifetime, true))
 	if got, ok := fresh.Sole(2*time.Second, "svc"); !ok || got != "v1" {
 		t.Errorf("%q %v after a peer that has observed one version for long", got, ok)
 	}
 }
 
+// Guards against versions that came and went while an instance did not see what was published.
+func TestObservationsWithGapsProveNothing(t *testing.T) {
+	h := NewVersionHistory(true)
+	h.Observe(0, published("v1"))
+	h.Seen(time.Second, "svc", "v2") // gone before the next observation
+	h.Observe(time.Second, published("v1"))
+	if got, ok := h.Sole(2*time.Second, "svc"); ok {
+		t.Errorf("%q, though another version was published for a moment", got)
+	}
+	h = NewVersionHistory(true)
+	h.Observe(0, published("v1"))
+	h.Interrupted(time.Second)
+	if got, ok := h.Sole(2*time.Second, "svc"); ok {
+		t.Errorf("%q after an interruption", got)
+	}
+	if got, ok := h.Sole(time.Second+Lifetime, "svc"); !ok || got != "v1" {
+		t.Errorf("%q %v a lifetime after the interruption", got, ok)
+	}
+	cutOff, started := NewVersionHistory(true), NewVersionHistory(false)
+	cutOff.Observe(0, published("v1"))
+	started.Observe(time.Second, published("v1"))
+	started.Merge(time.Second, cutOff.Observations(time.Second, false))
+	if got, ok := started.Sole(2*time.Second, "svc"); ok {
+		t.Errorf("%q from a peer whose observation has ended", got)
+	}
+	cutOff.Observe(2*time.Second, published("v2"))
+	started.Merge(3*time.Second, cutOff.Observations(3*time.Second, false))
+	if got, ok := started.Sole(2*Lifetime, "svc"); !ok || got != "v1" {
+		t.Errorf("%q %v, long after the peer had seen another version", got, ok)
+	}
+}
+
 // Guards against a fleet that cannot know the only version that there has been since it was first started.
 func TestHistoryIsCompleteFromTheFirstStart(t *testing.T) {
 	h, later := NewVersionHistory(true), NewVersionHistory(false)
@@ -76,7 +108,7 @@
 	}
 	h.Observe(time.Second, published("v1"))
 	later.Observe(0, published("v1"))
-	later.Merge(time.Second, h.Observations(2*time.Second))
+	later.Merge(time.Second, h.Observations(2*time.Second, true))
 	for _, history := range []*VersionHistory{h, later} {
 		if got, ok := history.Sole(2*time.Second, "svc"); !ok || got != "v1" {
 			t.Errorf("%q %v", got, ok)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -384,7 +384,7 @@
 	reply := pushMessage{
 		Snapshot:      p.gateway.platformWatcher.snapshotAfter(replica.Position{Era: request.Era, Revision: request.Revision}),
 		Configuration: p.gateway.configurationNewerThan(request.ConfigurationVersion),
-		Versions:      p.gateway.versions.Observations(p.gateway.now()),
+		Versions:      p.gateway.versions.Observations(p.gateway.now(), p.gateway.platformWatcher.isCurrent()),
 		Settled:       p.settled(),
 	}
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -82,6 +82,13 @@
 	return group.Wait()
 }
 
+// isCurrent reports whether the copy was known to be current within the freshness bound. Upstreams are
+// published for longer than that, even those that crash.
+func (w *platformWatcher) isCurrent() bool {
+	age, ok := w.schedule.Age(w.gateway.now())
+	return ok && age <= w.gateway.settings.Freshness.Std()
+}
+
 func (w *platformWatcher) hasSnapshot() bool {
 	_, ok := w.replica.Position()
 	return ok
@@ -179,6 +186,9 @@
 // applySnapshot applies a snapshot and logs a new era.
 func (w *platformWatcher) applySnapshot(snapshot replica.Snapshot, source string) {
 	before, loaded := w.replica.Position()
+	if loaded && !w.isCurrent() {
+		w.gateway.versions.Interrupted(w.gateway.now())
+	}
 	changes := w.replica.ApplySnapshot(w.gateway.now(), snapshot)
 	if after, _ := w.replica.Position(); after != before || !loaded {
 		w.recent.Reset(after)
@@ -339,6 +349,7 @@
 		return
 	}
 	g.upstreams[c.Key] = u
+	g.versions.Seen(g.now(), u.Service, u.Version)
 	if !known || old != u {
 		state := "serving"
 		if u.Leaving {
