--- a/cmd/yuccabridge/soak.go
+++ b/cmd/yuccabridge/soak.go
@@ -73,6 +73,7 @@
 	flags.StringVar(&faults, "faults", string(soak.MixedFaults), "fault plan: mixed, retries (several upstreams fail, pause or crash), limits (upstreams state limits), endless (upstreams send bytes without end), drill (the store comes back from an older copy, and upstreams end responses halfway), releases (upstreams of other versions take the places of others, and callers go on with broken streams), partitions (instances lose their links to all upstreams), or statements (upstreams state that they leave, or when to come back)")
 	flags.Float64Var(&options.Rate, "rate", 0, "requests per second of all callers; 0: each pauses for 10 ms on average")
 	flags.StringVar(&options.Daemon, "daemon", "yuccabridged", "path or name of the daemon executable")
+	flags.StringVar(&options.OtherDaemon, "other-daemon", "", "path of another build of the daemon: every second instance starts with it, and each restart changes the build")
 	flags.StringVar(&options.Dir, "dir", "soak", "directory for settings and logs")
 	return cmd
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -73,6 +73,7 @@
 		"frame_unauthenticated":    func() uint64 { return g.node.Stats().Unauthenticated },
 		"frame_oversized":          func() uint64 { return g.node.Stats().Oversized },
 		"frame_malformed":          func() uint64 { return g.node.Stats().Malformed },
+		"frame_unknown":            func() uint64 { return g.node.Stats().Unknown },
 		"handshake_failed":         func() uint64 { return g.node.Stats().HandshakeFailures },
 		"key_files_unusable":       func() uint64 { return g.node.Stats().ReloadFailures },
 	} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,7 +223,7 @@
 		stop()
 		return err
 	})
-	g.log.WithFields(logrus.Fields{"event": eventlog.Started, "instance": g.settings.Instance, "failure_domain": g.settings.FailureDomain,
+	g.log.WithFields(logrus.Fields{"event": eventlog.Started, "build": buildRevision(), "instance": g.settings.Instance, "failure_domain": g.settings.FailureDomain,
 		"callers": g.CallersAddress(), "operations": g.OperationsAddress()}).Info("instance started")
 	return group.Wait()
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -188,6 +188,8 @@
 // State is the state of an instance as served at /state.
 type State struct {
 	Instance string `json:"instance"`
+	// Build is the commit that the binary was built from; "unknown" if it does not say.
+	Build string `json:"build"`
 	Ready    bool   `json:"ready"`
 	Draining bool   `json:"draining"`
 	Version  uint64 `json:"configuration_version"`
@@ -219,7 +221,7 @@
 
 // State returns the current state of the instance.
 func (g *Gateway) State() State {
-	state := State{Instance: g.settings.Instance, Ready: g.ready(), Draining: g.draining.Load(), InProgress: g.callerWatcher.InProgress()}
+	state := State{Instance: g.settings.Instance, Build: buildRevision(), Ready: g.ready(), Draining: g.draining.Load(), InProgress: g.callerWatcher.InProgress()}
 	if routing := g.routing.Load(); routing != nil {
 		state.Version = routing.version
 	}
--- a/internal/protocol/peerwire/body.go
+++ b/internal/protocol/peerwire/body.go
@@ -68,7 +68,7 @@
 		w.bytes(m.Payload)
 	case Failure:
 		w.string(m.Reason[:min(len(m.Reason), maxReasonBytes)])
-	case KeepAlive, Done, RelayEnd:
+	case KeepAlive, Done, RelayEnd, Unknown:
 	default:
 		return ErrMalformed
 	}
@@ -128,7 +128,10 @@
 	case TypeFailure:
 		m = Failure{Reason: r.string(maxReasonBytes)}
 	default:
-		return nil, ErrMalformed
+		if t <= lastType {
+			return nil, ErrMalformed
+		}
+		return Unknown{Number: t}, nil
 	}
 	return m, r.err
 }
--- a/internal/protocol/peerwire/frame.go
+++ b/internal/protocol/peerwire/frame.go
@@ -135,7 +135,7 @@
 	if f.Message, err = decodeBody(dec, Type(b[1])); err != nil {
 		return Frame{}, decodeError(err)
 	}
-	if r.Len() > 0 {
+	if _, unknown := f.Message.(Unknown); !unknown && r.Len() > 0 {
 		return Frame{}, errors.Wrap(ErrMalformed, "trailing bytes after the body")
 	}
 	return f, nil
--- a/internal/protocol/peerwire/message.go
+++ b/internal/protocol/peerwire/message.go
@@ -39,6 +39,8 @@
 	TypeRelayOpen
 	TypeRelayData
 	TypeRelayEnd
+
+	lastType = TypeRelayEnd
 )
 
 var typeNames = [...]string{"unknown", "hello", "config_pull", "config_push", "suspicions",
@@ -66,6 +68,12 @@
 	TCP     netip.AddrPort
 }
 
+// Unknown is a message of a type that this build does not know. Its body is not read.
+type Unknown struct{ Number Type }
+
+// Type implements Message.
+func (m Unknown) Type() Type { return m.Number }
+
 type (
 	// Hello is the handshake message of both ends. On connections without TLS, MAC proves
 	// knowledge of a key.
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -25,13 +25,15 @@
 // instance is a daemon process that is restarted after kills and stops.
 type instance struct {
 	addresses
-	name        string
-	storeProxy  *proxy
-	daemon, dir string
+	name       string
+	storeProxy *proxy
+	dir        string
+	builds     []string // paths of daemon binaries; each start takes the next one
 
 	processFaults faultIntervals // when process faults may affect callers
 
 	mu            sync.Mutex
+	starts        int
 	cmd           *exec.Cmd
 	exited        chan struct{} // closed when cmd has exited
 	exitExpected  bool          // a kill or stop was requested
@@ -103,8 +105,8 @@
 // addresses are the listen addresses of an instance.
 type addresses struct{ callers, operations, peers string }
 
-func newInstance(o Options, name, failureDomain string, listen addresses, seeds []string, store *proxy) (*instance, error) {
-	in := &instance{name: name, daemon: o.Daemon, dir: o.Dir, addresses: listen, storeProxy: store}
+func newInstance(o Options, index int, name, failureDomain string, listen addresses, seeds []string, store *proxy) (*instance, error) {
+	in := &instance{name: name, builds: o.builds(index), dir: o.Dir, addresses: listen, storeProxy: store}
 	quoted := strings.Join(seeds, `", "`)
 	text := fmt.Sprintf("instance: %s\nfailure_domain: %s\ncallers: {address: %s}\noperations: {address: %s}\nready_path: /ready\n"+
 		"freshness: %s\nplatform: {address: %s}\npeers: {address: %s, gossip: %s, seeds: [\"%s\"], network: yuccabridge fault soak}\n"+
@@ -126,7 +128,9 @@
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.cmd = exec.Command(in.daemon, "gateway", "--settings", in.settingsFile())
+	build := in.builds[in.starts%len(in.builds)]
+	in.starts++
+	in.cmd = exec.Command(build, "gateway", "--settings", in.settingsFile())
 	in.cmd.Stdout, in.cmd.Stderr = out, out
 	if err := in.cmd.Start(); err != nil {
 		out.Close()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,6 +34,20 @@
 	Callers int
 	// Daemon is the path of the daemon binary, Dir the directory of settings and log files.
 	Daemon, Dir string
+	// OtherDaemon is the path of another build of the daemon. If set, every second instance starts with it,
+	// and each restart of an instance changes its build.
+	OtherDaemon string
+}
+
+// builds returns the builds of an instance in the order of its starts.
+func (o Options) builds(instance int) []string {
+	switch {
+	case o.OtherDaemon == "":
+		return []string{o.Daemon}
+	case instance%2 == 0:
+		return []string{o.Daemon, o.OtherDaemon}
+	}
+	return []string{o.OtherDaemon, o.Daemon}
 }
 
 // Faults selects a kind of fault plan.
@@ -259,7 +273,7 @@
 			return nil, errors.Wrap(err, "start proxy")
 		}
 		listen := addresses{peers: ports[i], callers: ports[o.Instances+2*i], operations: ports[o.Instances+2*i+1]}
-		in, err := newInstance(o, fmt.Sprintf("front-%d", i), o.failureDomain(i), listen, seeds, p)
+		in, err := newInstance(o, i, fmt.Sprintf("front-%d", i), o.failureDomain(i), listen, seeds, p)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/transport/peer/conn.go
+++ b/internal/transport/peer/conn.go
@@ -96,7 +96,14 @@
 
 func (c *connection) handleFrame(f peerwire.Frame) {
 	_, keepAlive := f.Message.(peerwire.KeepAlive)
+	_, unknown := f.Message.(peerwire.Unknown)
 	switch {
+	case unknown && !f.Reply:
+		// A newer build sends what this one does not know; it is told so, and the connection goes on.
+		c.node.updateStats(func(s *Stats) { s.Unknown++ })
+		if f.Correlation > 0 {
+			c.trySend(peerwire.Frame{Correlation: f.Correlation, Reply: true, Message: peerwire.Failure{Reason: "unknown message"}})
+		}
 	case keepAlive && !c.dialed:
 		c.trySend(peerwire.Frame{Message: peerwire.KeepAlive{}})
 	case keepAlive:
--- a/internal/transport/peer/node.go
+++ b/internal/transport/peer/node.go
@@ -20,6 +20,8 @@
 	DialFailures, HandshakeFailures                 uint64
 	Unauthenticated, Oversized, Malformed, TimedOut uint64
 	Redialed                                        uint64
+	// Unknown counts messages of types that this build does not know.
+	Unknown uint64
 	// ReloadFailures counts failed reloads of the key files.
 	ReloadFailures uint64
 }
--- a/internal/transport/peer/node_test.go
+++ b/internal/transport/peer/node_test.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// Guards against a connection that a newer build loses because it sends a message which this one does not know.
+func TestUnknownMessagesKeepTheConnection(t *testing.T) {
+	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
+	const later = peerwire.Type(200)
+	var failure peerwire.Failure
+	if _, err := a.Call(testContext(t), b.Addr(), peerwire.Unknown{Number: later}); !errors.As(err, &failure) {
+		t.Errorf("a call of an unknown type: %v", err)
+	}
+	if err := a.Notify(testContext(t), b.Addr(), peerwire.Unknown{Number: later}); err != nil {
+		t.Fatal(err)
+	}
+	mustQuery(t, a, b, "afterwards")
+	if stats := b.Stats(); stats.Unknown != 2 || stats.Malformed != 0 || a.Stats().Dialed != 1 {
+		t.Errorf("%+v, %d dials", stats, a.Stats().Dialed)
+	}
+}
+
 // Guards against answers delivered to another call, and against one dial per call.
 func TestCallsShareOneConnection(t *testing.T) {
 	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
