--- a/internal/coordination/readers/doc.go
+++ b/internal/coordination/readers/doc.go
@@ -4,7 +4,11 @@
 // domain a few instances, the readers, watch the platform; the others, the followers, ask a reader
 // with a call that is held until something changes. Readers are the first of the domain's live members in the
 // order of a hash of their names ([Choose]). No message is needed for the choice. Two views that differ
-// for a moment cost a few calls more: an instance that finds no reader which serves it reads for itself.
+// for a moment cost a few calls more: an instance that finds nobody who serves it reads for itself.
+//
+// The two members after the readers in that order are standbys: when the readers fail, the others ask them
+// before they ask the platform. A reader that the platform turns away asks the other readers and the
+// standbys, and the platform again after a quarter of the bound.
 //
 // Each instance keeps the time at which its copy was known to be current, its confirmation. A
 // reader's confirmation is its last answer from the platform; it tells its age with each answer, so an age
--- a/internal/coordination/readers/readers.go
+++ b/internal/coordination/readers/readers.go
@@ -9,20 +9,28 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
 )
 
-// Choose returns the readers of a failure domain among its live members: at most count of them, in an order
-// that all instances with the same view compute alike.
+// Choose returns the first live members of a failure domain, at most count, in an order that all instances
+// with the same view compute alike.
 func Choose(members []membership.Member, domain string, count int) []membership.Member {
-	var candidates []membership.Member
+	type candidate struct {
+		member membership.Member
+		hash   uint64
+	}
+	var candidates []candidate
 	for _, m := range members {
 		if m.FailureDomain == domain {
-			candidates = append(candidates, m)
+			candidates = append(candidates, candidate{m, xxhash.Sum64String(m.Name)})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b membership.Member) int {
+	slices.SortFunc(candidates, func(a, b candidate) int {
 		// Two processes may have one name for a moment.
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), a.Incarnation.Process.Compare(b.Incarnation.Process))
+		return cmp.Or(cmp.Compare(a.hash, b.hash), a.member.Incarnation.Process.Compare(b.member.Incarnation.Process))
 	})
-	return candidates[:min(count, len(candidates))]
+	chosen := make([]membership.Member, min(count, len(candidates)))
+	for i := range chosen {
+		chosen[i] = candidates[i].member
+	}
+	return chosen
 }
 
 // PreferenceOf returns the readers in the order in which the instance of a name asks them, so that followers
--- a/internal/coordination/readers/readers_test.go
+++ b/internal/coordination/readers/readers_test.go
@@ -60,32 +60,31 @@
 
 const testBound = 2 * time.Second
 
-// follower returns the schedule of a follower of two readers, confirmed at time 0.
-func follower() (s *Schedule, preferred, other membership.Member) {
-	members := testMembers(1, 4)
-	chosen := Choose(members, "d0", 2)
-	self := members[slices.IndexFunc(members, func(m membership.Member) bool {
-		return !slices.ContainsFunc(chosen, func(r membership.Member) bool { return r.Name == m.Name })
-	})]
+// follower returns the schedule of a member of a domain of six that is neither reader nor standby, confirmed at
+// time 0, with those that it asks.
+func follower() (s *Schedule, sources []membership.Member) {
+	members := testMembers(1, 6)
+	order := Choose(members, "d0", 6)
+	self := order[5]
 	s = NewSchedule(testBound)
-	s.SetReaders(self, chosen, len(members))
+	s.SetMembers(self, members, 2)
 	s.Confirmed(0)
-	preference := PreferenceOf(self.Name, chosen)
-	return s, preference[0], preference[1]
+	return s, append(PreferenceOf(self.Name, order[:2]), order[2:4]...)
 }
 
 // Guards against followers that wait for a reader beyond the age at which they ask the platform.
 func TestFollowerAsksInTime(t *testing.T) {
-	s, preferred, other := follower()
+	s, sources := follower()
+	preferred, other := sources[0], sources[1]
 	asked := func(now time.Duration) string {
 		q := s.Next(now, 0)
-		if q.Reader == nil {
+		if q.Source == nil {
 			return "platform"
 		}
 		if age, _ := s.Age(now); age+q.Timeout > s.fraction(StaleFraction) {
 			t.Errorf("at %v an answer is awaited until the copy is %v old", now, age+q.Timeout)
 		}
-		return q.Reader.Name
+		return q.Source.Name
 	}
 	expect := func(now time.Duration, want string) {
 		t.Helper()
@@ -99,11 +98,18 @@
 	s.Failed(testBound/4, preferred.Incarnation.Process)
 	expect(testBound/4, other.Name)
 	s.Failed(testBound/4, other.Incarnation.Process)
+	expect(testBound/4, sources[2].Name)
+	s.Failed(testBound/4, sources[2].Incarnation.Process)
+	expect(testBound/4, sources[3].Name)
+	s.Failed(testBound/4, sources[3].Incarnation.Process)
 	expect(testBound/4, "platform")
 	s.Confirmed(testBound)
 	expect(testBound, "platform")
 	expect(testBound/4+testBound, preferred.Name)
-	if q := s.Next(3*testBound, 0); q.Reader != nil || q.Wait != 0 {
+	s.ReadNext()
+	expect(testBound/4+testBound, "platform")
+	expect(testBound/4+testBound, preferred.Name)
+	if q := s.Next(3*testBound, 0); q.Source != nil || q.Wait != 0 {
 		t.Errorf("a stale copy waits %v for changes", q.Wait)
 	}
 }
@@ -111,24 +117,62 @@
 // Guards against an instance that follows before it has read anything, or while it is a reader itself.
 func TestWhoDoesNotFollow(t *testing.T) {
 	members := testMembers(1, 4)
-	chosen := Choose(members, "d0", 2)
+	order := Choose(members, "d0", 4)
 	s := NewSchedule(testBound)
-	if q := s.Next(0, 0); q.Reader != nil {
+	if q := s.Next(0, 0); q.Source != nil {
 		t.Error("an instance that knows no peer follows")
 	}
-	if !s.SetReaders(testMember("new", "d0"), chosen, 5) || s.IsReader() {
+	if !s.SetMembers(order[3], members, 2) || s.IsReader() {
 		t.Error("the instance is still a reader")
 	}
-	if q := s.Next(0, 0); q.Reader != nil {
+	if q := s.Next(0, 0); q.Source != nil {
 		t.Error("an instance follows before it has read the platform")
 	}
 	s.Confirmed(0)
-	s.SetReaders(chosen[0], chosen, 4)
-	if q := s.Next(0, 0); q.Reader != nil || q.Wait != s.fraction(readerWaitFraction) {
+	s.SetMembers(order[0], members, 2)
+	if q := s.Next(0, 0); q.Source != nil || q.Wait != s.fraction(readerWaitFraction) {
 		t.Errorf("a reader: %+v", q)
 	}
-	s.SetReaders(chosen[0], chosen, 2)
+	s.SetMembers(order[0], order[:2], 2)
 	if q := s.Next(0, 0); q.Wait != s.fraction(WatchWaitFraction) {
 		t.Errorf("a reader without followers waits %v", q.Wait)
 	}
 }
+
+// Guards against two members that wait for each other, and against a reader that goes on calling a platform which
+// turns it away.
+func TestWhomStandbysAndRefusedReadersAsk(t *testing.T) {
+	members := testMembers(1, 6)
+	order := Choose(members, "d0", 6)
+	asks := func(s *Schedule) map[string]bool {
+		names := map[string]bool{}
+		for _, m := range s.sources {
+			names[m.Name] = true
+		}
+		return names
+	}
+	for position, m := range order {
+		s := NewSchedule(testBound)
+		s.SetMembers(m, members, 2)
+		for i, other := range order {
+			want := i < 4 && (i < position || position < 2 && i != position)
+			if asks(s)[other.Name] != want {
+				t.Errorf("member %d asks member %d: %v, want %v", position, i, !want, want)
+			}
+		}
+	}
+	s := NewSchedule(testBound)
+	s.SetMembers(order[0], members, 2)
+	s.Confirmed(0)
+	s.PlatformFailed(0)
+	if q := s.Next(0, 0); q.Source == nil || q.Wait > s.fraction(platformRetryFraction) {
+		t.Errorf("a refused reader: %+v", q)
+	}
+	if q := s.Next(s.fraction(platformRetryFraction), 0); q.Source != nil {
+		t.Error("a refused reader does not try the platform again")
+	}
+	s.PlatformAnswered()
+	if q := s.Next(0, 0); q.Source != nil {
+		t.Error("a reader asks another one although the platform answers")
+	}
+}
--- a/internal/coordination/readers/schedule.go
+++ b/internal/coordination/readers/schedule.go
@@ -1,6 +1,7 @@
 package readers
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -13,26 +14,31 @@
 	StaleFraction = 0.65
 	// answerFraction is reserved for the answer of a reader after its wait.
 	answerFraction = 0.05
-	// readerWaitFraction is how long a watch of a reader with followers waits, including the pause before
+	// readerWaitFraction is how long a watch of a member that others ask waits, including the pause before
 	// it. It is below StaleFraction by more than one wait of a follower.
 	readerWaitFraction = 0.5
 	// WatchWaitFraction is how long the watch of an instance without followers waits, and of a follower that
 	// finds no reader. A watch whose connection is cut off receives neither changes nor a response, so it
 	// must time out well within the bound.
 	WatchWaitFraction = 0.6
-	// minFollowFraction is the shortest wait for which a reader is asked.
+	// minFollowFraction is the shortest wait for which another member is asked.
 	minFollowFraction = 0.05
-	// readerBackoffFraction is how long a reader that did not serve a follower is not asked again.
-	readerBackoffFraction = 1
+	// sourceBackoffFraction is how long a member that did not serve this instance is not asked again.
+	sourceBackoffFraction = 1
+	// platformRetryFraction is how long a reader asks others after the platform has failed.
+	platformRetryFraction = 0.25
 )
 
+// standbyCount is the number of members after the readers that others ask when the readers fail.
+const standbyCount = 2
+
 // Question is what an instance does next to learn of changes.
 type Question struct {
-	// Reader is the reader to ask; nil for the platform.
-	Reader *membership.Member
+	// Source is the member to ask; nil for the platform.
+	Source *membership.Member
 	// Wait is how long the answer may be held until there is a change.
 	Wait time.Duration
-	// Timeout bounds the answer of a reader. It is zero for the platform.
+	// Timeout bounds the answer of a member. It is zero for the platform.
 	Timeout time.Duration
 }
 
@@ -40,53 +46,57 @@
 type Schedule struct {
 	bound time.Duration
 
-	mu           sync.Mutex
-	readers      []membership.Member // in order of preference; without this instance
-	isReader     bool
-	hasFollowers bool
-	confirmed    bool
-	confirmedAt  time.Duration
-	failedAt     map[membership.Process]time.Duration
+	mu               sync.Mutex
+	sources          []membership.Member // members that may serve this instance, in order of preference
+	isReader         bool
+	serves           bool // others may ask this instance
+	confirmed        bool
+	confirmedAt      time.Duration
+	failedAt         map[membership.Process]time.Duration
+	platformFailed   bool
+	platformFailedAt time.Duration
+	readNext         bool // the platform is asked next, whatever others say
 }
 
-// NewSchedule returns a schedule that keeps a freshness bound. Until SetReaders the instance is a reader.
+// NewSchedule returns a schedule that keeps a freshness bound. Until SetMembers the instance is a reader.
 func NewSchedule(bound time.Duration) *Schedule {
 	return &Schedule{bound: bound, isReader: true, failedAt: map[membership.Process]time.Duration{}}
 }
 
-// SetReaders sets the readers of the failure domain, of which self may be one, and the number of members of
-// the domain. It reports whether the role of this instance has changed.
-func (s *Schedule) SetReaders(self membership.Member, readers []membership.Member, members int) (changed bool) {
+// SetMembers sets the live members of the failure domain of self, including self, of which the first count in the order
+// of Choose are readers. It reports whether the role of this instance has changed.
+//
+// The next members in that order are standbys: those that come later ask them when the readers fail. Each
+// member asks only those before it, so that no two wait for each other. A reader whose platform fails asks
+// all of them.
+func (s *Schedule) SetMembers(self membership.Member, members []membership.Member, count int) (changed bool) {
+	order := Choose(members, self.FailureDomain, count+standbyCount)
+	position := slices.IndexFunc(order, func(m membership.Member) bool { return m.Incarnation.Process == self.Incarnation.Process })
+	readers := order[:min(count, len(order))]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wasReader := s.isReader
-	s.isReader, s.readers = false, nil
+	s.isReader = position >= 0 && position < count
+	s.serves = position >= 0 && len(members) > count
+	s.sources = nil // questions that were asked point into the old one
 	for _, r := range PreferenceOf(self.Name, readers) {
-		if r.Incarnation.Process == self.Incarnation.Process {
-			s.isReader = true
-			continue
+		if r.Incarnation.Process != self.Incarnation.Process {
+			s.sources = append(s.sources, r)
+		}
+	}
+	for i := len(readers); i < len(order); i++ {
+		if s.isReader || position < 0 || i < position {
+			s.sources = append(s.sources, order[i])
 		}
-		s.readers = append(s.readers, r)
 	}
-	s.hasFollowers = s.isReader && members > len(readers)
 	for process := range s.failedAt {
-		if !s.knows(process) {
+		if !slices.ContainsFunc(s.sources, func(m membership.Member) bool { return m.Incarnation.Process == process }) {
 			delete(s.failedAt, process)
 		}
 	}
 	return s.isReader != wasReader
 }
 
-// knows reports whether a process is one of the readers. The caller must hold mu.
-func (s *Schedule) knows(process membership.Process) bool {
-	for _, r := range s.readers {
-		if r.Incarnation.Process == process {
-			return true
-		}
-	}
-	return false
-}
-
 // IsReader reports whether this instance reads the platform for its failure domain.
 func (s *Schedule) IsReader() bool {
 	s.mu.Lock()
@@ -94,6 +104,20 @@
 	return s.isReader
 }
 
+// PlatformFailed records that the platform did not answer, or turned this instance away.
+func (s *Schedule) PlatformFailed(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.platformFailed, s.platformFailedAt = true, now
+}
+
+// PlatformAnswered records that the platform answered.
+func (s *Schedule) PlatformAnswered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.platformFailed = false
+}
+
 // Confirmed records that the copy of this instance was current at a time.
 func (s *Schedule) Confirmed(at time.Duration) {
 	s.mu.Lock()
@@ -110,14 +134,22 @@
 	return now - s.confirmedAt, s.confirmed
 }
 
-// Failed records that a reader did not serve this instance: it did not answer, or its own copy is too old.
-func (s *Schedule) Failed(now time.Duration, reader membership.Process) {
+// Failed records that a member did not serve this instance: it did not answer, or its own copy is too old.
+func (s *Schedule) Failed(now time.Duration, source membership.Process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedAt[source] = now
+}
+
+// ReadNext makes the next question one to the platform: another member cannot send all that this instance
+// lacks.
+func (s *Schedule) ReadNext() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failedAt[reader] = now
+	s.readNext = true
 }
 
-// UsefulAge returns the age from which the confirmation of a reader does not help a follower.
+// UsefulAge returns the age from which the confirmation of another member does not help.
 func (s *Schedule) UsefulAge() time.Duration {
 	return s.fraction(StaleFraction - answerFraction - minFollowFraction)
 }
@@ -126,28 +158,44 @@
 func (s *Schedule) Next(now, paused time.Duration) Question {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.isReader {
-		if s.hasFollowers {
-			return Question{Wait: max(s.fraction(readerWaitFraction)-paused, s.fraction(minFollowFraction))}
-		}
-		return Question{Wait: s.fraction(WatchWaitFraction)}
+	if s.readNext {
+		s.readNext = false
+		return Question{}
 	}
 	age := now - s.confirmedAt
-	wait := s.fraction(StaleFraction-answerFraction) - age
-	if s.confirmed && wait >= s.fraction(minFollowFraction) {
-		if reader := s.servingReader(now); reader != nil {
-			return Question{Reader: reader, Wait: wait, Timeout: wait + s.fraction(answerFraction)}
+	untilStale := s.fraction(StaleFraction-answerFraction) - age
+	if s.confirmed && s.follows(now) && untilStale >= s.fraction(minFollowFraction) {
+		if source := s.servingSource(now); source != nil {
+			wait := untilStale
+			if s.isReader {
+				wait = min(wait, s.fraction(platformRetryFraction))
+			}
+			return Question{Source: source, Wait: wait, Timeout: wait + s.fraction(answerFraction)}
 		}
 	}
+	switch {
+	case s.isReader && !s.serves:
+		return Question{Wait: s.fraction(WatchWaitFraction)}
+	case s.isReader:
+		return Question{Wait: max(s.fraction(readerWaitFraction)-paused, s.fraction(minFollowFraction))}
+	case s.serves:
+		return Question{Wait: max(s.fraction(readerWaitFraction)-age, 0)}
+	}
 	// A stale copy is confirmed at once; the wait of a fresh one ends before it is stale.
 	return Question{Wait: max(s.fraction(WatchWaitFraction)-age, 0)}
 }
 
-// servingReader returns the first reader that has not failed lately, or nil. The caller must hold mu.
-func (s *Schedule) servingReader(now time.Duration) *membership.Member {
-	for i, r := range s.readers {
-		if at, failed := s.failedAt[r.Incarnation.Process]; !failed || now-at >= s.fraction(readerBackoffFraction) {
-			return &s.readers[i]
+// follows reports whether the instance asks others: it is no reader, or the platform has just failed. The caller
+// must hold mu.
+func (s *Schedule) follows(now time.Duration) bool {
+	return !s.isReader || s.platformFailed && now-s.platformFailedAt < s.fraction(platformRetryFraction)
+}
+
+// servingSource returns the first source that has not failed lately, or nil. The caller must hold mu.
+func (s *Schedule) servingSource(now time.Duration) *membership.Member {
+	for i, m := range s.sources {
+		if at, failed := s.failedAt[m.Incarnation.Process]; !failed || now-at >= s.fraction(sourceBackoffFraction) {
+			return &s.sources[i]
 		}
 	}
 	return nil
--- a/internal/coordination/readers/sim_test.go
+++ b/internal/coordination/readers/sim_test.go
@@ -46,6 +46,7 @@
 	byProcess map[membership.Process]*simInstance
 	changes   []time.Duration
 	calls     int
+	live      int // sum of the numbers of the members in the views
 }
 
 func newSimulation(seed uint64, domains, perDomain int) *simulation {
@@ -62,18 +63,23 @@
 // updateViews gives all instances the view of the live members that they have after the detection of failures.
 func (s *simulation) updateViews(now time.Duration) {
 	byDomain := map[string][]membership.Member{}
+	live := 0
+	for i, in := range s.instances {
+		if now >= in.down || now < in.down-simDetection {
+			live += i + 1
+		}
+	}
+	if live == s.live {
+		return
+	}
+	s.live = live
 	for _, in := range s.instances {
 		if now >= in.down || now < in.down-simDetection {
 			byDomain[in.member.FailureDomain] = append(byDomain[in.member.FailureDomain], in.member)
 		}
 	}
-	chosen := map[string][]membership.Member{}
-	for domain, members := range byDomain {
-		chosen[domain] = Choose(members, domain, 2)
-	}
 	for _, in := range s.instances {
-		domain := in.member.FailureDomain
-		in.schedule.SetReaders(in.member, chosen[domain], len(byDomain[domain]))
+		in.schedule.SetMembers(in.member, byDomain[in.member.FailureDomain], 2)
 	}
 }
 
@@ -85,22 +91,24 @@
 	if !in.busy {
 		in.question, in.askedAt, in.busy = in.schedule.Next(now, in.paused), now, true
 		in.paused = 0
-		if in.question.Reader == nil {
+		if in.question.Source == nil {
 			s.calls++
 		}
 		return
 	}
-	if in.question.Reader != nil {
-		s.stepFollow(now, in, s.byProcess[in.question.Reader.Incarnation.Process])
+	if in.question.Source != nil {
+		s.stepFollow(now, in, s.byProcess[in.question.Source.Incarnation.Process])
 		return
 	}
 	elapsed := now - in.askedAt
 	switch {
 	case now < in.storeCut:
 		if elapsed >= in.question.Wait+simStoreLimit {
+			in.schedule.PlatformFailed(now)
 			in.busy, in.resumeAt = false, now+simBackoff
 		}
 	case elapsed >= simCallTime && in.position < len(s.changes):
+		in.schedule.PlatformAnswered()
 		in.position = len(s.changes)
 		in.schedule.Confirmed(now)
 		in.busy, in.resumeAt, in.paused = false, now+simPause, simPause
--- a/internal/coordination/replica/recent.go
+++ b/internal/coordination/replica/recent.go
@@ -1,6 +1,9 @@
 package replica
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Recent holds the last changes of a replica, so that a peer that is a little behind needs no snapshot. It is
 // safe for concurrent use.
@@ -14,6 +17,10 @@
 	bytes   int
 }
 
+// maxKeptVersionBytes is the size from which a change to an entry replaces the one before: of a large entry, the
+// configuration, only the newest version matters, while small ones, of upstreams, also show what came and went.
+const maxKeptVersionBytes = 4 << 10
+
 // changeOverhead is the memory of a change beside its key and value.
 const changeOverhead = 64
 
@@ -37,6 +44,9 @@
 	}
 	r.to = position
 	for _, c := range changes {
+		if len(c.Value) > maxKeptVersionBytes {
+			r.drop(c.Key)
+		}
 		r.changes = append(r.changes, c)
 		r.bytes += size(c)
 	}
@@ -47,6 +57,16 @@
 	}
 }
 
+// drop forgets the changes to an entry. The caller must hold mu.
+func (r *Recent) drop(key string) {
+	r.changes = slices.DeleteFunc(r.changes, func(c Change) bool {
+		if c.Key == key {
+			r.bytes -= size(c)
+		}
+		return c.Key == key
+	})
+}
+
 func size(c Change) int { return len(c.Key) + len(c.Value) + changeOverhead }
 
 // After returns the changes after a position and the position up to which they are complete. ok is false if
--- a/internal/coordination/replica/recent_test.go
+++ b/internal/coordination/replica/recent_test.go
@@ -45,3 +45,26 @@
 	expect("larger than the bound", at(21), false)
 	expect("up to date", at(22), true)
 }
+
+// Guards against configurations in quick succession that are sent to each follower one after the other.
+func TestRecentKeepsTheNewestOfALargeEntry(t *testing.T) {
+	r := NewRecent(1 << 20)
+	r.Reset(Position{Era: 1})
+	for revision := uint64(1); revision <= 20; revision++ {
+		large := written(revision, maxKeptVersionBytes+1)
+		large.Key = "configuration"
+		small := Change{Item: Item{Key: "upstream", Value: []byte("x"), Revision: revision}}
+		r.Add(Position{Era: 1, Revision: revision - 1}, []Change{small, large}, Position{Era: 1, Revision: revision})
+	}
+	changes, _, ok := r.After(Position{Era: 1})
+	counts := map[string]int{}
+	for _, c := range changes {
+		counts[c.Key]++
+	}
+	if !ok || counts["configuration"] != 1 || counts["upstream"] != 20 || changes[len(changes)-1].Revision != 20 {
+		t.Errorf("%v %v", ok, counts)
+	}
+	if r.bytes != 20*size(Change{Item: Item{Key: "upstream", Value: []byte("x")}})+size(Change{Item: Item{Key: "configuration", Value: make([]byte, maxKeptVersionBytes+1)}}) {
+		t.Errorf("%d bytes are counted", r.bytes)
+	}
+}
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,7 +40,7 @@
 	// Era and Revision are the position up to which the changes are complete.
 	Era, Revision uint64
 	Changes       []replica.Change
-	// Behind is set if the follower needs more than the changes that are kept; it asks the platform.
+	// Behind is set if the follower needs more changes than the reader keeps or sends; it asks the platform.
 	Behind bool
 	// AgeMS is the age of the confirmation that the position was current.
 	AgeMS int64
@@ -51,7 +52,7 @@
 // follow asks a reader for changes. Whatever fails, the schedule names another source next.
 func (w *platformWatcher) follow(ctx context.Context, question readers.Question) {
 	after, _ := w.replica.Position()
-	reader := *question.Reader
+	reader := *question.Source
 	answer, err := w.askReader(ctx, question, after)
 	now := w.gateway.now()
 	age := time.Duration(answer.AgeMS) * time.Millisecond
@@ -62,8 +63,10 @@
 		w.readerFailed(now, reader, "the build does not serve followers")
 	case answer.Era != after.Era:
 		w.readerFailed(now, reader, "the reader has seen another era")
-	case answer.Behind, age > w.schedule.UsefulAge():
-		w.readerFailed(now, reader, "the reader cannot bring this copy up to date")
+	case age > w.schedule.UsefulAge():
+		w.readerFailed(now, reader, "the reader's own copy is old")
+	case answer.Behind:
+		w.schedule.ReadNext()
 	default:
 		w.gateway.metrics.platformReads.WithLabelValues("reader").Inc()
 		w.applyFollowed(now, answer, reader.Name)
@@ -77,7 +80,7 @@
 	if answer.OutageEnded {
 		w.replica.RecordOutage(now - time.Duration(answer.OutageEndedMS)*time.Millisecond)
 	}
-	w.markAvailable()
+	w.replica.MarkAvailable(now)
 	w.applyChanges(answer.Changes, replica.Position{Era: answer.Era, Revision: answer.Revision}, reader)
 }
 
@@ -94,7 +97,7 @@
 	p := w.gateway.peers
 	request := p.newPullMessage(after)
 	request.Follow = followMessage{WaitMS: question.Wait.Milliseconds()}
-	reply, err := p.exchangePull(ctx, *question.Reader, request)
+	reply, err := p.exchangePull(ctx, *question.Source, request)
 	return reply.Follow, err
 }
 
@@ -142,23 +145,12 @@
 
 // updateReaders chooses the readers of the failure domain among the live instances and this one.
 func (p *peers) updateReaders() {
-	w := p.gateway.platformWatcher
-	members := append(p.livePeers(), p.self)
-	chosen := readers.Choose(members, p.self.FailureDomain, p.gateway.settings.ReadersPerDomain)
-	inDomain := 0
-	for _, m := range members {
-		if m.FailureDomain == p.self.FailureDomain {
-			inDomain++
-		}
-	}
-	if w.schedule.SetReaders(p.self, chosen, inDomain) {
-		names := make([]string, len(chosen))
-		for i, m := range chosen {
-			names[i] = m.Name
-		}
-		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.ReaderChanged, "reads_platform": w.schedule.IsReader(), "readers": names, "instances": inDomain}).Info("role of this instance towards the platform changed")
+	schedule := p.gateway.platformWatcher.schedule
+	members := slices.DeleteFunc(append(p.livePeers(), p.self), func(m membership.Member) bool { return m.FailureDomain != p.self.FailureDomain })
+	if schedule.SetMembers(p.self, members, p.gateway.settings.ReadersPerDomain) {
+		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.ReaderChanged, "reads_platform": schedule.IsReader(), "instances": len(members)}).Info("role of this instance towards the platform changed")
 	}
-	p.gateway.metrics.readsPlatform.Set(boolValue(w.schedule.IsReader()))
+	p.gateway.metrics.readsPlatform.Set(boolValue(schedule.IsReader()))
 }
 
 func boolValue(b bool) float64 {
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -22,6 +22,9 @@
 	// callTimeFraction is the fraction of the freshness bound reserved for the call that
 	// follows a watch.
 	callTimeFraction = 0.1
+	// memberWaitFraction is the fraction of the freshness bound between the first read of an instance and its
+	// next call. Gossip takes a few hundred milliseconds to name the members.
+	memberWaitFraction = 0.25
 	// minWatchPause lets changes in quick succession share a call.
 	minWatchPause = 100 * time.Millisecond
 	// fullReadTimeout bounds a full read, including from a slow platform.
@@ -49,9 +52,11 @@
 	watchPause time.Duration
 
 	schedule *readers.Schedule
-	paused   time.Duration                 // since the last answer; used by syncLoop only
-	recent   *replica.Recent               // for followers
-	changed  atomic.Pointer[chan struct{}] // closed when the position changes
+	paused   time.Duration // since the last answer; used by syncLoop only
+	// platformLost is set while the platform itself does not answer; used by syncLoop only.
+	platformLost bool
+	recent       *replica.Recent               // for followers
+	changed      atomic.Pointer[chan struct{}] // closed when the position changes
 }
 
 func newPlatformWatcher(g *Gateway) *platformWatcher {
@@ -133,7 +138,7 @@
 // syncLoop reads the prefix in full, then watches it. It repeats the full read if the
 // platform has compacted the changes since the last watch.
 func (w *platformWatcher) syncLoop(ctx context.Context) error {
-	synced := false
+	synced, started := false, false
 	backoff := initialBackoff
 	for ctx.Err() == nil {
 		var err error
@@ -143,6 +148,10 @@
 			err = w.readAll(ctx)
 		}
 		switch {
+		case err == nil && !started:
+			synced, started = true, true
+			w.awaitMembers(ctx)
+			continue
 		case err == nil:
 			synced, backoff = true, initialBackoff
 			continue
@@ -164,6 +173,18 @@
 	return nil
 }
 
+// awaitMembers gives an instance that has just read everything the time to learn who reads for its failure
+// domain, so that not every instance that starts watches the platform.
+func (w *platformWatcher) awaitMembers(ctx context.Context) {
+	if w.gateway.peers == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(memberWaitFraction * float64(w.gateway.settings.Freshness))):
+	}
+}
+
 func (w *platformWatcher) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, fullReadTimeout)
 	defer cancel()
@@ -207,7 +228,7 @@
 func (w *platformWatcher) watch(ctx context.Context) error {
 	question := w.schedule.Next(w.gateway.now(), w.paused)
 	w.paused = 0
-	if question.Reader != nil {
+	if question.Source != nil {
 		w.follow(ctx, question)
 		return nil
 	}
@@ -241,14 +262,23 @@
 	w.apply(applied, source)
 }
 
+// markUnavailable records that the platform does not answer. While others bring the copy up to date, this
+// is logged once.
 func (w *platformWatcher) markUnavailable(err error) {
-	if w.replica.MarkUnavailable() {
+	w.replica.MarkUnavailable()
+	w.schedule.PlatformFailed(w.gateway.now())
+	if !w.platformLost {
+		w.platformLost = true
 		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.PlatformUnavailable, "prefix": w.prefix, "error": err.Error()}).Warn("platform unavailable")
 	}
 }
 
+// markAvailable records that the platform answers.
 func (w *platformWatcher) markAvailable() {
-	if w.replica.MarkAvailable(w.gateway.now()) {
+	w.replica.MarkAvailable(w.gateway.now())
+	w.schedule.PlatformAnswered()
+	if w.platformLost {
+		w.platformLost = false
 		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.PlatformRecovered, "prefix": w.prefix}).Info("platform available again")
 	}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -189,7 +189,7 @@
 type State struct {
 	Instance string `json:"instance"`
 	// Build is the commit that the binary was built from; "unknown" if it does not say.
-	Build string `json:"build"`
+	Build    string `json:"build"`
 	Ready    bool   `json:"ready"`
 	Draining bool   `json:"draining"`
 	Version  uint64 `json:"configuration_version"`
