--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -174,9 +174,23 @@
 		copy(hashes[i+1:n], hashes[i:])
 		list[i], hashes[i] = u, h
 	}
+	if long {
+		preferCached(list[:n], func(u *upstream) bool { return u.hasSession(now, session) })
+	}
 	return slices.Clone(list[:n])
 }
 
+// preferCached moves the first upstream that has the session cached to the front. The upstreams for long prompts
+// change with the load, and with them the first in hash order; a session that would move has its
+// shared parts processed again.
+func preferCached(list []*upstream, cached func(*upstream) bool) {
+	if i := slices.IndexFunc(list, cached); i > 0 {
+		preferred := list[i]
+		copy(list[1:i+1], list[:i])
+		list[0] = preferred
+	}
+}
+
 // eligible reports whether the upstream may receive the request now. The second pass includes
 // ejected upstreams, the third pass also those in r.Exclude.
 func (d *Dispatcher) eligible(now time.Duration, u *upstream, r *Request, pass int) bool {
--- a/internal/coordination/dispatch/fleet_test.go
+++ b/internal/coordination/dispatch/fleet_test.go
@@ -143,3 +143,35 @@
 		t.Errorf("the split took %v to settle with 140 engines, %v with 18", many, few)
 	}
 }
+
+// Guards against processing the shared parts of a session again because upstreams were reassigned to long prompts:
+// the first of them in hash order for a session is then another one. At 90 engines a third of the sessions moved
+// while a burst of long prompts was processed.
+func TestSessionsStayWhenUpstreamsAreReassigned(t *testing.T) {
+	sim := newSimulation(30)
+	d := sim.dispatchers[0]
+	now := time.Second
+	moved, sessions := 0, 0
+	for range 200 {
+		r := sim.newRequest(now, longPrompts, "a").Request
+		r.long = true
+		for _, u := range d.byHash {
+			u.forLong = true
+		}
+		order := d.rankedBySession(now, &r, 0, true)
+		if order[0].hasSession(now, sessionID(r.Prefix)) {
+			continue
+		}
+		sessions++
+		order[0].forLong = false // it is for streams when the session begins
+		home := d.rankedBySession(now, &r, 0, true)[0]
+		home.cachePrefix(now, sharedParts(r.Prefix))
+		order[0].forLong = true
+		if after := d.rankedBySession(now, &r, 0, true); after[0] != home {
+			moved++
+		}
+	}
+	if sessions < 50 || moved > 0 {
+		t.Errorf("%d of %d sessions moved", moved, sessions)
+	}
+}
--- a/internal/coordination/dispatch/upstream.go
+++ b/internal/coordination/dispatch/upstream.go
@@ -126,6 +126,15 @@
 	return cached
 }
 
+// hasSession estimates whether the shared parts of a session are in the upstream's prefix cache.
+func (u *upstream) hasSession(now time.Duration, session uint64) bool {
+	if u.cache == nil {
+		return false
+	}
+	_, ok := u.cache.Peek(now, session)
+	return ok
+}
+
 // cachePrefix records that the upstream has processed the shared parts of a prompt.
 func (u *upstream) cachePrefix(now time.Duration, parts []Part) {
 	if u.cache == nil {
