--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -25,6 +25,9 @@
 	// memberWaitFraction is the fraction of the freshness bound between the first read of an instance and its
 	// next call. Gossip takes a few hundred milliseconds to name the members.
 	memberWaitFraction = 0.25
+	// followerBackoffFraction is the fraction of the freshness bound that bounds the pause of an instance that
+	// is no reader.
+	followerBackoffFraction = 0.25
 	// minWatchPause lets changes in quick succession share a call.
 	minWatchPause = 100 * time.Millisecond
 	// fullReadTimeout bounds a full read, including from a slow platform.
@@ -168,11 +171,20 @@
 		case <-ctx.Done():
 		case <-time.After(backoff/2 + time.Duration(rand.Int64N(int64(backoff/2)))):
 		}
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, w.backoffLimit())
 	}
 	return nil
 }
 
+// backoffLimit is the longest pause before a failed call is retried. When the platform is away for all, the
+// retries of the followers, of which there are many, cost the most calls.
+func (w *platformWatcher) backoffLimit() time.Duration {
+	if w.schedule.IsReader() {
+		return maxBackoff
+	}
+	return max(maxBackoff, time.Duration(followerBackoffFraction*float64(w.gateway.settings.Freshness)))
+}
+
 // awaitMembers gives an instance that has just read everything the time to learn who reads for its failure
 // domain, so that not every instance that starts watches the platform.
 func (w *platformWatcher) awaitMembers(ctx context.Context) {
--- a/internal/gateway/platform_watcher_test.go
+++ b/internal/gateway/platform_watcher_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/readers"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 )
 
@@ -19,8 +21,18 @@
 	if expiredEntryGrace >= maxRemovalDelay {
 		t.Errorf("grace of %v is not below the bound of %v", expiredEntryGrace, maxRemovalDelay)
 	}
-	if reconnect := maxBackoff + StoreDialTimeout; reconnect+expiredEntryGrace >= reconnectBound {
-		t.Errorf("reconnecting takes up to %v and the grace %v; the total is not below %v", reconnect, expiredEntryGrace, reconnectBound)
+	s := &settings.Gateway{Freshness: config.Duration(2 * time.Second)}
+	w := newPlatformWatcher(&Gateway{settings: s, adapter: Adapter{Decoder: prefixDecoder{}}})
+	reader, follower := membership.Member{Name: "reader"}, membership.Member{Name: "follower"}
+	follower.Incarnation.Process[0] = 1
+	if readers.Choose([]membership.Member{reader, follower}, "", 1)[0].Name != reader.Name {
+		reader, follower = follower, reader
+	}
+	for _, self := range []membership.Member{reader, follower} {
+		w.schedule.SetMembers(self, []membership.Member{reader, follower}, 1)
+		if reconnect := w.backoffLimit() + StoreDialTimeout; reconnect+expiredEntryGrace >= reconnectBound {
+			t.Errorf("reader %v: reconnecting takes up to %v and the grace %v; the total is not below %v", w.schedule.IsReader(), reconnect, expiredEntryGrace, reconnectBound)
+		}
 	}
 }
 
