--- a/internal/coordination/readers/schedule.go
+++ b/internal/coordination/readers/schedule.go
@@ -63,8 +63,8 @@
 	return &Schedule{bound: bound, isReader: true, failedAt: map[membership.Process]time.Duration{}}
 }
 
-// SetMembers sets the live members of the failure domain of self, including self, of which the first count in the order
-// of Choose are readers. It reports whether the role of this instance has changed.
+// SetMembers sets the live members of the failure domain of self, self among them. The first count of them in the
+// order of Choose are readers. It reports whether the role of this instance has changed.
 //
 // The next members in that order are standbys: those that come later ask them when the readers fail. Each
 // member asks only those before it, so that no two wait for each other. A reader whose platform fails asks
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,7 +88,9 @@
 
 // admit determines the route, team and service of the request.
 func (ex *exchange) admit() *apierror.Error {
-	ex.awaitStart()
+	if e := ex.awaitStart(); e != nil {
+		return e
+	}
 	routing := ex.gateway.routing.Load()
 	if routing == nil {
 		return notReadyError("the instance has no configuration yet")
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -250,9 +250,9 @@
 	if err != nil {
 		return err
 	}
-	w.schedule.Confirmed(w.gateway.now())
 	w.markAvailable()
 	w.applyChanges(changes, position, "platform")
+	w.schedule.Confirmed(w.gateway.now())
 	if len(changes) > 0 {
 		w.paused = w.watchPause
 		select {
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -6,6 +6,7 @@
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/joining"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
+	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
 const (
@@ -36,26 +37,34 @@
 	close(g.servingSignal)
 }
 
-// awaitStart holds a request that has arrived while the instance starts.
-func (ex *exchange) awaitStart() {
+// awaitStart holds a request that has arrived while the instance starts. It returns an error if its caller
+// leaves meanwhile.
+func (ex *exchange) awaitStart() *apierror.Error {
 	g := ex.gateway
 	if g.serving.Load() {
-		return
+		return nil
 	}
 	limit := startHoldLimit - ex.arrived
 	if ex.request.Timeout > 0 {
 		limit = min(limit, time.Duration(startHoldRatio*float64(ex.request.Timeout)))
 	}
 	if limit <= 0 {
-		return
+		return nil
 	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
+	callerCtx, unwatch := g.callerWatcher.Watch(ex.httpCtx.Conn())
+	defer unwatch()
 	g.metrics.heldAtStart.Inc()
 	select {
 	case <-g.servingSignal:
 	case <-timer.C:
+	case <-callerCtx.Done():
+	}
+	if callerCtx.Err() != nil || upstream.PeerClosed(ex.httpCtx.Conn()) {
+		return errCallerClosed
 	}
+	return nil
 }
 
 // notReadyError rejects a request of an instance that does not know enough to serve it.
