--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -64,6 +64,7 @@
 	options          Options
 	items            map[string]Item
 	deferredRemovals map[string]bool     // removed around an outage, still in items
+	newlyDeferred    []Change            // removals deferred since the last call of TakeDeferred
 	removed          map[string]Position // entries that were removed, with the place of their last change
 	withheld         map[string]Position // entries of an older copy that wait until they are written again
 	position         Position
@@ -183,6 +184,9 @@
 
 func (r *Replica) remove(applied []Change, now time.Duration, key string, revision uint64) []Change {
 	if r.unavailable || r.outages > 0 && now < r.availableSince+r.options.GracePeriod {
+		if !r.deferredRemovals[key] {
+			r.newlyDeferred = append(r.newlyDeferred, Change{Item: Item{Key: key, Revision: revision}, Deleted: true})
+		}
 		r.deferredRemovals[key] = true
 		return applied
 	}
@@ -201,6 +205,16 @@
 	delete(r.withheld, key)
 }
 
+// TakeDeferred returns the removals that were deferred since the last call.
+func (r *Replica) TakeDeferred() []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	deferred := r.newlyDeferred
+	r.newlyDeferred = nil
+	sortChanges(deferred)
+	return deferred
+}
+
 // MarkUnavailable records that the platform does not answer. It returns true at the start
 // of an outage.
 func (r *Replica) MarkUnavailable() bool {
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -34,6 +34,9 @@
 	ReaderFailed Event = "reader_failed"
 	// UpstreamChanged is logged when an upstream is published, changed or removed.
 	UpstreamChanged Event = "upstream_changed"
+	// RemovalDeferred is logged when the entry of an upstream is missing around an outage of the platform and
+	// the upstream is kept for now.
+	RemovalDeferred Event = "removal_deferred"
 	// UpstreamReconnected is logged when an ejected upstream accepts connections again.
 	UpstreamReconnected Event = "upstream_reached"
 	// UpstreamSplitChanged is logged when the upstream split of a service, the division of its
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,8 @@
 	heldAtStart           prometheus.Counter
 	platformReads         *prometheus.CounterVec
 	readsPlatform         prometheus.Gauge
+	platformAvailable     prometheus.Gauge
+	deferredRemovals      prometheus.Gauge
 }
 
 const namespace = "yuccabridge"
@@ -48,7 +50,9 @@
 	m.heldAtStart = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_held_at_start_total", Help: "Requests that arrived while the instance was starting and were held."})
 	m.platformReads = counter("gateway_platform_reads_total", "Calls for changes of what the platform publishes, by source.", "source")
 	m.readsPlatform = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_reads_platform", Help: "1 if this instance reads the platform for its failure domain."})
-	m.registry.MustRegister(m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.platformAvailable = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_platform_available", Help: "1 if the last call of the platform was answered."})
+	m.deferredRemovals = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_deferred_removals", Help: "Upstreams whose entries are missing and that are kept because of an outage of the platform."})
+	m.registry.MustRegister(m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -56,8 +56,10 @@
 
 	schedule *readers.Schedule
 	paused   time.Duration // since the last answer; used by syncLoop only
-	// platformLost is set while the platform itself does not answer; used by syncLoop only.
+	// platformLost is set while the platform itself does not answer, and lostAt is when that began; used by
+	// syncLoop only.
 	platformLost bool
+	lostAt       time.Duration
 	recent       *replica.Recent               // for followers
 	changed      atomic.Pointer[chan struct{}] // closed when the position changes
 }
@@ -85,7 +87,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return w.syncLoop(ctx) })
 	group.Go(func() error {
-		return periodic.Run(ctx, removalCheckInterval, func() { w.apply(w.replica.ApplyDueRemovals(w.gateway.now()), "grace") })
+		return periodic.Run(ctx, removalCheckInterval, w.applyDueRemovals)
 	})
 	return group.Wait()
 }
@@ -133,11 +135,24 @@
 }
 
 func (w *platformWatcher) apply(changes []replica.Change, source string) {
+	for _, deferred := range w.replica.TakeDeferred() {
+		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.RemovalDeferred, "key": deferred.Key, "revision": deferred.Revision, "source": source,
+			"platform_available": !w.replica.Unavailable()}).Info("entry is missing around an outage of the platform; keeping the upstream for now")
+	}
 	if len(changes) > 0 {
 		w.gateway.applyChanges(changes, source)
 	}
 }
 
+// applyDueRemovals carries out the removals whose grace period has passed.
+func (w *platformWatcher) applyDueRemovals() {
+	if due := w.replica.ApplyDueRemovals(w.gateway.now()); len(due) > 0 {
+		w.gateway.applyChanges(due, "grace")
+	}
+	deferred, _ := w.replica.Pending()
+	w.gateway.metrics.deferredRemovals.Set(float64(deferred))
+}
+
 // syncLoop reads the prefix in full, then watches it. It repeats the full read if the
 // platform has compacted the changes since the last watch.
 func (w *platformWatcher) syncLoop(ctx context.Context) error {
@@ -279,8 +294,9 @@
 func (w *platformWatcher) markUnavailable(err error) {
 	w.replica.MarkUnavailable()
 	w.schedule.PlatformFailed(w.gateway.now())
+	w.gateway.metrics.platformAvailable.Set(0)
 	if !w.platformLost {
-		w.platformLost = true
+		w.platformLost, w.lostAt = true, w.gateway.now()
 		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.PlatformUnavailable, "prefix": w.prefix, "error": err.Error()}).Warn("platform unavailable")
 	}
 }
@@ -289,9 +305,11 @@
 func (w *platformWatcher) markAvailable() {
 	w.replica.MarkAvailable(w.gateway.now())
 	w.schedule.PlatformAnswered()
+	w.gateway.metrics.platformAvailable.Set(1)
 	if w.platformLost {
 		w.platformLost = false
-		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.PlatformRecovered, "prefix": w.prefix}).Info("platform available again")
+		deferred, _ := w.replica.Pending()
+		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.PlatformRecovered, "prefix": w.prefix, "after_ms": (w.gateway.now() - w.lostAt).Milliseconds(), "deferred": deferred}).Info("platform available again")
 	}
 }
 
