--- a/internal/coordination/replica/doc.go
+++ b/internal/coordination/replica/doc.go
@@ -29,6 +29,11 @@
 // of the grace period if the entry is still missing. All other removals take effect
 // immediately.
 //
+// Not every replica notices the same outages: the platform may be away for some instances only. A replica
+// that defers removals asks others which of them have taken effect there ([Replica.Deferred],
+// [Replica.Removed], [Replica.ConfirmRemovals]): one that had no outage has removed the entry at once, and one whose
+// outage ended sooner has waited for its grace period.
+//
 // A snapshot received from a peer is applied like a full read from the platform, so that
 // an instance whose requests the platform refuses stays up to date through its peers.
 package replica
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -37,6 +38,12 @@
 	Deleted bool
 }
 
+// EntryState names an entry as of its last change.
+type EntryState struct {
+	Key           string
+	Era, Revision uint64 // of the last change
+}
+
 // Snapshot is the complete content of a prefix at a position.
 type Snapshot struct {
 	Era      uint64 `msgpack:",omitempty"`
@@ -278,6 +285,55 @@
 	return applied
 }
 
+// Deferred returns the entries whose removal is deferred, sorted by key and at most limit of them.
+func (r *Replica) Deferred(limit int) []EntryState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var states []EntryState
+	for _, key := range slices.Sorted(maps.Keys(r.deferredRemovals)) {
+		if len(states) == limit {
+			break
+		}
+		item := r.items[key]
+		states = append(states, EntryState{Key: key, Era: item.Era, Revision: item.Revision})
+	}
+	return states
+}
+
+// Removed returns those of the entries whose removal, after the state that is asked for, has taken effect here.
+// An entry that this replica never had, or whose removal it defers itself, is none of them.
+func (r *Replica) Removed(asked []EntryState) []EntryState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var removed []EntryState
+	for _, state := range asked {
+		at, ok := r.removed[state.Key]
+		_, held := r.items[state.Key]
+		if ok && !held && at.Compare(Position{Era: state.Era, Revision: state.Revision}) > 0 {
+			removed = append(removed, state)
+		}
+	}
+	return removed
+}
+
+// ConfirmRemovals applies and returns the deferred removals that have taken effect at a peer. An entry that has been
+// written since it was asked for stays.
+func (r *Replica) ConfirmRemovals(confirmed []EntryState) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var applied []Change
+	for _, state := range confirmed {
+		item := r.items[state.Key]
+		if !r.deferredRemovals[state.Key] || item.Era != state.Era || item.Revision != state.Revision {
+			continue
+		}
+		r.forget(state.Key, r.position.Revision)
+		applied = append(applied, Change{Item: Item{Key: state.Key, Revision: r.position.Revision}, Deleted: true})
+	}
+	sortChanges(applied)
+	return applied
+}
+
 func sortChanges(changes []Change) {
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Key, b.Key) })
 }
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -77,6 +77,49 @@
 	}
 }
 
+// Guards against an entry that is kept for as long as the platform is away for this replica although a peer knows
+// that it is gone, and against one that is removed on the word of a peer that does not.
+func TestDeferredRemovalIsConfirmedByAPeerThatHasRemovedTheEntry(t *testing.T) {
+	before := Snapshot{Revision: 5, Items: []Item{newItem("a", 3), newItem("b", 4)}}
+	without := Snapshot{Revision: 6, Items: []Item{newItem("b", 4)}}
+	newReplica := func() *Replica {
+		r := New(Options{GracePeriod: gracePeriod})
+		r.ApplySnapshot(0, before)
+		return r
+	}
+	waiting, inOutage, connected, started := newReplica(), newReplica(), newReplica(), New(Options{GracePeriod: gracePeriod})
+	waiting.MarkUnavailable()
+	inOutage.MarkUnavailable()
+	for _, r := range []*Replica{waiting, inOutage, connected, started} {
+		r.ApplySnapshot(time.Second, without)
+	}
+	asked := waiting.Deferred(10)
+	if want := []EntryState{{Key: "a", Revision: 3}}; !slices.Equal(asked, want) {
+		t.Fatalf("deferred: %v, want %v", asked, want)
+	}
+	for name, peer := range map[string]*Replica{"one in an outage": inOutage, "one that never had the entry": started} {
+		if got := peer.Removed(asked); len(got) != 0 {
+			t.Errorf("%s confirms %v", name, got)
+		}
+	}
+	confirmed := connected.Removed(asked)
+	written := newItem("a", 7)
+	rewritten := newReplica()
+	rewritten.MarkUnavailable()
+	rewritten.ApplySnapshot(time.Second, without)
+	rewritten.ApplyChanges(time.Second, []Change{{Item: written}}, Position{Revision: 7})
+	rewritten.ApplySnapshot(time.Second, Snapshot{Revision: 8, Items: []Item{newItem("b", 4)}})
+	if got := rewritten.ConfirmRemovals(confirmed); len(got) != 0 {
+		t.Errorf("an entry that was written since is removed: %v", got)
+	}
+	if got := waiting.ConfirmRemovals(confirmed); len(got) != 1 || got[0].Key != "a" || !got[0].Deleted {
+		t.Errorf("changes %v, want the removal of a", got)
+	}
+	if got := waiting.Removed(asked); !slices.Equal(got, asked) {
+		t.Errorf("a confirmed removal is not passed on: %v", got)
+	}
+}
+
 // Guards against a replica that reverts to an older state when an older answer or a
 // peer's older copy arrives late.
 func TestOlderSnapshotChangesNothing(t *testing.T) {
--- a/internal/gateway/peer_messages_test.go
+++ b/internal/gateway/peer_messages_test.go
@@ -42,7 +42,9 @@
 	}
 	if !firstBuild {
 		pull.Follow = followMessage{WaitMS: 800}
+		pull.Deferred = []replica.EntryState{{Key: "servers/i-3", Era: 3, Revision: 14}}
 		push.Settled = true
+		push.Removed = pull.Deferred
 		push.Follow = followAnswer{Served: true, Era: 3, Revision: 18, AgeMS: 40, OutageEnded: true, OutageEndedMS: 5000,
 			Changes: []replica.Change{{Item: item}, {Item: replica.Item{Key: "servers/i-2", Revision: 18}, Deleted: true}}}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -40,6 +40,8 @@
 	// maxQueuedPulls bounds the peers from which an instance pulls out of turn; any of them
 	// knows what the others on its side of a partition know.
 	maxQueuedPulls = 4
+	// maxDeferredPerPull bounds the deferred removals about which a peer is asked at a time.
+	maxDeferredPerPull = 256
 	// maxSuspicionsPerPull keeps an answer far below the frame size limit.
 	maxSuspicionsPerPull = 512
 )
@@ -63,11 +65,12 @@
 }
 
 // pullMessage requests what the peer knows beyond this instance: a snapshot after a position, a
-// configuration with a newer version, and the requests that are refused because they crash
-// upstreams, if their digest differs.
+// configuration with a newer version, the requests that are refused because they crash
+// upstreams, if their digest differs, and which of the deferred removals have taken effect there.
 type pullMessage struct {
 	Era, Revision, ConfigurationVersion, RefusedDigest uint64
 	Follow                                             followMessage
+	Deferred                                           []replica.EntryState
 }
 
 // pushMessage is the answer to a pullMessage. Snapshot is nil if the peer has nothing
@@ -84,6 +87,8 @@
 	Settled bool
 	// Follow is the answer to a follower of this instance.
 	Follow followAnswer
+	// Removed are the entries asked for whose removal has taken effect at the peer.
+	Removed []replica.EntryState
 }
 
 // newPeers opens the sockets for peers; it returns nil if the settings do not configure
@@ -255,12 +260,13 @@
 }
 
 // pullLoop requests snapshots from peers: at every interval while the platform is
-// unavailable and every idlePullIntervals intervals otherwise.
+// unavailable or removals are deferred, and every idlePullIntervals intervals otherwise.
 func (p *peers) pullLoop(ctx context.Context) error {
 	intervals := 0
 	return periodic.Run(ctx, pullInterval, func() {
 		intervals++
-		if p.platformUnavailable() || intervals >= idlePullIntervals {
+		deferred, _ := p.gateway.platformWatcher.replica.Pending()
+		if p.platformUnavailable() || deferred > 0 || intervals >= idlePullIntervals {
 			intervals = 0
 			if live := p.livePeers(); len(live) > 0 {
 				position, _ := p.gateway.platformWatcher.replica.Position()
@@ -310,7 +316,9 @@
 func (p *peers) pull(ctx context.Context, member membership.Member, after replica.Position) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	reply, err := p.exchangePull(ctx, member, p.newPullMessage(after))
+	request := p.newPullMessage(after)
+	request.Deferred = p.gateway.platformWatcher.replica.Deferred(maxDeferredPerPull)
+	reply, err := p.exchangePull(ctx, member, request)
 	if err != nil {
 		p.logCallFailure("pull", member.Name, err)
 		return
@@ -323,6 +331,7 @@
 	if reply.Snapshot != nil {
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
 	}
+	p.gateway.platformWatcher.confirmRemovals(reply.Removed, member.Name)
 	if reply.Configuration != nil {
 		p.gateway.applyConfigurationItem(*reply.Configuration, member.Name)
 	}
@@ -386,6 +395,7 @@
 		Configuration: p.gateway.configurationNewerThan(request.ConfigurationVersion),
 		Versions:      p.gateway.versions.Observations(p.gateway.now(), p.gateway.platformWatcher.isCurrent()),
 		Settled:       p.settled(),
+		Removed:       p.gateway.platformWatcher.replica.Removed(request.Deferred),
 	}
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
 		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -328,6 +328,13 @@
 	w.applySnapshot(snapshot, peer)
 }
 
+// confirmRemovals carries out deferred removals that have taken effect at a peer.
+func (w *platformWatcher) confirmRemovals(confirmed []replica.EntryState, peer string) {
+	if removed := w.replica.ConfirmRemovals(confirmed); len(removed) > 0 {
+		w.gateway.applyChanges(removed, peer)
+	}
+}
+
 // applyChanges applies changed entries. The configuration comes first because it defines
 // the services.
 func (g *Gateway) applyChanges(changes []replica.Change, source string) {
