--- a/internal/gateway/platform_outage_test.go
+++ b/internal/gateway/platform_outage_test.go
@@ -221,3 +221,41 @@
 		t.Errorf("%s: in %d of %d phases the upstream is still used %v after the outage", name, count, phases, reconnectBound)
 	}
 }
+
+// blockingDecoder blocks while it decodes a configuration.
+type blockingDecoder struct {
+	keyDecoder
+	entered, release chan struct{}
+}
+
+func (d blockingDecoder) Configuration(item replica.Item) (*Configuration, error) {
+	d.entered <- struct{}{}
+	<-d.release
+	return d.keyDecoder.Configuration(item)
+}
+
+// Guards against an upstream that is used for good after it has left: an older copy of its entry was decided on
+// before the entry changed, and carried out after it.
+func TestOlderCopyOfAnEntryIsNotCarriedOutAfterANewerOne(t *testing.T) {
+	for name, newer := range map[string]replica.Change{
+		"leaving": {Item: replica.Item{Key: "leaves", Value: []byte("leaving"), Revision: 11}},
+		"removed": {Item: replica.Item{Key: "leaves", Revision: 11}, Deleted: true},
+	} {
+		decoder := blockingDecoder{entered: make(chan struct{}), release: make(chan struct{})}
+		g := newWatchingGateway(t, newOutageStore(), decoder)
+		w := g.platformWatcher
+		var work sync.WaitGroup
+		work.Go(func() {
+			w.mergePeerSnapshot(replica.Snapshot{Revision: 9, Items: []replica.Item{
+				{Key: "configuration", Revision: 4}, {Key: "leaves", Value: []byte("ready"), Revision: 5}}}, "front-2")
+		})
+		<-decoder.entered
+		work.Go(func() { w.applyChanges([]replica.Change{newer}, replica.Position{Revision: 11}, "platform") })
+		time.Sleep(50 * time.Millisecond) // the change is carried out, or waits for the copy
+		close(decoder.release)
+		work.Wait()
+		if g.publishes("leaves") {
+			t.Errorf("%s: the upstream is still used", name)
+		}
+	}
+}
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,9 @@
 	gateway *Gateway
 	prefix  string
 	replica *replica.Replica
+	// applyMu is held while changes are decided by the replica and carried out, so that they take effect in the
+	// order in which they were decided.
+	applyMu sync.Mutex
 	// watchPause is the delay between a watch that returned changes and the next one.
 	watchPause time.Duration
 
@@ -134,6 +138,7 @@
 	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) > 0
 }
 
+// apply carries out changes that the replica has decided. The caller must hold applyMu.
 func (w *platformWatcher) apply(changes []replica.Change, source string) {
 	for _, deferred := range w.replica.TakeDeferred() {
 		w.gateway.log.WithFields(logrus.Fields{"event": eventlog.RemovalDeferred, "key": deferred.Key, "revision": deferred.Revision, "source": source,
@@ -146,9 +151,9 @@
 
 // applyDueRemovals carries out the removals whose grace period has passed.
 func (w *platformWatcher) applyDueRemovals() {
-	if due := w.replica.ApplyDueRemovals(w.gateway.now()); len(due) > 0 {
-		w.gateway.applyChanges(due, "grace")
-	}
+	w.applyMu.Lock()
+	defer w.applyMu.Unlock()
+	w.apply(w.replica.ApplyDueRemovals(w.gateway.now()), "grace")
 	deferred, _ := w.replica.Pending()
 	w.gateway.metrics.deferredRemovals.Set(float64(deferred))
 }
@@ -236,6 +241,8 @@
 
 // applySnapshot applies a snapshot and logs a new era.
 func (w *platformWatcher) applySnapshot(snapshot replica.Snapshot, source string) {
+	w.applyMu.Lock()
+	defer w.applyMu.Unlock()
 	before, loaded := w.replica.Position()
 	if loaded && !w.isCurrent() {
 		w.gateway.versions.Interrupted(w.gateway.now())
@@ -287,6 +294,8 @@
 
 // applyChanges applies the changes between the position of the replica and another one.
 func (w *platformWatcher) applyChanges(changes []replica.Change, position replica.Position, source string) {
+	w.applyMu.Lock()
+	defer w.applyMu.Unlock()
 	before, _ := w.replica.Position()
 	applied := w.replica.ApplyChanges(w.gateway.now(), changes, position)
 	if position.Compare(before) > 0 {
@@ -330,9 +339,9 @@
 
 // confirmRemovals carries out deferred removals that have taken effect at a peer.
 func (w *platformWatcher) confirmRemovals(confirmed []replica.EntryState, peer string) {
-	if removed := w.replica.ConfirmRemovals(confirmed); len(removed) > 0 {
-		w.gateway.applyChanges(removed, peer)
-	}
+	w.applyMu.Lock()
+	defer w.applyMu.Unlock()
+	w.apply(w.replica.ConfirmRemovals(confirmed), peer)
 }
 
 // applyChanges applies changed entries. The configuration comes first because it defines
