--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -149,13 +149,17 @@
 }
 
 // ApplyChanges applies the changes that a watch has returned up to a position, and returns
-// those that took effect.
+// those that took effect. Changes up to the position of the replica have no effect: a copy that arrived during the
+// watch already reflects them, and what was removed after them.
 func (r *Replica) ApplyChanges(now time.Duration, changes []Change, position Position) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var applied []Change
 	for _, c := range changes {
 		c.Era = position.Era
+		if c.Position().Compare(r.position) <= 0 {
+			continue
+		}
 		if withheld, ok := r.withheld[c.Key]; ok && c.Position().Compare(withheld) <= 0 {
 			continue
 		}
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -130,6 +130,28 @@
 	}
 }
 
+// Guards against an entry that comes back for good, or whose deferred removal is forgotten, because the answer to a
+// watch arrives after a copy that was newer.
+func TestLateChangesDoNotBringBackARemovedEntry(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		r := New(Options{GracePeriod: gracePeriod})
+		r.ApplySnapshot(0, Snapshot{Revision: 5, Items: []Item{newItem("a", 3), newItem("b", 4)}})
+		if outage {
+			r.MarkUnavailable()
+		}
+		r.ApplySnapshot(time.Second, Snapshot{Revision: 9, Items: []Item{newItem("b", 4)}})
+		r.ApplyChanges(2*time.Second, []Change{{Item: newItem("a", 6)}}, Position{Revision: 7})
+		r.MarkAvailable(3 * time.Second)
+		r.ApplyDueRemovals(3*time.Second + gracePeriod)
+		if got := itemKeys(r.Snapshot()); !slices.Equal(got, []string{"b"}) {
+			t.Errorf("outage %v: content %v, want [b]", outage, got)
+		}
+		if position, _ := r.Position(); position.Revision != 9 {
+			t.Errorf("outage %v: revision %d, want 9", outage, position.Revision)
+		}
+	}
+}
+
 // Guards against replicas that differ from the platform's content after any mix of full
 // reads, watches and repeated answers. The expected content is kept in a plain map.
 func TestReplicaFollowsThePlatform(t *testing.T) {
