--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,12 +114,11 @@
 		Request:       req,
 		HeaderTimeout: a.timeout,
 		BeforeSend:    a.beforeSend,
-		IsForeign: func(header *fasthttp.ResponseHeader) bool {
-			matches := ex.gateway.adapter.Upstream.MatchesRequest(header, ex.request.ID)
-			if !matches {
-				ex.logEntry(eventlog.MismatchedResponse).WithField("upstream", a.grant.Upstream.ID).Warn("dropped a response to another request")
-			}
-			return !matches
+		Attribute: func(header *fasthttp.ResponseHeader) upstream.Attribution {
+			return ex.gateway.adapter.Upstream.AttributeResponse(header, ex.request.ID)
+		},
+		OnForeign: func(header *fasthttp.ResponseHeader) {
+			ex.logEntry(eventlog.MismatchedResponse).WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "status": header.StatusCode()}).Warn("dropped a response to another request")
 		},
 	})
 	a.recordSend(err)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -10,6 +10,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
+	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
 // Request holds the fields that the gateway reads from a caller's request.
@@ -93,8 +94,8 @@
 	// BuildRequestHeader fills dst with the header for req, derived from the caller's
 	// header src.
 	BuildRequestHeader(dst, src *fasthttp.RequestHeader, req UpstreamRequest)
-	// MatchesRequest reports whether the response belongs to the request with the given ID.
-	MatchesRequest(h *fasthttp.ResponseHeader, id string) bool
+	// AttributeResponse reports whether the response belongs to the request with the given ID.
+	AttributeResponse(h *fasthttp.ResponseHeader, id string) upstream.Attribution
 	// ClassifyResponse classifies a response by its header.
 	ClassifyResponse(h *fasthttp.ResponseHeader) ResponseKind
 	// ReadStatement returns what the upstream states about itself.
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -97,14 +97,30 @@
 	FreshConnection bool
 	// HeaderTimeout bounds the wait for the response header. Zero: no bound.
 	HeaderTimeout time.Duration
-	// IsForeign, when set, reports whether a response belongs to another request. Such
-	// responses are discarded, at most maxForeignResponses of them, and the next is read.
-	IsForeign func(*fasthttp.ResponseHeader) bool
+	// Attribute, when set, reports to which request a response belongs. Responses to other requests
+	// are discarded, at most maxForeignResponses of them, and the next is read.
+	Attribute func(*fasthttp.ResponseHeader) Attribution
+	// OnForeign, when set, is called for each response that is discarded.
+	OnForeign func(*fasthttp.ResponseHeader)
 	// BeforeSend, when set, runs after the dial and before the first byte is sent. When it
 	// returns false, the call fails with PhaseDial and nothing is sent.
 	BeforeSend func() bool
 }
 
+// Attribution is what a response says about the request to which it belongs.
+type Attribution int
+
+const (
+	// OwnResponse names the request.
+	OwnResponse Attribution = iota
+	// ForeignResponse names another request.
+	ForeignResponse
+	// UnnamedResponse names no request. On a connection that has carried no other request it can only be the
+	// response to this one. Later it may be a copy of an earlier response and counts as foreign; the
+	// connection is not used again after it.
+	UnnamedResponse
+)
+
 // ErrCancelled reports an exchange that was cancelled because its caller is gone.
 var ErrCancelled = errors.New("the exchange was cancelled")
 
@@ -178,6 +194,7 @@
 	if call.BeforeSend != nil && !call.BeforeSend() {
 		return fail(PhaseDial, errBeforeSendRefused)
 	}
+	cn.requests++
 	if err := cn.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout)); err != nil {
 		return fail(PhaseWrite, errors.Wrap(err, "send request"))
 	}
@@ -198,10 +215,13 @@
 		if err := response.Response.Read(cn.reader); err != nil {
 			return fail(PhaseHeader, errors.Wrap(err, "read response"))
 		}
-		if call.IsForeign == nil || !call.IsForeign(&response.Response.Header) {
+		if cn.acceptsResponse(call, &response.Response.Header) {
 			cn.keepAliveTimeout = parseKeepAliveTimeout(&response.Response.Header)
 			return response, nil
 		}
+		if call.OnForeign != nil {
+			call.OnForeign(&response.Response.Header)
+		}
 		if skipped == maxForeignResponses {
 			return fail(PhaseHeader, errForeignResponses)
 		}
@@ -211,6 +231,21 @@
 	}
 }
 
+// acceptsResponse reports whether the response belongs to the request of the call.
+func (cn *conn) acceptsResponse(call Call, h *fasthttp.ResponseHeader) bool {
+	if call.Attribute == nil {
+		return true
+	}
+	switch call.Attribute(h) {
+	case OwnResponse:
+		return true
+	case UnnamedResponse:
+		cn.singleUse = true
+		return cn.requests == 1
+	}
+	return false
+}
+
 // maxForeignResponses bounds the responses to other requests that are discarded in one
 // exchange.
 const maxForeignResponses = 3
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -47,6 +47,8 @@
 	lastUsed         time.Time
 	keepAliveTimeout time.Duration // announced by the upstream; 0: unknown
 	reused           bool
+	requests         int  // sent on it
+	singleUse        bool // a response on it named no request
 }
 
 // Write records that bytes may have been sent, then writes them.
--- a/internal/transport/upstream/response.go
+++ b/internal/transport/upstream/response.go
@@ -76,7 +76,7 @@
 		r.conn.abandon()
 		return
 	}
-	reusable := !r.Response.ConnectionClose() && r.Framing() != FramingClose && r.atBodyEnd()
+	reusable := !r.conn.singleUse && !r.Response.ConnectionClose() && r.Framing() != FramingClose && r.atBodyEnd()
 	if !reusable {
 		r.conn.Close()
 		return
