--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -51,6 +51,9 @@
 
 // send sends the request and checks that the response belongs to it.
 func (a *attempt) send(call upstream.Call) error {
+	if a.request.pool.kind == servicePool {
+		call.Attribute, call.OnForeign = a.attributeServiceResponse, a.countMismatch
+	}
 	response, err := a.client.Do(a.request.ctx, call)
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.LostConnection() && !call.FreshConnection && a.upstreamRuns() {
@@ -66,7 +69,7 @@
 	}
 	if !a.matchesRequestID(string(response.Response.Header.Peek(headerRequestID))) {
 		response.Release(false)
-		a.request.pool.instance.metrics.mismatchedResponses.WithLabelValues(a.request.pool.name).Inc()
+		a.countMismatch(&response.Response.Header)
 		return errRequestIDMismatch
 	}
 	a.response = response
@@ -74,11 +77,26 @@
 }
 
 // matchesRequestID checks the echoed request ID. Engines must echo it. A plain service may
-// not know the header; its response is then matched by the connection alone.
+// not know the header; its response is then matched by a connection that carried no other request.
 func (a *attempt) matchesRequestID(echo string) bool {
 	return echo == a.request.id || echo == "" && a.request.pool.kind == servicePool
 }
 
+func (a *attempt) attributeServiceResponse(h *fasthttp.ResponseHeader) upstream.Attribution {
+	switch string(h.Peek(headerRequestID)) {
+	case a.request.id:
+		return upstream.OwnResponse
+	case "":
+		return upstream.UnnamedResponse
+	}
+	return upstream.ForeignResponse
+}
+
+// countMismatch counts a response that belongs to another request.
+func (a *attempt) countMismatch(*fasthttp.ResponseHeader) {
+	a.request.pool.instance.metrics.mismatchedResponses.WithLabelValues(a.request.pool.name).Inc()
+}
+
 // recordToken records the arrival of a token or of a complete response.
 func (a *attempt) recordToken() {
 	elapsed := a.request.pool.instance.now() - a.startTime
