--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -20,7 +20,7 @@
 	// ConfigurationRefused is logged when a configuration is invalid; the previous one stays in effect.
 	ConfigurationRefused Event = "configuration_refused"
 	// HistoryTruncated is logged when the platform has discarded the change history after the last
-	// revision read, so that everything is read in full.
+	// revision read, or it does not fit into one answer, so that everything is read in full.
 	HistoryTruncated Event = "history_gone"
 	// EraChanged is logged when the platform has come back from an older copy.
 	EraChanged Event = "era_changed"
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -183,9 +183,9 @@
 			w.markAvailable()
 			synced = false
 			continue
-		case errors.Is(err, ErrHistoryCompacted):
+		case errors.Is(err, ErrHistoryCompacted), errors.Is(err, ErrChangesTooLarge):
 			w.markAvailable()
-			w.gateway.log.WithFields(logrus.Fields{"event": eventlog.HistoryTruncated, "prefix": w.prefix}).Warn("platform history compacted; repeating the full read")
+			w.gateway.log.WithFields(logrus.Fields{"event": eventlog.HistoryTruncated, "prefix": w.prefix, "reason": err.Error()}).Warn("platform history not available; repeating the full read")
 			synced = false
 			continue
 		}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -108,6 +108,10 @@
 // revision are no longer available.
 var ErrHistoryCompacted = errors.New("the requested revision has been compacted")
 
+// ErrChangesTooLarge is returned by [PlatformStore.Watch] if the changes after the given revision do
+// not fit into one answer.
+var ErrChangesTooLarge = errors.New("the changes since the last revision do not fit into one answer")
+
 // ErrNewEra is returned by [PlatformStore] if an answer is of another era than the position it should
 // follow: the platform has come back from an older copy.
 var ErrNewEra = errors.New("the platform has come back from an older copy")
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -53,9 +53,9 @@
 const (
 	// defaultTimeout bounds a call; the platform responds within milliseconds.
 	defaultTimeout = 2 * time.Second
-	// maxInstancesBytes bounds the instance list: 3,100 nodes at about 100 bytes each need
-	// about 310 kB, well below the limit.
-	maxInstancesBytes = 2 << 20
+	// maxResponseBytes bounds a response: a page of entries holds about 1 MB of values and one more value of
+	// up to 1 MiB, in base64.
+	maxResponseBytes = 4 << 20
 	// maxConnections allows one watch, one poll and a few reads at the same time.
 	maxConnections = 8
 )
@@ -99,7 +99,7 @@
 		Addr:                     o.Address,
 		Dial:                     c.dial,
 		MaxConns:                 maxConnections,
-		MaxResponseBodySize:      max(maxInstancesBytes, config.MaxBytes),
+		MaxResponseBodySize:      maxResponseBytes,
 		NoDefaultUserAgentHeader: true,
 	}
 	return c
@@ -183,6 +183,9 @@
 	}
 }
 
+// ErrTooLarge reports a response that is larger than the client accepts.
+var ErrTooLarge = errors.New("platform: the response is too large")
+
 // Response is a response of the platform.
 type Response struct {
 	Status int
@@ -223,7 +226,11 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + c.http.Addr + uri)
-	return errors.Wrap(c.http.DoTimeout(req, res, timeout), "platform")
+	err := c.http.DoTimeout(req, res, timeout)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return ErrTooLarge
+	}
+	return errors.Wrap(err, "platform")
 }
 
 // Close ends all calls in progress, including a waiting watch, and refuses new ones.
