--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -54,6 +54,11 @@
 // Position returns the place of the snapshot.
 func (s Snapshot) Position() Position { return Position{Era: s.Era, Revision: s.Revision} }
 
+// Holds reports whether the snapshot has the entry in the same state.
+func (s Snapshot) Holds(item *Item) bool {
+	return slices.ContainsFunc(s.Items, func(i Item) bool { return i.Key == item.Key && i.Position() == item.Position() })
+}
+
 // Options configure a Replica.
 type Options struct {
 	// GracePeriod is the time after an outage of the platform during which removals are
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -397,6 +397,9 @@
 		Settled:       p.settled(),
 		Removed:       p.gateway.platformWatcher.replica.Removed(request.Deferred),
 	}
+	if reply.Snapshot != nil && reply.Configuration != nil && reply.Snapshot.Holds(reply.Configuration) {
+		reply.Configuration = nil // once is enough: it may fill half of a message
+	}
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
 		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
 	}
@@ -411,13 +414,19 @@
 	return peerwire.ReplicaPush{Payload: payload}, nil
 }
 
-// snapshotAfter returns a snapshot of the replica if it is after a position, nil otherwise.
+// snapshotAfter returns a snapshot of the replica if it is after a position, nil otherwise. Entries that are too large
+// to be of an upstream have no value in it: the whole must fit into one message.
 func (w *platformWatcher) snapshotAfter(position replica.Position) *replica.Snapshot {
 	current, ok := w.replica.Position()
 	if !ok || current.Compare(position) <= 0 {
 		return nil
 	}
 	snapshot := w.replica.Snapshot()
+	for i, item := range snapshot.Items {
+		if len(item.Value) > MaxUpstreamEntryBytes && !w.gateway.adapter.Decoder.IsConfiguration(item.Key) {
+			snapshot.Items[i].Value = nil
+		}
+	}
 	return &snapshot
 }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -123,6 +123,10 @@
 // WatchTimeoutMargin is added to the wait of a watch to obtain the timeout of the call.
 const WatchTimeoutMargin = 500 * time.Millisecond
 
+// MaxUpstreamEntryBytes bounds the entry of an upstream. A larger one was written by something other than an upstream;
+// it is neither decoded nor handed to peers.
+const MaxUpstreamEntryBytes = 64 << 10
+
 // PlatformStore reads the entries published on the platform. Implementations must be safe
 // for concurrent use.
 type PlatformStore interface {
