--- a/internal/entry/dissemination.go
+++ b/internal/entry/dissemination.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
@@ -216,6 +217,7 @@
 	rng        *rand.Rand
 	lastSent   []string
 	lastSentAt time.Duration
+	invalid    int // entries of the last list that describe no instance
 }
 
 func (in *Instance) pollInstanceList(ctx context.Context) error {
@@ -234,6 +236,7 @@
 	if result.Outcome != platform.OK {
 		return
 	}
+	p.logInvalid(result)
 	if notJoined {
 		p.instance.peers.addPlatformSeeds(result.Instances)
 	}
@@ -248,6 +251,14 @@
 	p.distribute(names)
 }
 
+// logInvalid logs entries that describe no instance when their number changes.
+func (p *instanceListPoller) logInvalid(result platform.InstancesResult) {
+	if result.Invalid != p.invalid && result.Invalid > 0 {
+		p.instance.log.WithFields(logrus.Fields{"event": "instance_entries_invalid", "entries": result.Invalid, "error": result.InvalidErr.Error()}).Warn("entries of the instance list describe no instance")
+	}
+	p.invalid = result.Invalid
+}
+
 // shouldSubstitute reports whether this instance polls although it is not a reader, because
 // no list has been received for readerTimeout: the readers may have lost their connection
 // to the platform. The members of a failure domain poll at random, together about once a
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -129,7 +129,7 @@
 		if i.Role != platformapi.RoleEntry || i.State != platformapi.Live || len(seeds) >= maxSeeds {
 			continue
 		}
-		if a, err := netip.ParseAddrPort(i.Address); err == nil && a != g.self.UDP {
+		if a, err := netip.ParseAddrPort(i.Address); err == nil && a.Port() != 0 && a != g.self.UDP {
 			seeds = append(seeds, a)
 		}
 	}
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -117,6 +117,10 @@
 type InstancesResult struct {
 	Outcome   Outcome
 	Instances []platformapi.Instance
+	// Invalid is the number of entries that describe no instance and are left out, and InvalidErr says why for
+	// one of them.
+	Invalid    int
+	InvalidErr error
 	// Err is the cause of the outcomes Unavailable and Malformed.
 	Err error
 }
@@ -155,16 +159,30 @@
 	if outcome != OK {
 		return InstancesResult{Outcome: outcome, Err: err}
 	}
-	var list []platformapi.Instance
-	if err := json.Unmarshal(res.Body(), &list); err != nil {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(res.Body(), &entries); err != nil {
 		return InstancesResult{Outcome: Malformed, Err: errors.Wrap(err, "decode instance list")}
 	}
-	for _, instance := range list {
-		if err := instance.Validate(); err != nil {
-			return InstancesResult{Outcome: Malformed, Err: err}
+	result := InstancesResult{Outcome: OK}
+	for _, entry := range entries {
+		instance, err := decodeInstance(entry)
+		if err != nil {
+			// One entry of another writer must not hide the others.
+			result.Invalid++
+			result.InvalidErr = err
+			continue
 		}
+		result.Instances = append(result.Instances, instance)
 	}
-	return InstancesResult{Outcome: OK, Instances: list}
+	return result
+}
+
+func decodeInstance(entry json.RawMessage) (platformapi.Instance, error) {
+	var instance platformapi.Instance
+	if err := json.Unmarshal(entry, &instance); err != nil {
+		return instance, errors.Wrap(err, "decode instance")
+	}
+	return instance, instance.Validate()
 }
 
 func (c *Client) get(uri string, timeout time.Duration, res *fasthttp.Response) (Outcome, error) {
--- /dev/null
+++ b/internal/transport/platform/client_test.go
@@ -0,0 +1,39 @@
+package platform
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// Guards against an instance list that is not followed any longer because one of its entries describes no instance.
+func TestInvalidEntriesDoNotHideTheOthers(t *testing.T) {
+	const sound = `{"name":"a","address":"10.0.0.1:80","state":"leaving"}`
+	for name, odd := range map[string]string{
+		"nested":           strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000),
+		"nested field":     `{"name":"b","address":"10.0.0.2:80","state":"live","role":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000) + `}`,
+		"number too large": `{"name":1e999,"address":"10.0.0.2:80","state":"live"}`,
+		"another type":     `{"name":"b","address":80,"state":"live"}`,
+		"unknown state":    `{"name":"b","address":"10.0.0.2:80","state":"gone"}`,
+		"no address":       `{"name":"b","state":"live"}`,
+		"a number":         `7`,
+		"nothing":          `null`,
+		"a text":           `"b"`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if _, err := w.Write([]byte("[" + odd + "," + sound + "]")); err != nil {
+					t.Error(err)
+				}
+			}))
+			defer server.Close()
+			c := New(Options{Address: strings.TrimPrefix(server.URL, "http://")})
+			defer c.Close()
+			got := c.Instances()
+			if got.Outcome != OK || len(got.Instances) != 1 || got.Instances[0].Name != "a" || got.Invalid != 1 || got.InvalidErr == nil {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
