--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -76,20 +76,22 @@
 
 // choose selects the upstream for a request; ok is false if there is none. The preferred
 // upstream of the session is used while it is predicted to start the request in time, then
-// the next upstreams in the session's rendezvous order if they are idle. Only a few upstreams
+// the next upstreams in the session's rendezvous order if they are idle; a long prompt that outranks others uses
+// them also if they start it in time. Only a few upstreams
 // are considered, the same by all instances, so that delayed load reports do not direct many
 // instances to one upstream. A short prompt for which none of them is suitable is placed on
 // the upstream with the lowest cost.
 func (d *Dispatcher) choose(now time.Duration, r *Request) (best candidate, ok bool) {
 	medians := d.medians(now)
+	long := r.long
+	moves := long && d.outranksOthers(now, r)
 	for pass := range 3 {
-		long := r.long
 		for i, u := range d.rankedBySession(now, r, pass, long) {
 			c := d.evaluate(now, u, r, i == 0, medians)
-			if i == 0 {
+			if i == 0 || moves && c.cost < best.cost {
 				best, ok = c, true
 			}
-			if i == 0 && d.startsInTime(now, r, &c) || i > 0 && c.idle() {
+			if (i == 0 || moves) && d.startsInTime(now, r, &c) || i > 0 && c.idle() {
 				return c, true
 			}
 		}
@@ -117,6 +119,11 @@
 	return best, false
 }
 
+// outranksOthers reports whether less urgent requests have arrived recently.
+func (d *Dispatcher) outranksOthers(now time.Duration, r *Request) bool {
+	return !d.recentRanks.isLeastUrgent(now, r.Rank)
+}
+
 // emptyStreamUpstream returns an upstream for streams that runs no requests at all, for a long
 // prompt for which the upstreams for long prompts are busy.
 func (d *Dispatcher) emptyStreamUpstream(now time.Duration, r *Request, pass int, medians medians) (candidate, bool) {
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -335,7 +335,9 @@
 		return ""
 	}
 	limit := r.Target - now
-	if time.Duration(c.upstream.Slots)*minLongPrefillTime > limit {
+	if d.outranksOthers(now, r) {
+		limit = max(limit, time.Duration(maxWaitShare*float64(r.Deadline-now)))
+	} else if time.Duration(c.upstream.Slots)*minLongPrefillTime > limit {
 		limit = time.Duration(maxWaitShare * float64(limit))
 	}
 	switch {
--- a/internal/coordination/dispatch/doc.go
+++ b/internal/coordination/dispatch/doc.go
@@ -31,7 +31,8 @@
 //     alike before they have exchanged reports. A long prompt is placed on the session's
 //     preferred upstream while it is predicted to start before its target, else on one of the
 //     next two upstreams in that order if it is idle; otherwise it waits for its preferred
-//     upstream. Only these few upstreams are considered, the same by all instances, because
+//     upstream. While less urgent requests arrive, it is also placed on one of the next two if that
+//     one starts it in time, and may wait longer there, so that it does not wait while they start elsewhere. Only these few upstreams are considered, the same by all instances, because
 //     reports about the others are some hundred milliseconds old and the upstream with the
 //     lowest cost would be the same one for all instances. A short prompt that finds none of
 //     the three idle is placed on the upstream with the lowest cost, since it costs little
