--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -61,6 +61,7 @@
 type candidate struct {
 	upstream       *upstream
 	preferred      bool
+	outranks       bool // for streams that are less urgent than the request, a long prompt
 	cachedTokens   int
 	predictedWait  time.Duration
 	work           time.Duration // prefill time at the learned rate
@@ -96,7 +97,7 @@
 			}
 		}
 		if ok && long {
-			if c, found := d.emptyStreamUpstream(now, r, pass, medians); found {
+			if c, found := d.streamUpstream(now, r, pass, medians, best.timeToFirstOutput()); found {
 				return c, true
 			}
 			return best, true
@@ -124,15 +125,23 @@
 	return !d.recentRanks.isLeastUrgent(now, r.Rank)
 }
 
-// emptyStreamUpstream returns an upstream for streams that runs no requests at all, for a long
-// prompt for which the upstreams for long prompts are busy.
-func (d *Dispatcher) emptyStreamUpstream(now time.Duration, r *Request, pass int, medians medians) (candidate, bool) {
+// streamUpstream returns an upstream for streams, for a long prompt that no upstream for long prompts starts in time:
+// one that runs no requests at all or, if the prompt is more urgent than the streams of its team, one that starts it
+// in time, or at least before its deadline and sooner than an upstream for long prompts would.
+func (d *Dispatcher) streamUpstream(now time.Duration, r *Request, pass int, medians medians, longSide time.Duration) (best candidate, ok bool) {
+	outranks := d.streamRanks.outranked(now, r.Team, r.Rank)
+	soonest := min(longSide, r.Deadline-now)
 	for _, u := range d.rankedBySession(now, r, pass, false) {
-		if c := d.evaluate(now, u, r, false, medians); u.load() == 0 && c.idle() {
+		c := d.evaluate(now, u, r, false, medians)
+		c.outranks = outranks
+		if u.load() == 0 && c.idle() || outranks && d.startsInTime(now, r, &c) {
 			return c, true
 		}
+		if outranks && u.load() < d.requestLimit(r, u) && c.timeToFirstOutput() < soonest {
+			best, ok, soonest = c, true, c.timeToFirstOutput()
+		}
 	}
-	return candidate{}, false
+	return best, ok
 }
 
 // startsInTime reports whether the upstream is below its request limit and is predicted to
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -60,6 +60,7 @@
 	recentRanks           recentRanks
 	drain                 drainRate
 	classPrompts          classPrompts
+	streamRanks           streamRanks
 
 	queue            *fairqueue.Queue[*waitingRequest]
 	waiting          map[uint64]*waitingRequest
@@ -108,8 +109,8 @@
 	return &Dispatcher{
 		options: o, rng: rng, tokensPerMS: o.TokensPerMS,
 		upstreams: map[string]*upstream{}, domainAnsweredAt: map[string]time.Duration{}, waiting: map[uint64]*waitingRequest{}, grants: map[uint64]*grant{},
-		classPrompts: newClassPrompts(),
-		queue:        fairqueue.New[*waitingRequest](o.QueueLimit, 0, 1),
+		classPrompts: newClassPrompts(), streamRanks: newStreamRanks(),
+		queue: fairqueue.New[*waitingRequest](o.QueueLimit, 0, 1),
 	}
 }
 
@@ -149,6 +150,9 @@
 	defer d.mu.Unlock()
 	d.recentRanks.observe(now, r.Rank)
 	r.long = d.classifyPrompt(now, &r)
+	if !r.long && isLatencySensitive(&r) {
+		d.streamRanks.observe(now, r.Team, r.Rank)
+	}
 	decision := d.decideArrival(now, &r)
 	if decision.Grant != nil || decision.Rejection != nil {
 		return decision
@@ -306,6 +310,9 @@
 	if !ok {
 		return d.decideWithoutUpstream(now, r)
 	}
+	if c.outranks {
+		queueDelay = 0 // the requests ahead wait for upstreams for long prompts
+	}
 	predicted := queueDelay + c.timeToFirstOutput()
 	// Use an upstream without prompts that has a free slot even if its recent response times
 	// exceed the deadline: without requests its recovery would never be observed.
--- a/internal/coordination/dispatch/doc.go
+++ b/internal/coordination/dispatch/doc.go
@@ -46,7 +46,10 @@
 //     delays. An upstream that is reassigned to long prompts finishes its streams first, for
 //     two seconds at most. Short prompts cross the split when the cost on their own side
 //     exceeds the penalty; long prompts cross it only to upstreams that run no requests, or
-//     to those with free slots while none for long prompts is available.
+//     to those with free slots while none for long prompts is available. A long prompt that is
+//     more urgent than most streams of its team also crosses it when no upstream for long
+//     prompts starts it in time; it does not wait behind requests that may not cross. This matters when
+//     streams of a less urgent class need nearly all upstreams.
 //   - Upstreams that respond later than predicted, or fail, more than the median upstream have
 //     a higher cost. If all of them do, the cause is the load. No upstream is excluded for
 //     being slow, so a service is still used when every upstream is slow or fails part of its
--- a/internal/coordination/dispatch/urgent_long_test.go
+++ b/internal/coordination/dispatch/urgent_long_test.go
@@ -7,12 +7,14 @@
 	"time"
 )
 
-// Classes of a deployment whose long prompts differ in urgency, as the priorities of their routes say.
+// Classes of a deployment whose long prompts differ in urgency, beside streams that are the least urgent.
 var (
 	summaries = classProfile{class: "summary", priority: 2, groups: 4, sessions: 120, groupTokens: 5320, sessionTokens: 7980, ownTokens: 3720, sigma: 0.8, maxOwnTokens: 20_000, events: 40,
 		target: 2 * time.Second, deadline: 8 * time.Second, interTokenTarget: 600 * time.Millisecond}
 	matches = classProfile{class: "match", priority: 1, groups: 4, sessions: 60, groupTokens: 2520, sessionTokens: 3780, ownTokens: 2890, sigma: 0.8, maxOwnTokens: 12_000, events: 17,
 		target: 600 * time.Millisecond, deadline: 2400 * time.Millisecond, interTokenTarget: 250 * time.Millisecond}
+	chats = classProfile{class: "chat", priority: 2, groups: 8, sessions: 120, groupTokens: 210, sessionTokens: 140, ownTokens: 1110, sigma: 0.9, maxOwnTokens: 5000, events: 90,
+		target: 400 * time.Millisecond, deadline: 2 * time.Second, interTokenTarget: 150 * time.Millisecond}
 )
 
 // simulateMatches simulates a burst of summaries beside matches, at eight instances and twelve engines.
@@ -72,3 +74,19 @@
 		})
 	}
 }
+
+// Guards against urgent long prompts that are left a single upstream because less urgent streams need the others.
+func TestUrgentLongPromptsKeepUpstreamsBesideLessUrgentStreams(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			checkMatchesAreServed(t, simulateMatches(seed, 9, func(sim *simulation, now time.Duration) {
+				rate := 20.0
+				if now > time.Second {
+					rate *= 6
+				}
+				sim.submitTeamArrivals(now, rate, chats, "usual", 1)
+				sim.submitTeamArrivals(now, 4, summaries, "urgent", 0)
+			}))
+		})
+	}
+}
