--- a/internal/soak/faultintervals.go
+++ b/internal/soak/faultintervals.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,6 +29,13 @@
 	}
 }
 
+// all returns the intervals.
+func (f *faultIntervals) all() []interval {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.intervals)
+}
+
 // inactiveBefore reports whether no fault is active now and none has ended after at minus period.
 func (f *faultIntervals) inactiveBefore(at time.Time, period time.Duration) bool {
 	f.mu.Lock()
--- a/internal/soak/releases.go
+++ b/internal/soak/releases.go
@@ -47,7 +47,7 @@
 
 // failureDomain returns the failure domain of an instance.
 func (o Options) failureDomain(instance int) string {
-	if o.Faults == ReleaseFaults || o.Faults == PartitionFaults {
+	if o.Faults == ReleaseFaults || o.Faults == PartitionFaults || o.Faults == RemovalFaults {
 		return fmt.Sprintf("zone-%d", instance%failureDomains)
 	}
 	return "zone"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -73,6 +73,8 @@
 	PartitionFaults Faults = "partitions"
 	// StatementFaults makes upstreams state in their answers that they leave, or when to come back.
 	StatementFaults Faults = "statements"
+	// RemovalFaults removes entries of upstreams that still serve, while instances lose the store.
+	RemovalFaults Faults = "removals"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -109,6 +111,8 @@
 	AtPartitioned, AtOthers firstTries
 	// Statements is the number of answers in which upstreams stated something to known callers.
 	Statements int
+	// Removals is the number of times that an upstream without an entry still served.
+	Removals int
 }
 
 // Command returns the command line that repeats the run.
@@ -142,6 +146,9 @@
 	if r.Options.Faults == StatementFaults {
 		fmt.Fprintf(&b, "answers with statements: %d\n", r.Statements)
 	}
+	if r.Options.Faults == RemovalFaults {
+		fmt.Fprintf(&b, "entries removed: %d\n", r.Removals)
+	}
 	fmt.Fprintf(&b, "largest memory of an instance: %d MB\n", r.LargestMemory/1e6)
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise was broken\n")
@@ -208,6 +215,7 @@
 	tb.checkStreamVersions()
 	tb.checkPartitions(observations)
 	tb.checkStatements(observations)
+	tb.checkRemovals(observations)
 	return tb.report(observations), ctx.Err()
 }
 
@@ -390,7 +398,7 @@
 const finalCallerNumber = maxCallers + 1
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold, Removals: tb.removals}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -212,3 +212,24 @@
 		}
 	}
 }
+
+// Guards against requests that go on reaching upstreams whose entries are gone, from instances that have the store
+// again, or had it all the time.
+func TestRemovedUpstreamsGetNothingUnderFaults(t *testing.T) {
+	file, err := buildDaemon()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Seed: 6112, Duration: 25 * time.Second, Instances: 6, Upstreams: 6, Faults: RemovalFaults, Rate: 120, Daemon: file, Dir: t.TempDir()}
+	report, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	if report.Removals == 0 {
+		t.Error("no entry was removed")
+	}
+}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -66,6 +66,7 @@
 	atPartitioned    firstTries
 	atOthers         firstTries
 	statementsTold   int
+	removals         int
 }
 
 func (tb *testbed) addViolation(format string, args ...any) {
@@ -184,6 +185,8 @@
 			waitForEnd()
 		}
 		u.register(tb.store, serving)
+	case removeUpstream:
+		u.removeEntry(tb, waitForEnd)
 	case breakMany, rejectMany, pauseMany:
 		tb.applyFaultToMany(f, waitForEnd)
 	case stateLimit:
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -20,6 +20,8 @@
 	activeLeaving, activePausing                         atomic.Int32
 	bornMS                                               atomic.Int64 // Unix time of the last start after a crash
 	linkFaults                                           faultIntervals
+	removals                                             faultIntervals // times without an entry
+	removalMu                                            sync.Mutex
 	publish                                              func() // publishes the registration
 	reportError                                          func(error)
 
