--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -37,6 +37,9 @@
 // The statement plan ([StatementFaults]) makes upstreams state in their answers that they leave, or when
 // they want requests again, while instances start late, are killed, stopped and paused.
 //
+// The removal plan ([RemovalFaults]) removes the entries of upstreams that still serve, while instances in several
+// failure domains lose the store for seconds, mostly without an error, and are killed, stopped and paused.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -57,6 +60,7 @@
 //     served at least two thirds as often as the others', unless few fail.
 //   - An upstream that has told an instance that it leaves gets none of the requests that the instance's
 //     callers send more than 2 s later; one that wants no requests for a time gets two at most.
+//   - An upstream whose entry has been gone for 2 s gets nothing from instances that have had the store for 3 s.
 //   - Once a part of prompts has crashed five upstreams, at most three more requests with it are
 //     sent by undisturbed instances.
 //   - Nothing is sent to upstreams longer than half a second after its caller has left.
