--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -30,6 +30,8 @@
 	return nil, after, nil
 }
 
+func (emptyStore) Ping(context.Context) error { return nil }
+
 // startWithPeers runs an instance without upstreams on loopback ports. It joins through the
 // given gossip addresses.
 func startWithPeers(t *testing.T, name string, seeds ...string) *Gateway {
--- a/internal/gateway/platform_outage_test.go
+++ b/internal/gateway/platform_outage_test.go
@@ -38,7 +38,8 @@
 	mu        sync.Mutex
 	silent    bool
 	revision  uint64
-	compacted uint64 // watches from earlier revisions are refused
+	compacted uint64        // watches from earlier revisions are refused
+	transfer  time.Duration // of an answer that holds changes, over a slow link
 	items     map[string]replica.Item
 	history   []replica.Change
 	changed   chan struct{}
@@ -118,11 +119,18 @@
 	return s.snapshot(), nil
 }
 
+func (s *outageStore) Ping(ctx context.Context) error {
+	if !s.answers(ctx, PingTimeout) {
+		return errUnanswered
+	}
+	return nil
+}
+
 func (s *outageStore) Watch(ctx context.Context, _ string, after replica.Position, wait time.Duration) ([]replica.Change, replica.Position, error) {
 	if !s.answers(ctx, wait+WatchTimeoutMargin) {
 		return nil, after, errUnanswered
 	}
-	timer := time.After(wait)
+	timer, timeout := time.After(wait), time.After(wait+WatchTimeoutMargin)
 	for {
 		s.mu.Lock()
 		revision, changed, compacted := s.revision, s.changed, s.compacted
@@ -137,7 +145,12 @@
 			return nil, after, ErrHistoryCompacted
 		}
 		if len(changes) > 0 {
-			return changes, replica.Position{Revision: revision}, nil
+			select {
+			case <-time.After(s.transfer):
+				return changes, replica.Position{Revision: revision}, nil
+			case <-timeout:
+				return nil, after, errUnanswered
+			}
 		}
 		select {
 		case <-changed:
@@ -222,6 +235,27 @@
 	}
 }
 
+// Guards against an instance that stops following the platform after an outage because the changes since then, a large
+// configuration for one, take longer over its link than a call may that only shows whether the platform is back.
+func TestLargeChangesArriveAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newOutageStore("stays", "leaves")
+		store.transfer = 1200 * time.Millisecond
+		g := newWatchingGateway(t, store, keyDecoder{})
+		g.watch(t)
+		time.Sleep(time.Second)
+		store.setSilent(true)
+		time.Sleep(5 * time.Second)
+		store.put("configuration", "large")
+		store.put("leaves", "leaving")
+		store.setSilent(false)
+		time.Sleep(4 * time.Second)
+		if g.publishes("leaves") {
+			t.Error("the change has not arrived 4 s after the outage")
+		}
+	})
+}
+
 // blockingDecoder blocks while it decodes a configuration.
 type blockingDecoder struct {
 	keyDecoder
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -41,6 +41,9 @@
 	// It must stay below two seconds, the bound for a removal with another cause to take
 	// effect.
 	expiredEntryGrace = 1600 * time.Millisecond
+	// maxFailedWatches is the number of watches that fail one after the other before everything is read in
+	// full, in pages: the changes may be too large for the time of one call.
+	maxFailedWatches = 2
 	// removalCheckInterval is how often delayed removals are checked.
 	removalCheckInterval = 100 * time.Millisecond
 )
@@ -64,8 +67,10 @@
 	// syncLoop only.
 	platformLost bool
 	lostAt       time.Duration
-	recent       *replica.Recent               // for followers
-	changed      atomic.Pointer[chan struct{}] // closed when the position changes
+	// failedWatches counts the watches that have failed one after the other; used by syncLoop only.
+	failedWatches int
+	recent        *replica.Recent               // for followers
+	changed       atomic.Pointer[chan struct{}] // closed when the position changes
 }
 
 func newPlatformWatcher(g *Gateway) *platformWatcher {
@@ -159,14 +164,13 @@
 }
 
 // syncLoop reads the prefix in full, then watches it. It repeats the full read if the
-// platform has compacted the changes since the last watch. While the platform does not answer, it asks for
-// changes only: such a call is answered or given up sooner than a full read.
+// platform has compacted the changes since the last watch, or if they do not arrive in time again and again.
 func (w *platformWatcher) syncLoop(ctx context.Context) error {
 	synced, started := false, false
 	backoff := initialBackoff
 	for ctx.Err() == nil {
 		var err error
-		if synced || started && w.platformLost {
+		if synced {
 			err = w.watch(ctx)
 		} else {
 			err = w.readAll(ctx)
@@ -190,6 +194,9 @@
 			continue
 		}
 		w.markUnavailable(err)
+		if w.failedWatches >= maxFailedWatches {
+			synced, w.failedWatches = false, 0
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(backoff/2 + time.Duration(rand.Int64N(int64(backoff/2)))):
@@ -220,7 +227,23 @@
 	}
 }
 
+// probe pings the platform if it did not answer the last call. The end of an outage must be noticed soon, however long
+// the changes since then take to arrive.
+func (w *platformWatcher) probe(ctx context.Context) error {
+	if !w.platformLost || !w.hasSnapshot() {
+		return nil
+	}
+	if err := w.gateway.adapter.Store.Ping(ctx); err != nil {
+		return err
+	}
+	w.markAvailable()
+	return nil
+}
+
 func (w *platformWatcher) readAll(ctx context.Context) error {
+	if err := w.probe(ctx); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, fullReadTimeout)
 	defer cancel()
 	snapshot, err := w.gateway.adapter.Store.Read(ctx, w.prefix)
@@ -231,6 +254,7 @@
 		return errOldEra
 	}
 	w.markAvailable()
+	w.failedWatches = 0
 	w.applySnapshot(snapshot, "platform")
 	w.schedule.Confirmed(w.gateway.now())
 	return nil
@@ -269,16 +293,17 @@
 		w.follow(ctx, question)
 		return nil
 	}
-	if w.platformLost {
-		// The answer ends the outage, so it is not held until there is a change.
-		question.Wait = 0
+	if err := w.probe(ctx); err != nil {
+		return err
 	}
 	after, _ := w.replica.Position()
 	w.gateway.metrics.platformReads.WithLabelValues("platform").Inc()
 	changes, position, err := w.gateway.adapter.Store.Watch(ctx, w.prefix, after, question.Wait)
 	if err != nil {
+		w.failedWatches++
 		return err
 	}
+	w.failedWatches = 0
 	w.markAvailable()
 	w.applyChanges(changes, position, "platform")
 	w.schedule.Confirmed(w.gateway.now())
--- a/internal/gateway/platform_watcher_test.go
+++ b/internal/gateway/platform_watcher_test.go
@@ -31,7 +31,7 @@
 	for _, self := range []membership.Member{reader, follower} {
 		w.schedule.SetMembers(self, []membership.Member{reader, follower}, 1)
 		// A call that was made in the outage is given up, and the next one follows after a pause.
-		reconnect := max(StoreDialTimeout, WatchTimeoutMargin) + w.backoffLimit()
+		reconnect := max(StoreDialTimeout, PingTimeout) + w.backoffLimit()
 		if removal := expiredEntryGrace + removalCheckInterval; reconnect+removal >= reconnectBound {
 			t.Errorf("reader %v: reconnecting takes up to %v and the removal then %v; the total is not below %v", w.schedule.IsReader(), reconnect, removal, reconnectBound)
 		}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -120,6 +120,9 @@
 // must not outlast the partition.
 const StoreDialTimeout = 400 * time.Millisecond
 
+// PingTimeout bounds the call that shows whether the platform is back.
+const PingTimeout = 500 * time.Millisecond
+
 // WatchTimeoutMargin is added to the wait of a watch to obtain the timeout of the call.
 const WatchTimeoutMargin = 500 * time.Millisecond
 
@@ -135,6 +138,9 @@
 	// Watch waits for changes after a position, at most for the given duration. It also
 	// returns the position up to which the changes are complete, of the same era.
 	Watch(ctx context.Context, prefix string, after replica.Position, wait time.Duration) ([]replica.Change, replica.Position, error)
+	// Ping makes a call with a small answer and returns an error unless the platform answers it within
+	// PingTimeout.
+	Ping(ctx context.Context) error
 }
 
 // Decoder decodes published entries. Implementations must be safe for concurrent use.
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -56,6 +56,11 @@
 	// maxResponseBytes bounds a response: a page of entries holds about 1 MB of values and one more value of
 	// up to 1 MiB, in base64.
 	maxResponseBytes = 4 << 20
+	// progressTimeout is how long an answer that has begun to arrive may pause beyond the time limit of its
+	// call, and maxTransferTime how much longer than the limit it may take in all. Large answers take
+	// seconds over a slow link, while the limit of a call shows whether the platform answers at all.
+	progressTimeout = time.Second
+	maxTransferTime = 8 * time.Second
 	// maxConnections allows one watch, one poll and a few reads at the same time.
 	maxConnections = 8
 )
@@ -285,7 +290,31 @@
 
 type trackedConn struct {
 	net.Conn
-	client *Client
+	client     *Client
+	readBy     time.Time // zero: no limit
+	transferBy time.Time // latest value of readBy
+}
+
+// SetReadDeadline sets the time limit for the first bytes of an answer.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.readBy, c.transferBy = t, t.Add(maxTransferTime)
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read extends the time limit while an answer arrives.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 || err != nil || c.readBy.IsZero() {
+		return n, err
+	}
+	if extended := time.Now().Add(progressTimeout); extended.After(c.readBy) && c.readBy.Before(c.transferBy) {
+		c.readBy = extended
+		if extended.After(c.transferBy) {
+			c.readBy = c.transferBy
+		}
+		err = c.Conn.SetReadDeadline(c.readBy)
+	}
+	return n, err
 }
 
 // Close closes the connection and removes it from the open connections of its client.
--- a/internal/transport/platform/client_test.go
+++ b/internal/transport/platform/client_test.go
@@ -3,8 +3,10 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against an instance list that is not followed any longer because one of its entries describes no instance.
@@ -37,3 +39,38 @@
 		})
 	}
 }
+
+// Guards against answers that are given up although they arrive, and against a wait for one that has stopped.
+func TestAnswerThatArrivesSlowlyIsRead(t *testing.T) {
+	const (
+		pieces = 12
+		pause  = 100 * time.Millisecond
+		limit  = 300 * time.Millisecond
+	)
+	for name, tc := range map[string]struct {
+		sent int // pieces before the answer stops
+		want bool
+	}{"arrives": {pieces, true}, "stops": {pieces / 2, false}, "does not begin": {0, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", strconv.Itoa(pieces))
+				for range tc.sent {
+					_, _ = w.Write([]byte("x")) // the client may have given up
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(pause)
+				}
+				if tc.sent < pieces {
+					<-r.Context().Done()
+				}
+			}))
+			defer server.CloseClientConnections()
+			c := New(Options{Address: strings.TrimPrefix(server.URL, "http://")})
+			defer c.Close()
+			res, err := c.Get(t.Context(), "/", limit)
+			if (err == nil) != tc.want || err == nil && len(res.Body) != pieces {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
