--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -82,6 +82,7 @@
 	}
 	w.replica.MarkAvailable(now)
 	w.applyChanges(answer.Changes, replica.Position{Era: answer.Era, Revision: answer.Revision}, reader)
+	w.behind.Store(false)
 }
 
 // readerFailed records that a reader did not serve this instance.
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -69,8 +69,10 @@
 	lostAt       time.Duration
 	// failedWatches counts the watches that have failed one after the other; used by syncLoop only.
 	failedWatches int
-	recent        *replica.Recent               // for followers
-	changed       atomic.Pointer[chan struct{}] // closed when the position changes
+	// behind is set from a ping that ended an outage until the changes since then have been read.
+	behind  atomic.Bool
+	recent  *replica.Recent               // for followers
+	changed atomic.Pointer[chan struct{}] // closed when the position changes
 }
 
 func newPlatformWatcher(g *Gateway) *platformWatcher {
@@ -236,6 +238,7 @@
 	if err := w.gateway.adapter.Store.Ping(ctx); err != nil {
 		return err
 	}
+	w.behind.Store(true)
 	w.markAvailable()
 	return nil
 }
@@ -256,6 +259,7 @@
 	w.markAvailable()
 	w.failedWatches = 0
 	w.applySnapshot(snapshot, "platform")
+	w.behind.Store(false)
 	w.schedule.Confirmed(w.gateway.now())
 	return nil
 }
@@ -306,6 +310,7 @@
 	w.failedWatches = 0
 	w.markAvailable()
 	w.applyChanges(changes, position, "platform")
+	w.behind.Store(false)
 	w.schedule.Confirmed(w.gateway.now())
 	if len(changes) > 0 {
 		w.paused = w.watchPause
--- a/internal/gateway/stream_origin.go
+++ b/internal/gateway/stream_origin.go
@@ -139,7 +139,7 @@
 // soleVersion returns the only version that a service has had for as long as its streams may be old.
 // While the platform does not answer, another one may have been published.
 func (g *Gateway) soleVersion(service string) (string, bool) {
-	if !g.platformWatcher.hasSnapshot() || g.platformWatcher.replica.Unavailable() {
+	if !g.platformWatcher.hasSnapshot() || g.platformWatcher.replica.Unavailable() || g.platformWatcher.behind.Load() {
 		return "", false
 	}
 	return g.versions.Sole(g.now(), service)
