Review, case 4: a restart in place counts as a crash of the new process

While the entry of a crashed server and that of its successor at the same address both stand in the store, a machine records crashes of the successor, which runs. With one real crash of another server beside it, a sound request that is asked again and again is refused by all machines for ten minutes (TIER).

--- a/review/tool/world.go
+++ b/review/tool/world.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -51,15 +52,16 @@
 
 type cannotRun struct{}
 
-// freePort returns a port that is free for TCP and UDP.
+// freePort returns a port that is free for TCP and UDP, below those that the kernel gives to connections.
 func freePort() int {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+mathrand.IntN(16000))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
+		u, err := net.ListenPacket("udp", address)
 		l.Close()
 		if err == nil {
 			u.Close()
@@ -262,6 +264,9 @@
 
 	mu       sync.Mutex
 	id       string
+	address  string // of the last start
+	born     int64
+	seq      int
 	listener net.Listener
 	conns    map[net.Conn]bool
 	inFlight map[string]string // path by attempt
@@ -291,18 +296,20 @@
 	return hex.EncodeToString(b)
 }
 
-// start begins a new incarnation with a new id and an entry in the store.
-func (s *server) start(w *world) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// start begins a new incarnation with a new id and an entry in the store, at a new address.
+func (s *server) start(w *world) { s.startAt(w, "127.0.0.1:0") }
+
+func (s *server) startAt(w *world, address string) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		die("%v", err)
 	}
 	s.mu.Lock()
 	s.id, s.listener, s.conns, s.inFlight, s.down = "i-"+newID()[:8], l, map[net.Conn]bool{}, map[string]string{}, false
+	s.address, s.born, s.seq = l.Addr().String(), time.Now().UnixMilli(), 0
 	id := s.id
 	s.mu.Unlock()
-	w.store.Put("servers/"+id, map[string]any{"service": s.service, "address": l.Addr().String(), "zone": s.zone, "version": "v1",
-		"slots": s.slots, "state": "ready", "cold-ms": 0, "seq": 1, "born": time.Now().UnixMilli()})
+	s.put(w, 0)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -322,6 +329,18 @@
 	}()
 }
 
+// put writes the entry of the server.
+func (s *server) put(w *world, cold time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return
+	}
+	s.seq++
+	w.store.Put("servers/"+s.id, map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1",
+		"slots": s.slots, "state": "ready", "cold-ms": cold.Milliseconds(), "seq": s.seq, "born": s.born})
+}
+
 // crash ends the process of the server: nothing listens any more and the connections are reset.
 func (s *server) crash() {
 	s.mu.Lock()
