--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -11,6 +11,8 @@
 	Joined Event = "joined"
 	// Draining is logged when a graceful shutdown begins.
 	Draining Event = "draining"
+	// ListenerClosed is logged when a stopping instance no longer accepts connections from callers.
+	ListenerClosed Event = "listener_closed"
 	// Stopped is logged when a graceful shutdown has completed.
 	Stopped Event = "stopped"
 	// SettingsChecked is logged when the settings file has been validated after SIGHUP.
@@ -56,6 +58,8 @@
 	SocketOptionFailed Event = "socket_option_failed"
 	// RequestUnreadable is logged when a request cannot be read.
 	RequestUnreadable Event = "request_unreadable"
+	// RequestUnanswered is logged when a connection is closed with a request that has arrived and was not answered.
+	RequestUnanswered Event = "request_unanswered"
 	// RequestQueued is logged when a request is queued for an upstream.
 	RequestQueued Event = "request_queued"
 	// RequestRejected is logged when a request is rejected without having run.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -70,6 +70,7 @@
 	ex := &exchange{gateway: g, httpCtx: ctx, arrived: g.now()}
 	if c, ok := ctx.Conn().(*callerConn); ok {
 		ex.conn = c
+		defer c.RequestHandled()
 	}
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
@@ -372,9 +373,6 @@
 	if ex.cancel != nil {
 		ex.cancel()
 	}
-	if ex.conn != nil {
-		ex.conn.requestDone()
-	}
 	ex.releaseBodies()
 	ex.settleRetries()
 	ex.logOutcome()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	if g.sockets, err = caller.OpenListeners(s.Callers.Address, s.Operations.Address, writeTimeout); err != nil {
 		return nil, err
 	}
+	g.sockets.Callers.Connections.OnUnanswered = g.recordUnanswered
 	if g.peers, err = newPeers(g); err != nil {
 		g.sockets.Close()
 		return nil, err
@@ -262,6 +263,7 @@
 	}
 	g.log.WithFields(logrus.Fields{"event": eventlog.Draining, "in_progress": g.callerWatcher.InProgress()}).Info("draining")
 	time.Sleep(g.settings.DrainDelay.Std())
+	g.logListenerClosed(startedAt)
 	shutdown := make(chan error, 1)
 	go func() { shutdown <- g.callerServer.Shutdown() }()
 	deadline := startedAt.Add(g.settings.Grace.Std() - exitMargin)
@@ -283,6 +285,13 @@
 	return nil
 }
 
+// logListenerClosed logs what the connections are used for when the instance stops accepting them.
+func (g *Gateway) logListenerClosed(drainStartedAt time.Time) {
+	counts := g.sockets.Callers.Connections.Counts()
+	g.log.WithFields(logrus.Fields{"event": eventlog.ListenerClosed, "after_ms": time.Since(drainStartedAt).Milliseconds(),
+		"unused": counts.Unused, "idle": counts.Idle, "busy": counts.Busy}).Info("no longer accepting connections")
+}
+
 // leaveLimits leaves the sending to limited upstreams to the other instances, if there are any.
 func (g *Gateway) leaveLimits() {
 	if len(g.peers.livePeers()) == 0 {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	queueSeconds          *prometheus.HistogramVec
 	requests              *prometheus.CounterVec
 	errorResponses        *prometheus.CounterVec
+	unanswered            *prometheus.CounterVec
 	attempts              *prometheus.CounterVec
 	retries               *prometheus.CounterVec
 	retrySlack            prometheus.Gauge
@@ -39,6 +40,7 @@
 		Help: "Time that a request that could not be placed at once waited in the dispatcher.", Buckets: latencyBuckets}, []string{"kind", "rank"})
 	m.requests = counter("gateway_requests_total", "Requests by how they ended.", "kind", "rank", "outcome")
 	m.errorResponses = counter("gateway_refused_total", "Answers of the instance's own by code.", "code")
+	m.unanswered = counter("gateway_unanswered_total", "Connections that were closed with a request that was not answered, by whether its bytes had been read.", "bytes")
 	m.attempts = counter("gateway_attempts_total", "Sendings to upstreams by how they ended.", "outcome")
 	m.retries = counter("gateway_retries_total", "Decisions of the retry budget.", "decision")
 	m.retrySlack = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_retry_slack", Help: "Share of this instance in the retries of one window that need no requests."})
@@ -52,7 +54,7 @@
 	m.readsPlatform = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_reads_platform", Help: "1 if this instance reads the platform for its failure domain."})
 	m.platformAvailable = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_platform_available", Help: "1 if the last call of the platform was answered."})
 	m.deferredRemovals = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_deferred_removals", Help: "Upstreams whose entries are missing and that are kept because of an outage of the platform."})
-	m.registry.MustRegister(m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.registry.MustRegister(m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,7 +68,7 @@
 // callerListener applies the idle and read timeouts of the current configuration to caller
 // connections.
 type callerListener struct {
-	caller.Listener
+	*caller.Listener
 	gateway *Gateway
 }
 
@@ -92,19 +91,19 @@
 // callerConn sets the read deadlines of a caller connection.
 type callerConn struct {
 	*caller.Conn
-	gateway        *Gateway
-	requestStarted atomic.Bool // the first bytes of a request have arrived
+	gateway *Gateway
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
-	if !c.requestStarted.Load() {
+	waiting := c.Waiting()
+	if waiting {
 		if err := c.SetReadDeadline(time.Now().Add(c.gateway.idleTimeout())); err != nil {
 			return 0, err
 		}
 	}
 	n, err := c.Conn.Read(b)
-	if n > 0 && !c.requestStarted.Swap(true) {
+	if n > 0 && waiting {
 		if err := c.SetReadDeadline(time.Now().Add(c.gateway.headerTimeout() + bodyReadTimeout)); err != nil {
 			return n, err
 		}
@@ -112,8 +111,12 @@
 	return n, err
 }
 
-// requestDone marks the connection as idle after a request has been completed.
-func (c *callerConn) requestDone() { c.requestStarted.Store(false) }
+// recordUnanswered logs a connection that was closed although its caller waits for an answer.
+func (g *Gateway) recordUnanswered(bytes caller.RequestBytes) {
+	g.metrics.unanswered.WithLabelValues(string(bytes)).Inc()
+	g.log.WithFields(map[string]any{"event": eventlog.RequestUnanswered, "bytes": string(bytes), "draining": g.draining.Load()}).
+		Warn("closed a connection on which a request has arrived that was not answered")
+}
 
 func (g *Gateway) idleTimeout() time.Duration {
 	if routing := g.routing.Load(); routing != nil && routing.limits.IdleTimeout > 0 {
@@ -147,6 +150,7 @@
 	g.adapter.Caller.WriteError(&ctx.Response, ErrorResponse{Error: e, Status: e.Status()})
 	ctx.SetConnectionClose()
 	if c, ok := ctx.Conn().(*callerConn); ok {
+		c.RequestHandled()
 		c.LingerOnClose()
 	}
 }
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
 const (
@@ -16,30 +18,58 @@
 	maxLingerBytes = 8 << 20
 )
 
-// Listener accepts connections from callers.
-type Listener struct {
-	net.Listener
-	// WriteTimeout bounds each write; 0 means no bound.
-	WriteTimeout time.Duration
-}
+// phase is what a connection is being used for.
+type phase int32
 
-// Accept implements net.Listener.
-func (l Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &Conn{Conn: c, writeTimeout: l.WriteTimeout}, nil
-}
+const (
+	unused   phase = iota // no byte has arrived yet
+	idle                  // a response has been written, and no byte of a further request has been read
+	reading               // a request has been read, at least in part
+	answered              // the request has been handled; its response may still be written
+)
+
+// waiting reports whether the connection waits for a request.
+func (p phase) waiting() bool { return p == unused || p == idle }
 
 // Conn is a connection from a caller. Each write has its own time limit, and Close first
 // reads the rest of a refused request.
 type Conn struct {
 	net.Conn
+	connections   *Connections
 	writeTimeout  time.Duration
+	phase         atomic.Int32
 	lingerOnClose atomic.Bool
 }
 
+func (c *Conn) currentPhase() phase { return phase(c.phase.Load()) }
+
+// Waiting reports whether the next read waits for a request.
+func (c *Conn) Waiting() bool { return c.currentPhase() != reading }
+
+// RequestHandled marks the request on the connection as handled: the next read waits for another one.
+func (c *Conn) RequestHandled() { c.phase.Store(int32(answered)) }
+
+// Read implements io.Reader.
+func (c *Conn) Read(b []byte) (int, error) {
+	c.phase.CompareAndSwap(int32(answered), int32(idle))
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.phase.Store(int32(reading))
+	}
+	return n, err
+}
+
+// unanswered returns which bytes of a request the connection holds, if its caller still waits for the answer.
+func (c *Conn) unanswered() (RequestBytes, bool) {
+	switch phase := c.currentPhase(); {
+	case phase == reading:
+		return BytesRead, !upstream.PeerClosed(c)
+	case phase.waiting():
+		return BytesUnread, upstream.HasUnread(c)
+	}
+	return "", false
+}
+
 // SyscallConn gives [upstream.PeerClosed] access to the socket.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
@@ -78,6 +108,7 @@
 	if c.lingerOnClose.Load() {
 		c.discardUnread()
 	}
+	c.connections.remove(c)
 	return c.Conn.Close()
 }
 
--- /dev/null
+++ b/internal/transport/caller/connections.go
@@ -0,0 +1,75 @@
+package caller
+
+import "sync"
+
+// Connections holds the open connections from callers, from their acceptance until they are closed.
+type Connections struct {
+	// OnUnanswered is called when a connection is closed although its caller waits for the answer to a
+	// request, or a part of one, that has arrived; nil: nothing is called. It must be set before the first
+	// connection is accepted.
+	OnUnanswered func(RequestBytes)
+
+	mu   sync.Mutex
+	open map[*Conn]struct{}
+}
+
+// RequestBytes tells which bytes of a request a closed connection held.
+type RequestBytes string
+
+const (
+	// BytesRead are bytes that the process has read.
+	BytesRead RequestBytes = "read"
+	// BytesUnread are bytes that have arrived and that the process has not read.
+	BytesUnread RequestBytes = "unread"
+)
+
+func newConnections() *Connections {
+	return &Connections{open: map[*Conn]struct{}{}}
+}
+
+func (s *Connections) add(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = struct{}{}
+}
+
+// remove removes a connection that is about to be closed; further calls have no effect.
+func (s *Connections) remove(c *Conn) {
+	s.mu.Lock()
+	_, open := s.open[c]
+	delete(s.open, c)
+	s.mu.Unlock()
+	if !open || s.OnUnanswered == nil {
+		return
+	}
+	if bytes, ok := c.unanswered(); ok {
+		s.OnUnanswered(bytes)
+	}
+}
+
+// Counts are numbers of open connections.
+type Counts struct {
+	Unused, Idle int // wait for the first, or for a further request
+	Busy         int // carry a request or its response
+}
+
+// Total returns the number of open connections.
+func (c Counts) Total() int { return c.Unused + c.Idle + c.Busy }
+
+// Counts returns the numbers of open connections.
+func (s *Connections) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var counts Counts
+	for c := range s.open {
+		switch c.currentPhase() {
+		case unused:
+			counts.Unused++
+		case idle:
+			counts.Idle++
+		default:
+			counts.Busy++
+		}
+	}
+	return counts
+}
--- a/internal/transport/caller/listeners.go
+++ b/internal/transport/caller/listeners.go
@@ -7,9 +7,33 @@
 	"github.com/pkg/errors"
 )
 
+// Listener accepts connections from callers.
+type Listener struct {
+	net.Listener
+	// Connections holds the accepted connections.
+	Connections *Connections
+	// writeTimeout bounds each write; 0 means no bound.
+	writeTimeout time.Duration
+}
+
+func newListener(l net.Listener, writeTimeout time.Duration) *Listener {
+	return &Listener{Listener: l, Connections: newConnections(), writeTimeout: writeTimeout}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout}
+	l.Connections.add(c)
+	return c, nil
+}
+
 // Listeners holds the open listeners of an instance.
 type Listeners struct {
-	Callers    Listener
+	Callers    *Listener
 	Operations net.Listener
 }
 
@@ -24,7 +48,7 @@
 		callers.Close()
 		return Listeners{}, errors.Wrap(err, "listen for operations")
 	}
-	return Listeners{Callers: Listener{Listener: callers, WriteTimeout: writeTimeout}, Operations: operations}, nil
+	return Listeners{Callers: newListener(callers, writeTimeout), Operations: operations}, nil
 }
 
 // Close closes both listeners.
--- a/internal/transport/upstream/peek.go
+++ b/internal/transport/upstream/peek.go
@@ -13,6 +13,13 @@
 	return closed
 }
 
+// HasUnread reports whether bytes have arrived on the connection that have not been read. It returns false for
+// connections without a file descriptor. It costs one system call.
+func HasUnread(c net.Conn) bool {
+	_, unread := peekSocket(c)
+	return unread
+}
+
 // isReusable reports whether an idle connection is open and holds no unread bytes: bytes
 // that arrive after a response belong to no request. A connection with a method Reusable decides, too.
 func isReusable(c net.Conn) bool {
