--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -72,9 +72,11 @@
 		ex.conn = c
 		defer c.RequestHandled()
 	}
-	if g.draining.Load() {
-		ctx.SetConnectionClose()
-	}
+	defer func() {
+		if g.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+	}()
 	ex.request = g.adapter.Caller.ReadRequest(&ctx.Request.Header)
 	if e := ex.admit(); e != nil {
 		ex.respondWithError(e)
@@ -349,13 +351,9 @@
 		adjusted.Code, adjusted.Run = apierror.UpstreamFailed, apierror.Unknown
 		e = &adjusted
 	}
-	connectionClose := ex.httpCtx.Response.ConnectionClose()
 	ex.httpCtx.Response.Reset()
 	ex.gateway.metrics.errorResponses.WithLabelValues(string(e.Code)).Inc()
 	ex.gateway.adapter.Caller.WriteError(&ex.httpCtx.Response, ErrorResponse{Error: e, Status: httpStatus(e)})
-	if connectionClose || ex.gateway.draining.Load() {
-		ex.httpCtx.SetConnectionClose()
-	}
 }
 
 // httpStatus returns the HTTP status of an error: 503 for errors that promise "not run" and
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -252,8 +252,8 @@
 )
 
 // drain performs a graceful shutdown: readiness fails first, callers are told to close
-// their connections, and the listener's connections are closed only after the requests in
-// progress have completed.
+// their connections, and after the drain delay the listener and the connections that wait for a
+// request are closed. The requests in progress are completed.
 func (g *Gateway) drain() error {
 	startedAt := time.Now()
 	g.draining.Store(true)
@@ -264,19 +264,15 @@
 	g.log.WithFields(logrus.Fields{"event": eventlog.Draining, "in_progress": g.callerWatcher.InProgress()}).Info("draining")
 	time.Sleep(g.settings.DrainDelay.Std())
 	g.logListenerClosed(startedAt)
-	shutdown := make(chan error, 1)
-	go func() { shutdown <- g.callerServer.Shutdown() }()
+	if err := g.sockets.Callers.CloseAfterBacklog(); err != nil {
+		return errors.Wrap(err, "close caller listener")
+	}
+	connections := g.sockets.Callers.Connections
+	connections.CloseWaiting()
 	deadline := startedAt.Add(g.settings.Grace.Std() - exitMargin)
-	for g.callerWatcher.InProgress()+g.peers.busyRelays() > 0 && time.Now().Before(deadline) {
+	for connections.Counts().Total()+g.peers.busyRelays() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
-	select {
-	case err := <-shutdown:
-		if err != nil {
-			return errors.Wrap(err, "stop caller listener")
-		}
-	case <-time.After(max(time.Until(deadline), drainPollInterval)):
-	}
 	if g.peers != nil {
 		g.peers.close()
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -45,7 +45,6 @@
 		MaxRequestBodySize:            defaultMaxBodyBytes,
 		ReadBufferSize:                maxHeaderBytes,
 		Concurrency:                   g.settings.MaxConnections,
-		CloseOnShutdown:               true,
 		NoDefaultServerHeader:         true,
 		NoDefaultContentType:          true,
 		NoDefaultDate:                 true,
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -3,10 +3,13 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
@@ -49,14 +52,34 @@
 // RequestHandled marks the request on the connection as handled: the next read waits for another one.
 func (c *Conn) RequestHandled() { c.phase.Store(int32(answered)) }
 
-// Read implements io.Reader.
+// unreadTimeout is the read deadline for bytes that have arrived already.
+const unreadTimeout = time.Second
+
+// Read implements io.Reader. The wait for a request ends, by a timeout or because the instance stops, only if
+// nothing has arrived: a timer may fire before the goroutine that reads gets to run.
 func (c *Conn) Read(b []byte) (int, error) {
 	c.phase.CompareAndSwap(int32(answered), int32(idle))
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.phase.Store(int32(reading))
+	if !c.currentPhase().waiting() {
+		return c.Conn.Read(b)
 	}
-	return n, err
+	for !c.connections.ending.Load() || c.expectUnread() {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.phase.Store(int32(reading))
+			return n, err
+		}
+		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+		if !timedOut || !c.connections.ending.Load() && !c.expectUnread() {
+			return n, err
+		}
+	}
+	c.Close()
+	return 0, io.EOF
+}
+
+// expectUnread reports whether bytes have arrived that have not been read, and allows time to read them.
+func (c *Conn) expectUnread() bool {
+	return upstream.HasUnread(c) && c.Conn.SetReadDeadline(time.Now().Add(unreadTimeout)) == nil
 }
 
 // unanswered returns which bytes of a request the connection holds, if its caller still waits for the answer.
--- a/internal/transport/caller/connections.go
+++ b/internal/transport/caller/connections.go
@@ -1,6 +1,10 @@
 package caller
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 // Connections holds the open connections from callers, from their acceptance until they are closed.
 type Connections struct {
@@ -9,6 +13,8 @@
 	// connection is accepted.
 	OnUnanswered func(RequestBytes)
 
+	ending atomic.Bool // connections that wait for a request end
+
 	mu   sync.Mutex
 	open map[*Conn]struct{}
 }
@@ -73,3 +79,18 @@
 	}
 	return counts
 }
+
+// CloseWaiting ends the connections that wait for a request, and from now on each one that begins to wait. The
+// goroutine that reads from a connection closes it, after it has looked for bytes that have arrived: nobody else
+// knows whether a request has been read.
+func (s *Connections) CloseWaiting() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.currentPhase().waiting() {
+			// Wakes the reader; an error means that the connection is closed.
+			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
--- a/internal/transport/caller/listeners.go
+++ b/internal/transport/caller/listeners.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Listener accepts connections from callers.
@@ -31,6 +33,39 @@
 	return c, nil
 }
 
+const (
+	// backlogTimeout bounds the wait for the connections in the backlog to be accepted, if that fails.
+	backlogTimeout = 500 * time.Millisecond
+	// backlogPollInterval is the time between two looks at the backlog.
+	backlogPollInterval = 2 * time.Millisecond
+)
+
+// CloseAfterBacklog closes the listener once the connections that callers have opened are accepted: closing
+// it resets the others, with requests that may have arrived on them.
+func (l *Listener) CloseAfterBacklog() error {
+	for deadline := time.Now().Add(backlogTimeout); l.hasBacklog() && time.Now().Before(deadline); {
+		time.Sleep(backlogPollInterval)
+	}
+	return l.Listener.Close()
+}
+
+// hasBacklog reports whether a connection waits to be accepted; false if that can't be found out.
+func (l *Listener) hasBacklog() bool {
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
+
 // Listeners holds the open listeners of an instance.
 type Listeners struct {
 	Callers    *Listener
