--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -112,6 +112,10 @@
 	if limit := routing.limits.MaxBodyBytes; limit > 0 && len(ex.httpCtx.Request.Body()) > limit {
 		return apierror.New(apierror.BodyTooLarge, "the request body is too large")
 	}
+	ex.setDeadline()
+	if ex.mayOutlastInstance() {
+		return stoppingError()
+	}
 	if ex.service = ex.gateway.lookupService(ex.route.selectService(ex.request.ID)); ex.service == nil {
 		return notReadyError("the service of the route is not known")
 	}
@@ -148,9 +152,8 @@
 	return uri
 }
 
-// start sets the deadline of the request, computes its fingerprint and begins to watch the
-// caller's connection.
-func (ex *exchange) start() {
+// setDeadline sets the deadline of the request.
+func (ex *exchange) setDeadline() {
 	timeout := ex.request.Timeout
 	if timeout <= 0 {
 		timeout = defaultCallerTimeout
@@ -159,6 +162,10 @@
 		timeout = min(timeout, ex.route.Timeout)
 	}
 	ex.deadline = ex.arrived + timeout
+}
+
+// start computes the fingerprint of the request and begins to watch the caller's connection.
+func (ex *exchange) start() {
 	watchedCtx, unwatch := ex.gateway.callerWatcher.Watch(ex.httpCtx.Conn())
 	callCtx, cancel := context.WithDeadline(watchedCtx, ex.gateway.startedAt.Add(ex.deadline))
 	ex.callCtx, ex.cancel = callCtx, func() { cancel(); unwatch() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	requestSequence atomic.Uint64
 	callerWatcher   *caller.Watcher
 	draining        atomic.Bool
+	stopsAt         atomic.Int64  // by when the process ends, as a [time.Duration] since the start; 0: the drain delay is not over
 	serving         atomic.Bool   // set once mayServe has been seen
 	servingSignal   chan struct{} // closed when serving is set
 	routing         atomic.Pointer[routingTable]
@@ -264,12 +265,13 @@
 	g.log.WithFields(logrus.Fields{"event": eventlog.Draining, "in_progress": g.callerWatcher.InProgress()}).Info("draining")
 	time.Sleep(g.settings.DrainDelay.Std())
 	g.logListenerClosed(startedAt)
+	deadline := startedAt.Add(g.settings.Grace.Std() - exitMargin)
+	g.stopsAt.Store(int64(deadline.Sub(g.startedAt)))
 	if err := g.sockets.Callers.CloseAfterBacklog(); err != nil {
 		return errors.Wrap(err, "close caller listener")
 	}
 	connections := g.sockets.Callers.Connections
 	connections.CloseWaiting()
-	deadline := startedAt.Add(g.settings.Grace.Std() - exitMargin)
 	for connections.Counts().Total()+g.peers.busyRelays() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
--- /dev/null
+++ b/internal/gateway/stopping.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
+)
+
+// stoppingRetryAfter is when the caller of a request that a stopping instance refuses may come back:
+// another instance takes the request.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// mayOutlastInstance reports whether the instance may end before the request does. It is false until the drain
+// delay is over: until then the balancer may not know that the instance stops.
+func (ex *exchange) mayOutlastInstance() bool {
+	stopsAt := time.Duration(ex.gateway.stopsAt.Load())
+	return stopsAt > 0 && ex.deadline > stopsAt
+}
+
+// stoppingError rejects a request that may not end before the instance does.
+func stoppingError() *apierror.Error {
+	e := apierror.New(apierror.NotReady, "the instance stops; the request did not run")
+	e.RetryAfter = stoppingRetryAfter
+	return e
+}
