--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -24,7 +24,6 @@
 		MaxRequestBodySize:            limits.MaxBodyBytes,
 		ReadBufferSize:                limits.MaxHeaderBytes,
 		Concurrency:                   limits.MaxConnections,
-		CloseOnShutdown:               true,
 		NoDefaultServerHeader:         true,
 		DisableHeaderNamesNormalizing: false,
 		SecureErrorLogMessage:         true, // headers contain callers' keys
@@ -47,6 +46,7 @@
 	writeError(ctx, e)
 	ctx.SetConnectionClose()
 	if c, ok := ctx.Conn().(*caller.Conn); ok {
+		c.RequestHandled()
 		c.LingerOnClose()
 	}
 }
@@ -67,6 +67,14 @@
 
 // handleRequest serves a request and writes the error response if it fails.
 func (in *Instance) handleRequest(ctx *fasthttp.RequestCtx) {
+	if c, ok := ctx.Conn().(*caller.Conn); ok {
+		defer c.RequestHandled()
+	}
+	defer func() {
+		if in.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+	}()
 	if e := in.routeRequest(ctx); e != nil && e != errCallerDisconnected {
 		in.metrics.rejected.WithLabelValues(string(e.Code)).Inc()
 		writeError(ctx, e)
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -283,10 +283,12 @@
 	}
 	in.log.WithFields(logrus.Fields{"event": "draining", "in_progress": in.watcher.InProgress()}).Info("draining")
 	time.Sleep(in.settings.DrainDelay.Std())
-	if err := in.callersServer.Shutdown(); err != nil {
-		return errors.Wrap(err, "stop callers server")
+	if err := in.sockets.Callers.CloseAfterBacklog(); err != nil {
+		return errors.Wrap(err, "close callers listener")
 	}
-	for in.watcher.InProgress() > 0 {
+	connections := in.sockets.Callers.Connections
+	connections.CloseWaiting()
+	for connections.Counts().Total() > 0 {
 		time.Sleep(drainPollInterval)
 	}
 	in.orders.drain()
