--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -63,6 +64,8 @@
 	maxTransferTime = 8 * time.Second
 	// maxConnections allows one watch, one poll and a few reads at the same time.
 	maxConnections = 8
+	// maxAttempts bounds how often a call is sent: each of the idle connections may have been closed.
+	maxAttempts = 5
 )
 
 // Options configures a [Client].
@@ -101,11 +104,13 @@
 	}
 	c := &Client{timeout: o.Timeout, dialContext: o.Dial, conns: map[*trackedConn]struct{}{}}
 	c.http = &fasthttp.HostClient{
-		Addr:                     o.Address,
-		Dial:                     c.dial,
-		MaxConns:                 maxConnections,
-		MaxResponseBodySize:      maxResponseBytes,
-		NoDefaultUserAgentHeader: true,
+		Addr:                o.Address,
+		Dial:                c.dial,
+		MaxConns:            maxConnections,
+		MaxResponseBodySize: maxResponseBytes,
+		// The library can't be told that a call has ended; see do.
+		MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader:  true,
 	}
 	return c
 }
@@ -191,7 +196,7 @@
 }
 
 func (c *Client) get(uri string, timeout time.Duration, res *fasthttp.Response) (Outcome, error) {
-	if err := c.do(uri, timeout, res); err != nil {
+	if err := c.do(context.Background(), uri, timeout, res); err != nil {
 		return Unavailable, err
 	}
 	switch code := res.StatusCode(); code {
@@ -222,7 +227,7 @@
 	defer stop()
 	res := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
-	if err := c.do(uri, timeout, res); err != nil {
+	if err := c.do(ctx, uri, timeout, res); err != nil {
 		return nil, err
 	}
 	out := &Response{Status: res.StatusCode(), Header: http.Header{}, Body: append([]byte(nil), res.Body()...)}
@@ -245,17 +250,32 @@
 	}
 }
 
-func (c *Client) do(uri string, timeout time.Duration, res *fasthttp.Response) error {
+// do calls the platform. A call that finds its connection closed is sent again, unless ctx has ended: then this
+// client has closed the connection.
+func (c *Client) do(ctx context.Context, uri string, timeout time.Duration, res *fasthttp.Response) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + c.http.Addr + uri)
-	err := c.http.DoTimeout(req, res, timeout)
+	deadline := time.Now().Add(timeout)
+	err := c.http.DoDeadline(req, res, deadline)
+	for attempt := 1; attempt < maxAttempts && ctx.Err() == nil && connectionEnded(err); attempt++ {
+		err = c.http.DoDeadline(req, res, deadline)
+	}
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return ErrTooLarge
 	}
 	return errors.Wrap(err, "platform")
 }
 
+// connectionEnded reports whether a call failed since its connection ended, rather than by a time limit or a dial.
+func connectionEnded(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return op.Op != "dial" && !op.Timeout()
+	}
+	return errors.Is(err, fasthttp.ErrConnectionClosed) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // Close ends all calls in progress, including a waiting watch, and refuses new ones.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/transport/platform/client_test.go
+++ b/internal/transport/platform/client_test.go
@@ -1,10 +1,12 @@
 package platform
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -74,3 +76,51 @@
 		})
 	}
 }
+
+// Guards against a waiting call that is sent again after its caller has ended it, so that a process which stops
+// waits for the answer.
+func TestEndedCallIsNotSentAgain(t *testing.T) {
+	var calls atomic.Int32
+	arrived, release := make(chan struct{}, maxAttempts), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		arrived <- struct{}{}
+		<-release
+	}))
+	defer server.Close()
+	defer close(release)
+	c := New(Options{Address: strings.TrimPrefix(server.URL, "http://")})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Get(ctx, "/watch", time.Minute)
+		ended <- err
+	}()
+	<-arrived
+	cancel()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("the ended call succeeded")
+		}
+	case <-arrived:
+	}
+	if n := calls.Load(); n != 1 {
+		t.Errorf("the call was sent %d times", n)
+	}
+}
+
+// Guards against calls that fail because the platform has closed idle connections.
+func TestCallIsSentAgainAfterItsConnectionEnded(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer server.Close()
+	c := New(Options{Address: strings.TrimPrefix(server.URL, "http://")})
+	defer c.Close()
+	for i := range 5 {
+		if _, err := c.Get(context.Background(), "/", time.Minute); err != nil {
+			t.Errorf("call %d: %v", i, err)
+		}
+		server.CloseClientConnections()
+	}
+}
