--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,32 +41,68 @@
 	net.Conn
 	connections   *Connections
 	writeTimeout  time.Duration
-	phase         atomic.Int32
+	acceptedAt    time.Time
 	lingerOnClose atomic.Bool
+
+	mu       sync.Mutex
+	phase    phase
+	readBy   time.Time // the read deadline that the server has set; zero: none
+	replaced bool      // another read deadline is in effect, until a request begins
 }
 
-func (c *Conn) currentPhase() phase { return phase(c.phase.Load()) }
+func (c *Conn) currentPhase() phase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase
+}
 
 // Waiting reports whether the next read waits for a request.
 func (c *Conn) Waiting() bool { return c.currentPhase() != reading }
 
 // RequestHandled marks the request on the connection as handled: the next read waits for another one.
-func (c *Conn) RequestHandled() { c.phase.Store(int32(answered)) }
+func (c *Conn) RequestHandled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = answered
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readBy, c.replaced = t, false
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
 
-// unreadTimeout is the read deadline for bytes that have arrived already.
-const unreadTimeout = time.Second
+const (
+	// unreadTimeout is the least time in which the rest of a request may arrive whose first bytes arrived before a
+	// read deadline.
+	unreadTimeout = time.Second
+	// firstRequestTimeout is how long a connection may be unused when the waiting connections are closed: the
+	// first request follows the handshake.
+	firstRequestTimeout = 500 * time.Millisecond
+)
 
 // Read implements io.Reader. The wait for a request ends, by a timeout or because the instance stops, only if
 // nothing has arrived: a timer may fire before the goroutine that reads gets to run.
 func (c *Conn) Read(b []byte) (int, error) {
-	c.phase.CompareAndSwap(int32(answered), int32(idle))
-	if !c.currentPhase().waiting() {
+	if !c.beginWait() {
 		return c.Conn.Read(b)
 	}
-	for !c.connections.ending.Load() || c.expectUnread() {
+	for !c.connections.ending.Load() || c.mayWaitLonger() {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.phase.Store(int32(reading))
+			if deadlineErr := c.beginRequest(); err == nil {
+				err = deadlineErr
+			}
 			return n, err
 		}
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
@@ -77,9 +114,56 @@
 	return 0, io.EOF
 }
 
+// beginWait reports whether the next bytes belong to a new request.
+func (c *Conn) beginWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == answered {
+		c.phase = idle
+	}
+	return c.phase.waiting()
+}
+
+// beginRequest records that a request has begun, and restores the deadline for the rest of it.
+func (c *Conn) beginRequest() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = reading
+	if !c.replaced {
+		return nil
+	}
+	c.replaced = false
+	readBy := c.readBy
+	if least := time.Now().Add(unreadTimeout); !readBy.IsZero() && readBy.Before(least) {
+		readBy = least
+	}
+	return c.Conn.SetReadDeadline(readBy)
+}
+
+// mayWaitLonger reports whether a connection stays open although the waiting connections are closed.
+func (c *Conn) mayWaitLonger() bool {
+	if c.expectUnread() {
+		return true
+	}
+	until := c.acceptedAt.Add(firstRequestTimeout)
+	return c.currentPhase() == unused && time.Now().Before(until) && !upstream.PeerClosed(c) && c.replaceReadDeadline(until)
+}
+
 // expectUnread reports whether bytes have arrived that have not been read, and allows time to read them.
 func (c *Conn) expectUnread() bool {
-	return upstream.HasUnread(c) && c.Conn.SetReadDeadline(time.Now().Add(unreadTimeout)) == nil
+	return upstream.HasUnread(c) && c.replaceReadDeadline(time.Now().Add(unreadTimeout))
+}
+
+// replaceReadDeadline replaces the read deadline while the connection waits for a request. It returns false if the
+// connection is closed or carries a request.
+func (c *Conn) replaceReadDeadline(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.phase.waiting() {
+		return false
+	}
+	c.replaced = true
+	return c.Conn.SetReadDeadline(t) == nil
 }
 
 // unanswered returns which bytes of a request the connection holds, if its caller still waits for the answer.
@@ -101,6 +185,7 @@
 // Write gives each write its own time limit. The limit of the server library covers the whole
 // response and would cut off a longer stream although its caller is reading.
 func (c *Conn) Write(b []byte) (int, error) {
+	c.markRefused()
 	if c.writeTimeout > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 			return 0, err
@@ -109,6 +194,15 @@
 	return c.Conn.Write(b)
 }
 
+// markRefused marks a connection as answered on which the server responds before it has read a request.
+func (c *Conn) markRefused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == unused {
+		c.phase = answered
+	}
+}
+
 // LingerOnClose makes Close read the rest of the request, because the response was sent
 // before the request was read to its end.
 func (c *Conn) LingerOnClose() { c.lingerOnClose.Store(true) }
--- a/internal/transport/caller/connections.go
+++ b/internal/transport/caller/connections.go
@@ -80,17 +80,14 @@
 	return counts
 }
 
-// CloseWaiting ends the connections that wait for a request, and from now on each one that begins to wait. The
-// goroutine that reads from a connection closes it, after it has looked for bytes that have arrived: nobody else
-// knows whether a request has been read.
+// CloseWaiting ends the connections that wait for a request, and from now on each one that begins to wait; those
+// that were accepted a moment ago may still send their first request. The goroutine that reads from a connection
+// closes it, after it has looked for bytes that have arrived: nobody else knows whether a request has been read.
 func (s *Connections) CloseWaiting() {
 	s.ending.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if c.currentPhase().waiting() {
-			// Wakes the reader; an error means that the connection is closed.
-			_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-		}
+		c.replaceReadDeadline(time.Unix(1, 0)) // wakes the reader
 	}
 }
--- a/internal/transport/caller/listeners.go
+++ b/internal/transport/caller/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -16,19 +17,22 @@
 	Connections *Connections
 	// writeTimeout bounds each write; 0 means no bound.
 	writeTimeout time.Duration
+	ended        chan struct{} // closed when Accept has failed
+	endOnce      sync.Once
 }
 
 func newListener(l net.Listener, writeTimeout time.Duration) *Listener {
-	return &Listener{Listener: l, Connections: newConnections(), writeTimeout: writeTimeout}
+	return &Listener{Listener: l, Connections: newConnections(), writeTimeout: writeTimeout, ended: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
 	if err != nil {
+		l.endOnce.Do(func() { close(l.ended) })
 		return nil, err
 	}
-	c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout}
+	c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout, acceptedAt: time.Now()}
 	l.Connections.add(c)
 	return c, nil
 }
@@ -41,12 +45,18 @@
 )
 
 // CloseAfterBacklog closes the listener once the connections that callers have opened are accepted: closing
-// it resets the others, with requests that may have arrived on them.
+// it resets the others, with requests that may have arrived on them. When it returns, Connections holds all
+// connections that were accepted.
 func (l *Listener) CloseAfterBacklog() error {
 	for deadline := time.Now().Add(backlogTimeout); l.hasBacklog() && time.Now().Before(deadline); {
 		time.Sleep(backlogPollInterval)
 	}
-	return l.Listener.Close()
+	err := l.Listener.Close()
+	select {
+	case <-l.ended:
+	case <-time.After(backlogTimeout): // nobody accepts
+	}
+	return err
 }
 
 // hasBacklog reports whether a connection waits to be accepted; false if that can't be found out.
--- /dev/null
+++ b/internal/transport/caller/stop_test.go
@@ -0,0 +1,157 @@
+package caller
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// serve runs an HTTP server that closes each connection after its response.
+func serve(l *Listener, concurrency int) {
+	server := &fasthttp.Server{ReadTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, Concurrency: concurrency,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			ctx.Conn().(*Conn).RequestHandled()
+			ctx.SetConnectionClose()
+		}}
+	go server.Serve(l)
+}
+
+const (
+	requestHead = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+	requestBody = "body"
+)
+
+// readStatus returns the status of the response; 0 if the connection ends without one.
+func readStatus(c net.Conn) int {
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	return res.StatusCode
+}
+
+// Guards against a stop that cuts requests which have begun to arrive when it looks for waiting connections.
+func TestStopDoesNotCutRequestsInTwoParts(t *testing.T) {
+	const rounds, each = 4, 200
+	var cut atomic.Int32
+	for range rounds {
+		l := openListener(t)
+		serve(l, each)
+		var callers sync.WaitGroup
+		start := make(chan struct{})
+		for i := range each {
+			out := dial(t, l)
+			callers.Go(func() {
+				<-start
+				time.Sleep(time.Duration(i) * 5 * time.Microsecond)
+				io.WriteString(out, requestHead)
+				time.Sleep(5 * time.Millisecond)
+				io.WriteString(out, requestBody)
+				if status := readStatus(out); status != http.StatusOK {
+					cut.Add(1)
+				}
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+		close(start)
+		time.Sleep(300 * time.Microsecond)
+		l.Connections.CloseWaiting()
+		callers.Wait()
+	}
+	if n := cut.Load(); n > 0 {
+		t.Errorf("%d of %d requests were cut", n, rounds*each)
+	}
+}
+
+// Guards against a stop that shortens the time which a caller has for the rest of its request.
+func TestStopKeepsTheReadTimeout(t *testing.T) {
+	l := openListener(t)
+	l.Connections.CloseWaiting()
+	out := dial(t, l)
+	io.WriteString(out, requestHead)
+	time.Sleep(20 * time.Millisecond)
+	serve(l, 1)
+	time.Sleep(unreadTimeout + 200*time.Millisecond)
+	io.WriteString(out, requestBody)
+	if status := readStatus(out); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
+
+// Guards against a stop that closes a connection which has just been opened, before its request arrives, and against
+// one that leaves it open for long.
+func TestStopWaitsForTheRequestOfANewConnection(t *testing.T) {
+	l := openListener(t)
+	asks, silent := dial(t, l), dial(t, l)
+	serve(l, 2)
+	if err := l.CloseAfterBacklog(); err != nil {
+		t.Fatal(err)
+	}
+	l.Connections.CloseWaiting()
+	time.Sleep(20 * time.Millisecond)
+	io.WriteString(asks, requestHead+requestBody)
+	if status := readStatus(asks); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the unused connection ended with %v", err)
+	}
+}
+
+// slowListener returns connections some time after the kernel has handed them out.
+type slowListener struct {
+	*net.TCPListener
+	taken chan struct{}
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil {
+		l.taken <- struct{}{}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return c, err
+}
+
+// Guards against a stop that overlooks a connection which is being accepted.
+func TestStopCountsAConnectionThatIsBeingAccepted(t *testing.T) {
+	l := openListener(t)
+	slow := slowListener{l.Listener.(*net.TCPListener), make(chan struct{}, 1)}
+	l.Listener = slow
+	serve(l, 1)
+	dial(t, l)
+	<-slow.taken
+	if err := l.CloseAfterBacklog(); err != nil {
+		t.Fatal(err)
+	}
+	if got := l.Connections.Counts().Total(); got != 1 {
+		t.Errorf("%d connections are open", got)
+	}
+}
+
+// Guards against a warning about a connection that was refused for the limit of connections.
+func TestRefusedConnectionIsNotReported(t *testing.T) {
+	l := openListener(t)
+	reported := make(chan RequestBytes, 1)
+	l.Connections.OnUnanswered = func(bytes RequestBytes) { reported <- bytes }
+	dial(t, l)
+	refused := dial(t, l)
+	io.WriteString(refused, requestHead+requestBody)
+	time.Sleep(20 * time.Millisecond)
+	serve(l, 1)
+	refused.SetReadDeadline(time.Now().Add(5 * time.Second))
+	io.Copy(io.Discard, refused)
+	select {
+	case bytes := <-reported:
+		t.Errorf("reported: %s", bytes)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
