--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -167,8 +167,10 @@
 // start computes the fingerprint of the request and begins to watch the caller's connection.
 func (ex *exchange) start() {
 	watchedCtx, unwatch := ex.gateway.callerWatcher.Watch(ex.httpCtx.Conn())
-	callCtx, cancel := context.WithDeadline(watchedCtx, ex.gateway.startedAt.Add(ex.deadline))
-	ex.callCtx, ex.cancel = callCtx, func() { cancel(); unwatch() }
+	limitedCtx, cancelLimit := context.WithDeadline(watchedCtx, ex.gateway.startedAt.Add(ex.deadline))
+	callCtx, cancel := context.WithCancelCause(limitedCtx)
+	ignoreStop := context.AfterFunc(ex.gateway.answering, func() { cancel(errInstanceStops) })
+	ex.callCtx, ex.cancel = callCtx, func() { ignoreStop(); cancel(nil); cancelLimit(); unwatch() }
 	ex.sharedParts = partFingerprints(ex.service.name, ex.request.PromptPrefix)
 	ex.fingerprint = quarantine.FingerprintOf(fingerprintKey, ex.team, append(slices.Clone(ex.httpCtx.Request.Header.RequestURI()), ex.httpCtx.Request.Body()...))
 }
@@ -323,10 +325,13 @@
 		return errCallerClosed
 	}
 	if ex.mayHaveRun {
-		e := apierror.New(apierror.UpstreamTimeout, "the time limit was reached; the request may have run")
+		e := apierror.New(apierror.UpstreamTimeout, "the time limit was reached, or the instance stops; the request may have run")
 		e.Run = apierror.Unknown
 		return e
 	}
+	if ex.endedByStop() {
+		return stoppingError()
+	}
 	return ex.withRetryAfter(apierror.New(apierror.Deadline, "the time limit was reached before the request was sent"))
 }
 
@@ -337,7 +342,7 @@
 
 // callerClosed reports whether the caller has closed its connection.
 func (ex *exchange) callerClosed() bool {
-	return ex.callCtx != nil && ex.callCtx.Err() == context.Canceled
+	return ex.callCtx != nil && ex.callCtx.Err() == context.Canceled && !ex.endedByStop()
 }
 
 // errCallerClosed ends a request whose caller has closed the connection; it is never sent.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,9 +46,11 @@
 	requestSequence atomic.Uint64
 	callerWatcher   *caller.Watcher
 	draining        atomic.Bool
-	stopsAt         atomic.Int64  // by when the process ends, as a [time.Duration] since the start; 0: the drain delay is not over
-	serving         atomic.Bool   // set once mayServe has been seen
-	servingSignal   chan struct{} // closed when serving is set
+	stopsAt         atomic.Int64    // by when the process ends, as a [time.Duration] since the start; 0: the drain delay is not over
+	serving         atomic.Bool     // set once mayServe has been seen
+	servingSignal   chan struct{}   // closed when serving is set
+	answering       context.Context // ends when the requests in progress must be answered, as the process ends
+	stopAnswering   context.CancelFunc
 	routing         atomic.Pointer[routingTable]
 
 	quarantine      *quarantine.Quarantine
@@ -79,6 +81,7 @@
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
 	}
+	g.answering, g.stopAnswering = context.WithCancel(context.Background())
 	g.paths = newUpstreamPaths(g)
 	g.platformWatcher = newPlatformWatcher(g)
 	g.callerServer = g.newCallerServer()
@@ -248,8 +251,10 @@
 	// drainPollInterval is the interval at which a draining instance checks whether its
 	// requests have completed.
 	drainPollInterval = 20 * time.Millisecond
-	// exitMargin is the part of the grace period reserved for the exit of the process.
+	// exitMargin is the part of the grace period reserved for the last answers and the exit of the process.
 	exitMargin = 400 * time.Millisecond
+	// lastAnswersTime bounds the wait for the answers to requests that the end of the grace period has ended.
+	lastAnswersTime = exitMargin / 2
 )
 
 // drain performs a graceful shutdown: readiness fails first, callers are told to close
@@ -275,6 +280,10 @@
 	for connections.Counts().Total()+g.peers.busyRelays() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
+	g.stopAnswering()
+	for answered := time.Now().Add(lastAnswersTime); connections.Counts().Busy > 0 && time.Now().Before(answered); {
+		time.Sleep(drainPollInterval)
+	}
 	if g.peers != nil {
 		g.peers.close()
 	}
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 )
 
@@ -23,3 +26,11 @@
 	e.RetryAfter = stoppingRetryAfter
 	return e
 }
+
+// errInstanceStops ends the requests that are in progress when the grace period is over.
+var errInstanceStops = errors.New("the instance stops")
+
+// endedByStop reports whether the request was ended because the grace period is over.
+func (ex *exchange) endedByStop() bool {
+	return ex.callCtx != nil && context.Cause(ex.callCtx) == errInstanceStops
+}
