gateway: a stream goes on at the only version if a read that began after its caller came back confirms it (ORDER)

Reported by another operator: during a release one instance was out of step for a few seconds, and streams that had begun at upstreams of the new version through other instances went on there at the old version.

Cause: without a record of the stream, soleVersion took the one version that this instance had seen for the only one that was published. It trusted the copy until a call of the platform had failed. By its settings, a watch that gets no answer fails after up to 0.6 of freshness (2 s) and 0.5 s; a follower trusts its reader for about as long; an instance that was frozen trusts what it knew before until its own calls time out. All that time new versions serve elsewhere.

Change: before a stream of unknown origin goes on, the changes are read with a call that begins after the request has arrived, and the history of versions is asked again. The stream is older than the request, and its version was published before the stream began, so that such a read contains it. This is an order of events; no clock or time limit decides. Requests that arrive during a read share the next one. Without an answer within 1 s the stream is refused with a time to come back (stream_located source=unconfirmed).

Two reads may overlap now. The changes kept for followers could then hold a write a second time, after the removal of its entry, and a follower took the entry back (TestChangesOfOverlappingReadsAreHeldOnce fails without the change in recent.go); changes up to the last position are left out.

Ruled out: a bound on the age of the copy, because answers that arrived before a freeze are read after it and count as new, and because the copy is up to 0.65 of freshness old in calm, by design; the answers of peers that do not know the stream, because they may be cut off, too. internal/entry does not have the fault: a stream goes on at the same engine only. Streams with a record, here or at a peer, do not use the copy to find their version.

--- a/internal/coordination/replica/recent.go
+++ b/internal/coordination/replica/recent.go
@@ -35,7 +35,7 @@
 }
 
 // Add adds the changes between the last position and a new one. If they do not follow the last position,
-// what was held is forgotten.
+// what was held is forgotten. Changes up to the last position have no effect, as in [Replica.ApplyChanges].
 func (r *Recent) Add(after Position, changes []Change, position Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -44,6 +44,9 @@
 	}
 	r.to = position
 	for _, c := range changes {
+		if position.Era == after.Era && c.Revision <= after.Revision {
+			continue // of two reads that overlap; repeated, it would undo a later removal
+		}
 		if len(c.Value) > maxKeptVersionBytes {
 			r.drop(c.Key)
 		}
--- a/internal/coordination/replica/recent_test.go
+++ b/internal/coordination/replica/recent_test.go
@@ -46,6 +46,28 @@
 	expect("up to date", at(22), true)
 }
 
+// Guards against an entry that comes back at a follower: of two reads that overlap, the later one repeats its last
+// write after its removal.
+func TestChangesOfOverlappingReadsAreHeldOnce(t *testing.T) {
+	at := func(revision uint64) Position { return Position{Era: 1, Revision: revision} }
+	put := written(11, 10)
+	removal := Change{Item: Item{Key: put.Key, Revision: 12}, Deleted: true}
+	r := NewRecent(4000)
+	r.Reset(at(10))
+	r.Add(at(10), []Change{put, removal}, at(12))
+	r.Add(at(12), []Change{put, removal, written(13, 10)}, at(13))
+	changes, to, ok := r.After(at(10))
+	if !ok || len(changes) != 3 {
+		t.Fatalf("%v, changes %v", ok, changes)
+	}
+	follower := New(Options{})
+	follower.ApplySnapshot(0, Snapshot{Era: 1, Revision: 10})
+	follower.ApplyChanges(0, changes, to)
+	if items := follower.Snapshot().Items; len(items) != 1 || items[0].Revision != 13 {
+		t.Errorf("the follower has %v", items)
+	}
+}
+
 // Guards against configurations in quick succession that are sent to each follower one after the other.
 func TestRecentKeepsTheNewestOfALargeEntry(t *testing.T) {
 	r := NewRecent(1 << 20)
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -73,6 +73,8 @@
 	behind  atomic.Bool
 	recent  *replica.Recent               // for followers
 	changed atomic.Pointer[chan struct{}] // closed when the position changes
+	// confirmations are the calls for what was published until a request arrived.
+	confirmations confirmations
 }
 
 func newPlatformWatcher(g *Gateway) *platformWatcher {
--- a/internal/gateway/stream_origin.go
+++ b/internal/gateway/stream_origin.go
@@ -38,6 +38,9 @@
 	originPeer    originSource = "peer"
 	originSole    originSource = "sole_version" // the service has had one version only
 	originUnknown originSource = "unknown"
+	// originUnconfirmed: the service has had one version by what this instance has seen, but the platform did
+	// not confirm that this is all.
+	originUnconfirmed originSource = "unconfirmed"
 )
 
 // recordOrigin records that the attempt has brought the first event of a stream.
@@ -130,14 +133,22 @@
 			return &record.Origin, originPeer
 		}
 	}
+	if _, ok := g.soleVersion(ex.service.name); !ok {
+		return nil, originUnknown
+	}
+	// The stream began before its caller came back, so its version was published before, too, but perhaps not
+	// seen here: this instance may just have woken, or nobody answers it and no call has failed yet.
+	if err := g.platformWatcher.confirm(); err != nil {
+		return nil, originUnconfirmed
+	}
 	if version, ok := g.soleVersion(ex.service.name); ok {
 		return &streamorigin.Origin{Service: ex.service.name, Version: version}, originSole
 	}
 	return nil, originUnknown
 }
 
-// soleVersion returns the only version that a service has had for as long as its streams may be old.
-// While the platform does not answer, another one may have been published.
+// soleVersion returns the only version that a service has had for as long as its streams may be old, by
+// what this instance has seen. While the platform does not answer, another one may have been published.
 func (g *Gateway) soleVersion(service string) (string, bool) {
 	if !g.platformWatcher.hasSnapshot() || g.platformWatcher.replica.Unavailable() || g.platformWatcher.behind.Load() {
 		return "", false
