--- a/internal/coordination/readers/schedule.go
+++ b/internal/coordination/readers/schedule.go
@@ -191,6 +191,13 @@
 	return !s.isReader || s.platformFailed && now-s.platformFailedAt < s.fraction(platformRetryFraction)
 }
 
+// Source returns the first member that may serve this instance and has not failed lately, or nil.
+func (s *Schedule) Source(now time.Duration) *membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servingSource(now)
+}
+
 // servingSource returns the first source that has not failed lately, or nil. The caller must hold mu.
 func (s *Schedule) servingSource(now time.Duration) *membership.Member {
 	for i, m := range s.sources {
--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -3,12 +3,20 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 )
 
 // confirmTimeout bounds the wait of a request for a confirmation: the call in progress has to end first. The platform
 // answers within milliseconds, or within some hundred milliseconds when it is slow.
 const confirmTimeout = 2 * WatchTimeoutMargin
 
+// readerDelay is how long the platform has for an answer before a reader is asked, too.
+const readerDelay = 100 * time.Millisecond
+
 // confirmations shares calls between those that need one which begins after they asked. At most one call is in
 // progress. It is safe for concurrent use.
 type confirmations struct {
@@ -67,9 +75,40 @@
 	return w.confirmations.await(ctx, w.readChanges)
 }
 
-// readChanges asks the platform itself for the changes up to now and applies them. The call has a time limit of its
-// own: if its context ended, the watch would be broken off, too.
+// readChanges reads the changes up to now from the platform, or from a reader if the platform does not answer this
+// instance soon. Both calls begin after readChanges does.
 func (w *platformWatcher) readChanges() error {
+	ctx, cancel := context.WithTimeout(context.Background(), WatchTimeoutMargin)
+	defer cancel()
+	platform := make(chan error, 1)
+	go func() { platform <- w.platformConfirmations.await(ctx, w.readPlatformChanges) }()
+	select {
+	case err := <-platform:
+		if err == nil {
+			return nil
+		}
+		return w.readReaderChanges(ctx)
+	case <-time.After(readerDelay):
+	}
+	reader := make(chan error, 1)
+	go func() { reader <- w.readReaderChanges(ctx) }()
+	select {
+	case err := <-platform:
+		if err == nil {
+			return nil
+		}
+		return <-reader
+	case err := <-reader:
+		if err == nil {
+			return nil
+		}
+		return <-platform
+	}
+}
+
+// readPlatformChanges asks the platform itself for the changes up to now and applies them. The call has a time limit
+// of its own: if its context ended, the watch would be broken off, too.
+func (w *platformWatcher) readPlatformChanges() error {
 	after, _ := w.replica.Position()
 	w.gateway.metrics.platformReads.WithLabelValues("confirmation").Inc()
 	changes, position, err := w.gateway.adapter.Store.Watch(context.Background(), w.prefix, after, 0)
@@ -80,3 +119,39 @@
 	w.applyChanges(changes, position, "platform")
 	return nil
 }
+
+// readReaderChanges asks a reader to read the changes up to now from the platform, and applies them.
+func (w *platformWatcher) readReaderChanges(ctx context.Context) error {
+	reader := w.schedule.Source(w.gateway.now())
+	if reader == nil {
+		return errNoReader
+	}
+	after, _ := w.replica.Position()
+	request := w.gateway.peers.newPullMessage(after)
+	request.Follow = followMessage{Confirm: true}
+	reply, err := w.gateway.peers.exchangePull(ctx, *reader, request)
+	if err != nil {
+		return err
+	}
+	if answer := reply.Follow; !answer.Served || answer.Behind || answer.Era != after.Era {
+		return errNotConfirmed
+	}
+	w.applyFollowed(w.gateway.now(), reply.Follow, reader.Name)
+	return nil
+}
+
+// confirmFollower reads the changes up to now for a follower. It asks the platform only, so that no two instances
+// wait for each other.
+func (w *platformWatcher) confirmFollower(ctx context.Context, after replica.Position) followAnswer {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := w.platformConfirmations.await(ctx, w.readPlatformChanges); err != nil {
+		return followAnswer{}
+	}
+	return w.followAnswer(after)
+}
+
+var (
+	errNoReader     = errors.New("no other instance reads the platform for this one")
+	errNotConfirmed = errors.New("the reader does not have all changes, or its build does not confirm them")
+)
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -31,6 +31,9 @@
 type followMessage struct {
 	// WaitMS is how long the answer may be held until there is a change; 0: this is no call of a follower.
 	WaitMS int64
+	// Confirm asks for the changes that were published before the question, read from the platform after it.
+	// An older build does not set Served.
+	Confirm bool `msgpack:",omitempty"`
 }
 
 // followAnswer is the answer of a reader, part of a pushMessage. An older build leaves it empty.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -387,11 +387,15 @@
 	if err := msgpack.Unmarshal(m.Payload, &request); err != nil {
 		return nil, errors.Wrap(err, "pull")
 	}
+	after := replica.Position{Era: request.Era, Revision: request.Revision}
+	if request.Follow.Confirm {
+		return p.encodePush(pushMessage{Follow: p.gateway.platformWatcher.confirmFollower(ctx, after)})
+	}
 	if wait := time.Duration(request.Follow.WaitMS) * time.Millisecond; wait > 0 {
-		return p.encodePush(pushMessage{Follow: p.gateway.platformWatcher.serveFollower(ctx, replica.Position{Era: request.Era, Revision: request.Revision}, wait)})
+		return p.encodePush(pushMessage{Follow: p.gateway.platformWatcher.serveFollower(ctx, after, wait)})
 	}
 	reply := pushMessage{
-		Snapshot:      p.gateway.platformWatcher.snapshotAfter(replica.Position{Era: request.Era, Revision: request.Revision}),
+		Snapshot:      p.gateway.platformWatcher.snapshotAfter(after),
 		Configuration: p.gateway.configurationNewerThan(request.ConfigurationVersion),
 		Versions:      p.gateway.versions.Observations(p.gateway.now(), p.gateway.platformWatcher.isCurrent()),
 		Settled:       p.settled(),
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -73,8 +73,9 @@
 	behind  atomic.Bool
 	recent  *replica.Recent               // for followers
 	changed atomic.Pointer[chan struct{}] // closed when the position changes
-	// confirmations are the calls for what was published until a request arrived.
-	confirmations confirmations
+	// confirmations read what was published until a request arrived, platformConfirmations from the platform
+	// itself.
+	confirmations, platformConfirmations confirmations
 }
 
 func newPlatformWatcher(g *Gateway) *platformWatcher {
