--- a/cmd/yuccabridged/gateway.go
+++ b/cmd/yuccabridged/gateway.go
@@ -4,12 +4,9 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
@@ -54,8 +51,7 @@
 
 // runGateway runs the instance until SIGTERM or SIGINT, then drains it.
 func runGateway(ctx context.Context, s *settings.Gateway, settingsFile string) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx, hangup := handleSignals(ctx)
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMB) * 1e6))
 	}
@@ -65,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	go validateOnHangup(ctx, log, settingsFile)
+	go checkSettingsOnHangup(hangup, log, settingsFile, func(file string) error { _, err := settings.LoadGateway(file); return err })
 	dial := upstream.Dialer(platformSilenceTimeout, platformProbeInterval)
 	platformClient := client.New(client.Options{Address: s.Platform.Address, Dial: client.AdaptTCPDial(withDialTimeout(dial, gateway.StoreDialTimeout))})
 	defer platformClient.Close()
@@ -88,24 +84,3 @@
 }
 
 type dialFunc func(ctx context.Context, address string) (net.Conn, error)
-
-// validateOnHangup validates the settings file on each SIGHUP and logs the result. The
-// settings of a running process do not change; routes and upstreams come from the platform.
-func validateOnHangup(ctx context.Context, log *logrus.Logger, settingsFile string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-			eventLog := log.WithFields(logrus.Fields{"event": eventlog.SettingsChecked, "file": settingsFile})
-			if _, err := settings.LoadGateway(settingsFile); err != nil {
-				eventLog.WithError(err).Error("the changed settings are invalid; the current settings stay in effect")
-				continue
-			}
-			eventLog.Info("the changed settings are valid and take effect at the next restart")
-		}
-	}
-}
--- a/cmd/yuccabridged/main.go
+++ b/cmd/yuccabridged/main.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -38,7 +36,7 @@
 			if err != nil {
 				return err
 			}
-			return run(cmd.Context(), s)
+			return run(cmd.Context(), s, settingsFile)
 		},
 	}
 	cmd.Flags().StringVar(&settingsFile, "settings", "", "settings file in YAML (required)")
@@ -50,15 +48,15 @@
 }
 
 // run runs the entry instance until SIGTERM or SIGINT, then drains it.
-func run(ctx context.Context, s *settings.Settings) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+func run(ctx context.Context, s *settings.Settings, settingsFile string) error {
+	ctx, hangup := handleSignals(ctx)
 	logWriter := eventlog.NewWriter(os.Stdout)
 	defer logWriter.Close()
 	log, err := eventlog.New(logWriter, s.Log.Level)
 	if err != nil {
 		return err
 	}
+	go checkSettingsOnHangup(hangup, log, settingsFile, func(file string) error { _, err := settings.Load(file); return err })
 	instance, err := entry.New(s, log)
 	if err != nil {
 		return err
--- a/cmd/yuccabridged/process_test.go
+++ b/cmd/yuccabridged/process_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/yuccabridge/yuccabridge/internal/emulator"
 )
@@ -81,6 +82,26 @@
 	}
 }
 
+// Guards against a hangup that ends the daemon, while it serves or while it finishes a stream in progress.
+func TestHangupDoesNotEndTheDaemon(t *testing.T) {
+	engine := startProcess(t, "engine")
+	daemon := startStandaloneDaemon(t, writeDeployment(t, testDeployment([]string{engine.fields["address"]})))
+	daemon.signal(syscall.SIGHUP)
+	const tokens = 100
+	resp := post(t, daemon.fields["callers"], "/v1/chat/completions", chatBody(t, tokens))
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		daemon.signal(s)
+		time.Sleep(50 * time.Millisecond)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || bytes.Count(body, []byte(`"token":`)) != tokens {
+		t.Errorf("the stream was interrupted after %d tokens: %v", bytes.Count(body, []byte(`"token":`)), err)
+	}
+	if code := daemon.wait(); code != 0 {
+		t.Errorf("exit code %d, want 0", code)
+	}
+}
+
 // With invalid settings the daemon must exit with code 2 and print the line and the field.
 func TestBadSettings(t *testing.T) {
 	cmd := roleCommand("daemon", "--settings", writeTempFile(t, "settings.yaml", "instance: entry-1\nfailure_domain: a\ncallers: {address: here}\n"))
--- a/internal/soak/planned_stop_test.go
+++ b/internal/soak/planned_stop_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/yuccabridge/yuccabridge/platform/standin"
 )
 
 // stoppedConn is a connection to an instance that is being stopped, with the outcome of its last request.
@@ -97,3 +99,30 @@
 			each, lost, strings.Count(string(log), "event=request_unanswered"), strings.Count(string(log), "bytes=read "), err)
 	}
 }
+
+// Guards against signals that end a stopping process, and the requests in progress with it.
+func TestSignalsDuringAPlannedStopEndNoRequest(t *testing.T) {
+	const orders = 6
+	tb, in := startInstance(t)
+	tb.setBehaviour(standin.Behaviour{Delay: 1200 * time.Millisecond})
+	var conns []*stoppedConn
+	for i := range orders {
+		c := dialInstance(t, in)
+		c.writeRequest(t, orderPrefix, fmt.Sprint("order-", i))
+		conns = append(conns, c)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		in.signal(s, s == syscall.SIGTERM)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for i, c := range conns {
+		if status, err := c.readStatus(); err != nil || status != http.StatusOK {
+			t.Errorf("order %d: status %d, %v", i, status, err)
+		}
+	}
+	in.awaitExit(gracePeriod)
+	if code := in.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
