Upstream: bound the bytes of a connection that wait in the kernel

Bytes that a machine has received and that nobody has read count toward its memory limit. The buffers of this process were bounded; the receive buffers of its sockets were not. The kernel lets the buffer of a connection that is read fast grow up to its own limit of megabytes. When the reader then pauses, as a stream does whose caller is slow, an upstream that sends without end fills it. Some hundreds of such connections exceed a limit of 134 MB many times over.

Fix: the dialer sets the size of the receive buffer, before the connection is made, because the announced window depends on it.

A window of 128 KiB carries 1 MB/s, the rate below which a body counts as stalled, over a round trip of 100 ms; 64 KiB would not.

--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -16,16 +16,19 @@
 // closes the connection.
 const keepAliveProbes = 2
 
+// receiveBufferBytes bounds the bytes that a connection has received and nobody has read: they count
+// toward the memory of the machine, and the kernel would let them grow to megabytes for each connection.
+// A response still arrives at 1 MB/s over a round trip of 100 ms.
+const receiveBufferBytes = 128 << 10
+
 // Dialer returns a dial function whose connections the kernel closes when the other end, or
-// a middlebox between the two ends, no longer has state for them.
+// a middlebox between the two ends, no longer has state for them. Their receive buffers are bounded.
 func Dialer(userTimeout, keepAliveInterval time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
 	dialer := &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var err error
-			controlErr := c.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
+			controlErr := c.Control(func(fd uintptr) { err = setSocketOptions(int(fd), userTimeout) })
 			if controlErr != nil {
 				return controlErr
 			}
@@ -37,6 +40,15 @@
 	}
 }
 
+// setSocketOptions sets the options of a socket that is not connected yet: the window that is announced
+// to the other end depends on the receive buffer.
+func setSocketOptions(fd int, userTimeout time.Duration) error {
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes); err != nil {
+		return err
+	}
+	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+}
+
 // conn is a connection with its read and write buffers.
 type conn struct {
 	net.Conn
