Streams: events take their memory from the buffer of the instance

The buffer that bounds the bodies in progress did not count the events of streams. Each event was bounded, at 256 KiB and 64 KiB of blank lines and comments before it, and held up to three times: in the reader, joined with the comments, and as the copy that is sent on. The first and the last stayed allocated until the end of the stream. So the sum grew with the number of streams: an upstream that sends events without end, or large ones to callers that read slowly, could use up the memory of the machine while `buffer_mb` was not reached.

The reader joins it with the comments before it in place, and the HTTP server sends it from there, so it is held once. A complete event is settled: the stream is not ended for it while a slow caller reads, and other transfers are refused instead, as for bodies. The memory is returned when the next event is read or the attempt ends. A stream that is ended for its memory fails with the error of the budget, which counts as malformed and not as a lost connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,11 +36,12 @@
 	sendState    sendState
 	responseKind ResponseKind
 	response     *upstream.Response
-	timeout      time.Duration // for the header and the pauses in a body that is no stream; 0: none
-	started      bool          // the quarantine counts the request as running at the upstream
-	events       int           // of a stream, received from this upstream
-	partsCleared bool          // the answer has shown that no part of the prompt crashes the upstream
-	crashed      bool          // the crash of the upstream has been recorded
+	timeout      time.Duration      // for the header and the pauses in a body that is no stream; 0: none
+	started      bool               // the quarantine counts the request as running at the upstream
+	events       int                // of a stream, received from this upstream
+	event        *bytebudget.Buffer // holds the last of them; nil unless the response is a stream
+	partsCleared bool               // the answer has shown that no part of the prompt crashes the upstream
+	crashed      bool               // the crash of the upstream has been recorded
 	delivered    bool
 	finished     bool
 }
@@ -403,6 +404,9 @@
 	if a.response != nil {
 		a.response.Release(complete)
 	}
+	if a.event != nil {
+		a.event.Reset()
+	}
 	ex := a.exchange
 	now := ex.gateway.now()
 	if a.started {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,7 +45,7 @@
 	attempt    *attempt
 	body       *upstream.BodyReader
 	reader     *sse.Reader
-	pending    []byte
+	pending    []byte // of the last event
 	done       bool
 	err        error
 	framed     bool // the response to the caller has chunks, so a regular end claims that it is complete
@@ -115,7 +115,8 @@
 	s.body = s.attempt.response.Body(0)
 	// One bound for all reads: bytes that are no event do not extend the wait for the first one.
 	s.body.SetDeadline(deadlineAfter(s.attempt.timeout))
-	s.reader = sse.NewReader(s.body)
+	s.attempt.event = s.attempt.exchange.gateway.buffer.NewBuffer(s.attempt.response.Abort)
+	s.reader = sse.NewBufferedReader(s.body, s.attempt.event)
 }
 
 // errEndsInsideEvent reports an upstream that ended the stream before the blank line that ends an event.
@@ -123,22 +124,17 @@
 
 // nextEvent returns the next event that has a field, with the blank lines and comments before it: alone
 // they are no part of a response, and may come without end. With io.EOF it returns the blank lines and
-// comments after the last event.
+// comments after the last event. The bytes are valid until the next call.
 func (s *stream) nextEvent() ([]byte, error) {
-	var held []byte
-	for {
-		event, err := s.reader.Next()
-		held = append(held, event...)
-		switch {
-		case err == io.ErrUnexpectedEOF && !sse.IsComment(event):
-			s.attempt.exchange.progress.tailBytes = len(event)
-			return nil, errEndsInsideEvent
-		case err == io.ErrUnexpectedEOF:
-			return held, io.EOF
-		case err != nil || sse.HasField(event):
-			return held, err
-		}
+	event, err := s.reader.NextWithField()
+	if err != io.ErrUnexpectedEOF {
+		return event, err
+	}
+	if !sse.IsComment(event) {
+		s.attempt.exchange.progress.tailBytes = len(event)
+		return nil, errEndsInsideEvent
 	}
+	return event, io.EOF
 }
 
 // buffer records an event and makes it available to Read.
@@ -147,7 +143,7 @@
 	ex.progress.record(ex.gateway.now(), event)
 	s.attempt.recordEvent()
 	ex.service.budget.Answered(ex.gateway.now(), s.attempt.grant.Upstream.ID)
-	s.pending = append(s.pending[:0], event...)
+	s.pending = event
 }
 
 // Read implements io.Reader. Each call returns bytes of at most one event. An error closes
@@ -208,7 +204,7 @@
 // end ends a stream whose upstream has ended it regularly. tail are the blank lines and comments after
 // the last event.
 func (s *stream) end(tail []byte) {
-	s.pending = append(s.pending[:0], tail...)
+	s.pending = tail
 	if s.framed && s.attempt.exchange.lastFraming == upstream.FramingClose {
 		s.finish(dispatch.Succeeded, outcomeStreamBroken, errUnprovenEnd)
 		return
--- a/internal/protocol/sse/reader.go
+++ b/internal/protocol/sse/reader.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
 )
 
 // MaxEventBytes is the largest accepted event.
@@ -24,51 +26,89 @@
 // Reader splits a stream into events.
 type Reader struct {
 	input     *bufio.Reader
-	event     []byte
+	buffer    *bytebudget.Buffer
 	idleBytes int // since the last event with a field
 }
 
 // NewReader returns a reader of the events in r.
-func NewReader(r io.Reader) *Reader {
-	return &Reader{input: bufio.NewReaderSize(r, 4<<10)}
+func NewReader(r io.Reader) *Reader { return NewBufferedReader(r, new(bytebudget.Buffer)) }
+
+// NewBufferedReader returns a reader of the events in r that holds each event in the buffer. The caller
+// resets the buffer after the last event.
+func NewBufferedReader(r io.Reader, buffer *bytebudget.Buffer) *Reader {
+	return &Reader{input: bufio.NewReaderSize(r, 4<<10), buffer: buffer}
 }
 
 // Next returns the bytes of the next event, including the blank line that ends it. They are
 // valid until the next call. When the stream ends within an event, Next returns
 // io.ErrUnexpectedEOF with the bytes read so far, which are not a complete event.
 func (r *Reader) Next() ([]byte, error) {
-	r.event = r.event[:0]
-	lineStart, hasField := 0, false
+	r.buffer.Reset()
+	_, err := r.readEvent()
+	return r.result(err)
+}
+
+// NextWithField returns the next event that has a field, with the blank lines and comments before it.
+// When the stream ends before one, it returns io.EOF with the blank lines and comments.
+func (r *Reader) NextWithField() ([]byte, error) {
+	r.buffer.Reset()
+	for {
+		hasField, err := r.readEvent()
+		if hasField || err != nil {
+			return r.result(err)
+		}
+	}
+}
+
+// result returns the contents of the buffer, which are complete, unless err is another error than the end of
+// the stream.
+func (r *Reader) result(err error) ([]byte, error) {
+	if settleErr := r.buffer.Settle(); settleErr != nil {
+		err = settleErr // the connection was closed for it
+	}
+	if err != nil && err != io.EOF && err != io.ErrUnexpectedEOF {
+		return nil, err
+	}
+	return r.buffer.Bytes(), err
+}
+
+// readEvent appends the next event to the buffer.
+func (r *Reader) readEvent() (hasField bool, err error) {
+	start := len(r.buffer.Bytes())
+	lineStart := start
 	for {
 		chunk, err := r.input.ReadSlice('\n')
-		r.event = append(r.event, chunk...)
-		if len(r.event) > MaxEventBytes {
-			return nil, ErrTooLarge
+		if appendErr := r.buffer.Append(chunk); appendErr != nil {
+			return hasField, appendErr
+		}
+		text := r.buffer.Bytes()
+		if len(text)-start > MaxEventBytes {
+			return hasField, ErrTooLarge
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if err == io.EOF && len(r.event) > 0 {
-			return r.event, io.ErrUnexpectedEOF
+		if err == io.EOF && len(text) > start {
+			return hasField, io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return nil, err
+			return hasField, err
 		}
-		if isBlank(r.event[lineStart:]) {
-			return r.event, r.countIdle(hasField)
+		if isBlank(text[lineStart:]) {
+			return hasField, r.countIdle(hasField, len(text)-start)
 		}
-		hasField = hasField || r.event[lineStart] != ':'
-		lineStart = len(r.event)
+		hasField = hasField || text[lineStart] != ':'
+		lineStart = len(text)
 	}
 }
 
 // countIdle counts the bytes of events without a field.
-func (r *Reader) countIdle(hasField bool) error {
+func (r *Reader) countIdle(hasField bool, size int) error {
 	if hasField {
 		r.idleBytes = 0
 		return nil
 	}
-	if r.idleBytes += len(r.event); r.idleBytes > MaxIdleBytes {
+	if r.idleBytes += size; r.idleBytes > MaxIdleBytes {
 		return ErrTooLarge
 	}
 	return nil
--- a/internal/protocol/sse/sse_test.go
+++ b/internal/protocol/sse/sse_test.go
@@ -79,3 +79,33 @@
 }
 
 func (r *smallReads) Read(p []byte) (int, error) { return r.input.Read(p[:min(len(p), r.size)]) }
+
+// Guards against blank lines and comments that are lost, or passed on before an event follows them.
+func FuzzEventsWithFieldsAreSplitWithoutLoss(f *testing.F) {
+	f.Add([]byte(": comment\n\n\nid: 1\ndata: a\n\n\r\n: comment\n\ndata: b\r\n\r\n\n: tail\n"), 3)
+	f.Add([]byte("\n\ndata: open"), 1)
+	f.Fuzz(func(t *testing.T, text []byte, size int) {
+		size = 1 + max(0, size)%64
+		reader := NewReader(&smallReads{bytes.NewReader(text), size})
+		var joined []byte
+		for {
+			event, err := reader.NextWithField()
+			if err == ErrTooLarge {
+				return
+			}
+			joined = append(joined, event...)
+			if err == io.EOF || err == io.ErrUnexpectedEOF {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !HasField(event) {
+				t.Fatalf("event %q has no field", event)
+			}
+		}
+		if !bytes.Equal(joined, text) {
+			t.Fatalf("events %q of the input %q", joined, text)
+		}
+	})
+}
