Upstream: idle connections are closed after the reuse window

A connection was given back to the pool and looked at only when the next request took it. The pool hands out the one that was used last, so those below it were never looked at and stayed open until the upstream closed them, up to 32 for each upstream of each service. An upstream that sends bytes on them, which belong to no response, fills their receive buffers for good. Expired connections also counted toward the limit of idle ones.

Fix: while there are idle connections, a timer closes those beyond the reuse window. They would not have been reused, so there are no further dials. It reads no socket; what can arrive within the window is bounded by the receive buffer.

TestConnectionsThatAreNotReused relied on the fault: with a window in the past it expected the second connection to stay open while a later one closed. It now requires that both connections are closed without a further request, which the old code does not meet: it waits for the second until the test's time limit.

--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -67,7 +67,8 @@
 	opts    Options
 
 	mu     sync.Mutex
-	idle   []*conn // ordered by last use, the most recent last
+	idle   []*conn     // ordered by last use, the most recent last
+	expiry *time.Timer // closes idle connections; nil if none is left
 	closed bool
 }
 
@@ -88,6 +89,10 @@
 		cn.Close()
 	}
 	c.idle = nil
+	if c.expiry != nil {
+		c.expiry.Stop()
+		c.expiry = nil
+	}
 }
 
 // Call is one request with the options of its exchange.
--- a/internal/transport/upstream/client_test.go
+++ b/internal/transport/upstream/client_test.go
@@ -165,8 +165,9 @@
 	expiring := newClient(t, address, Options{ReuseWindow: -time.Second}) // every idle connection is too old
 	mustExchange(t, expiring, newCall(address))
 	mustExchange(t, expiring, newCall(address))
-	if n := <-ended; n != 1 {
-		t.Errorf("connection %d was closed, want the first", n)
+	// Each exchange has had a connection of its own, and both are closed without a further request.
+	if first, second := <-ended, <-ended; min(first, second) != 1 || max(first, second) != 2 {
+		t.Errorf("connections %d and %d were closed, want the first and the second", first, second)
 	}
 	c := newClient(t, address, Options{ReuseWindow: time.Hour})
 	response, err := c.Do(t.Context(), newCall(address))
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -44,4 +44,30 @@
 		return
 	}
 	c.idle = append(c.idle, cn)
+	if c.expiry == nil {
+		c.expiry = time.AfterFunc(c.reuseWindow(cn), c.closeExpired)
+	}
+}
+
+// closeExpired closes the idle connections that are too old to be reused: the upstream may still send on
+// them, and what it sends takes memory.
+func (c *Client) closeExpired() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expiry = nil
+	now, next := time.Now(), c.opts.ReuseWindow
+	kept := c.idle[:0]
+	for _, cn := range c.idle {
+		left := c.reuseWindow(cn) - now.Sub(cn.lastUsed)
+		if left <= 0 {
+			cn.Close()
+			continue
+		}
+		kept, next = append(kept, cn), min(next, left)
+	}
+	clear(c.idle[len(kept):])
+	c.idle = kept
+	if len(kept) > 0 {
+		c.expiry = time.AfterFunc(next, c.closeExpired)
+	}
 }
