Platform client: an answer without end is given up by its size

The body of an answer was bounded, at 4 MiB. A chunk extension is no part of the body, and the HTTP library reads it as long as it comes; each byte extended the time limit of the call by a second, up to 8 s. So a store that answers with such bytes kept a call, and the processor, for 8 s instead of the time limit.

Evidence: TestAnswerWithoutEndIsGivenUp, answers without end in each part of an answer, time limit of 300 ms. Before, chunk extension, two runs: "1310 MiB were taken, want at most 80" and "1318 MiB", in 8.3 s. After: five of five pass, and with the race detector.

Fix: the connection counts the bytes since the call set its read deadline, and fails beyond twice the largest body. The HTTP library may try again within the time limit; the test allows for its five attempts.

Ruled out: memory. Header fields, interim responses, blank lines, garbage, bodies, chunks and trailers without end were given up at once before, and at most 17 MB were allocated in all for an answer.

--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -56,6 +56,8 @@
 	// maxResponseBytes bounds a response: a page of entries holds about 1 MB of values and one more value of
 	// up to 1 MiB, in base64.
 	maxResponseBytes = 4 << 20
+	// maxReadBytes bounds what is read for a response, with its head, chunk sizes and extensions.
+	maxReadBytes = 2 * maxResponseBytes
 	// progressTimeout is how long an answer that has begun to arrive may pause beyond the time limit of its
 	// call, and maxTransferTime how much longer than the limit it may take in all. Large answers take
 	// seconds over a slow link, while the limit of a call shows whether the platform answers at all.
@@ -293,17 +295,22 @@
 	client     *Client
 	readBy     time.Time // zero: no limit
 	transferBy time.Time // latest value of readBy
+	readBytes  int       // of the answer
 }
 
 // SetReadDeadline sets the time limit for the first bytes of an answer.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
-	c.readBy, c.transferBy = t, t.Add(maxTransferTime)
+	c.readBy, c.transferBy, c.readBytes = t, t.Add(maxTransferTime), 0
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Read extends the time limit while an answer arrives.
+// Read extends the time limit while an answer arrives, up to its largest size.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if c.readBytes >= maxReadBytes {
+		return 0, ErrTooLarge
+	}
 	n, err := c.Conn.Read(p)
+	c.readBytes += n
 	if n == 0 || err != nil || c.readBy.IsZero() {
 		return n, err
 	}
