--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -277,7 +277,7 @@
 	}
 	connections := g.sockets.Callers.Connections
 	connections.CloseWaiting()
-	for connections.Counts().Total()+g.peers.busyRelays() > 0 && time.Now().Before(deadline) {
+	for connections.Counts().Total()+g.peers.relays() > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
 	g.stopAnswering()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -144,6 +144,7 @@
 	switch a := action.(type) {
 	case membership.StateChanged:
 		p.forgetIfDead(a)
+		p.closeIdleRelays(a)
 		p.updateInstances()
 		p.queuePull(a)
 		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.PeerChanged, "peer": a.Member.Name, "process": a.Member.Incarnation.Process.String(),
@@ -179,6 +180,16 @@
 	}
 }
 
+// closeIdleRelays closes the idle connections through a peer that leaves, since it waits for them.
+func (p *peers) closeIdleRelays(change membership.StateChanged) {
+	if change.Member.Live() {
+		return
+	}
+	for _, s := range p.gateway.sortedServices() {
+		s.closeUnusableConnections()
+	}
+}
+
 // livePeers returns the other instances that are not dead.
 func (p *peers) livePeers() []membership.Member {
 	var out []membership.Member
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -88,13 +88,12 @@
 	return nil, errNotReached
 }
 
-// busyRelays returns the number of connections that this instance relays and that carry a request or a
-// response.
-func (p *peers) busyRelays() int {
+// relays returns the number of connections that this instance relays.
+func (p *peers) relays() int {
 	if p == nil {
 		return 0
 	}
-	return p.node.BusyRelays()
+	return p.node.Relays()
 }
 
 // publishedUpstream returns a published upstream by its ID.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -197,6 +197,15 @@
 	return c
 }
 
+// closeUnusableConnections closes the idle connections that may not be used again.
+func (s *service) closeUnusableConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.clients {
+		c.CloseUnusable()
+	}
+}
+
 // publishedUpstream returns the upstream that is published under an ID.
 func (s *service) publishedUpstream(id string) (dispatch.Upstream, bool) {
 	s.mu.Lock()
--- a/internal/transport/peer/node.go
+++ b/internal/transport/peer/node.go
@@ -42,8 +42,7 @@
 	inbound int
 	links   map[netip.AddrPort]*link
 	closed  bool
-
-	relays relays
+	relays  int // connections that this instance relays
 }
 
 // link is the outbound connection to one peer.
@@ -60,7 +59,7 @@
 	if err := o.validate(); err != nil {
 		return nil, err
 	}
-	n := &Node{opts: o, self: o.Self, started: time.Now(), links: map[netip.AddrPort]*link{}, relays: relays{active: map[*relay]bool{}}}
+	n := &Node{opts: o, self: o.Self, started: time.Now(), links: map[netip.AddrPort]*link{}}
 	if o.TLS != nil {
 		var err error
 		if n.certificates, err = loadCertificates(*o.TLS); err != nil {
--- a/internal/transport/peer/relay.go
+++ b/internal/transport/peer/relay.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -167,68 +166,40 @@
 	return err
 }
 
-// relay is a connection that this instance relays.
-type relay struct {
-	toUpstreamAt, fromUpstreamAt atomic.Int64 // times of the last bytes, in ns since the node started
+// Relays returns the number of connections that this instance relays. Whether a request is in progress on one
+// is known at the other end only, which closes those that it needs no more when this instance leaves.
+func (n *Node) Relays() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.relays
 }
 
-// relayIdleTime is the time without bytes after which a connection whose last bytes came from the upstream
-// carries no response any more; it is longer than a pause between two events.
-const relayIdleTime = time.Second
-
-// busy reports whether the connection carries a request or a response.
-func (r *relay) busy(now time.Duration) bool {
-	from := time.Duration(r.fromUpstreamAt.Load())
-	return time.Duration(r.toUpstreamAt.Load()) > from || now-from < relayIdleTime
-}
-
-// relays are the connections that an instance relays.
-type relays struct {
-	mu     sync.Mutex
-	active map[*relay]bool
-}
-
-// BusyRelays returns the number of relayed connections that carry a request or a response.
-func (n *Node) BusyRelays() int {
-	n.relays.mu.Lock()
-	defer n.relays.mu.Unlock()
-	busy := 0
-	for r := range n.relays.active {
-		if r.busy(n.now()) {
-			busy++
-		}
-	}
-	return busy
-}
-
-// add adds a relay unless there are MaxRelays of them.
-func (n *Node) addRelay(r *relay) bool {
-	n.relays.mu.Lock()
-	defer n.relays.mu.Unlock()
-	if len(n.relays.active) >= n.opts.MaxRelays {
+// addRelay counts one more relay unless there are MaxRelays of them.
+func (n *Node) addRelay() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.relays >= n.opts.MaxRelays {
 		return false
 	}
-	n.relays.active[r] = true
+	n.relays++
 	return true
 }
 
-func (n *Node) removeRelay(r *relay) {
-	n.relays.mu.Lock()
-	defer n.relays.mu.Unlock()
-	delete(n.relays.active, r)
+func (n *Node) removeRelay() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.relays--
 }
 
 // serveRelay connects to the upstream and relays bytes until one end closes.
 func (n *Node) serveRelay(s *session, open peerwire.RelayOpen) {
-	r := &relay{}
-	r.toUpstreamAt.Store(int64(n.now()))
-	upstream, err := n.acceptRelay(s, open, r)
+	upstream, err := n.acceptRelay(s, open)
 	if err != nil {
 		// The peer tries another instance; if this answer is lost, it does so after a time-out.
 		_ = s.writeFrame(peerwire.Failure{Reason: err.Error()})
 		return
 	}
-	defer n.removeRelay(r)
+	defer n.removeRelay()
 	defer upstream.Close()
 	stop := context.AfterFunc(n.ctx, func() { upstream.Close() })
 	defer stop()
@@ -238,9 +209,9 @@
 	var fromPeer sync.WaitGroup
 	fromPeer.Go(func() {
 		defer resetConn(upstream) // the peer has left: nothing of its request may arrive later
-		n.relayToUpstream(s, upstream, r)
+		relayToUpstream(s, upstream)
 	})
-	n.relayFromUpstream(s, upstream, r)
+	relayFromUpstream(s, upstream)
 	s.conn.Close()
 	fromPeer.Wait()
 }
@@ -254,7 +225,7 @@
 	c.Close()
 }
 
-func (n *Node) acceptRelay(s *session, open peerwire.RelayOpen, r *relay) (net.Conn, error) {
+func (n *Node) acceptRelay(s *session, open peerwire.RelayOpen) (net.Conn, error) {
 	if n.opts.Relay == nil {
 		return nil, errors.New("this instance relays nothing")
 	}
@@ -264,25 +235,24 @@
 			return nil, errors.Wrap(err, "enable keep-alive probes")
 		}
 	}
-	if !n.addRelay(r) {
+	if !n.addRelay() {
 		return nil, errors.New("too many relayed connections")
 	}
 	upstream, err := n.opts.Relay(n.ctx, s.peer, open)
 	if err != nil {
-		n.removeRelay(r)
+		n.removeRelay()
 		return nil, err
 	}
 	return upstream, nil
 }
 
 // relayToUpstream relays until the peer closes the connection or the upstream takes no more.
-func (n *Node) relayToUpstream(s *session, upstream net.Conn, r *relay) {
+func relayToUpstream(s *session, upstream net.Conn) {
 	for {
 		data, err := s.readRelayed()
 		if err != nil || s.closedByPeer() {
 			return
 		}
-		r.toUpstreamAt.Store(int64(n.now()))
 		if upstream.SetWriteDeadline(time.Now().Add(relayWriteTimeout)) != nil {
 			return
 		}
@@ -316,7 +286,7 @@
 }
 
 // relayFromUpstream relays until the upstream ends the connection. Only a regular end is passed on as such.
-func (n *Node) relayFromUpstream(s *session, upstream net.Conn, r *relay) {
+func relayFromUpstream(s *session, upstream net.Conn) {
 	buf := make([]byte, relayChunkBytes)
 	for {
 		count, err := upstream.Read(buf)
@@ -324,7 +294,6 @@
 			return
 		}
 		if count > 0 {
-			r.fromUpstreamAt.Store(int64(n.now()))
 			if s.writeFrame(peerwire.RelayData{Payload: buf[:count]}) != nil {
 				return
 			}
--- a/internal/transport/peer/relay_test.go
+++ b/internal/transport/peer/relay_test.go
@@ -99,8 +99,8 @@
 	if _, err := io.WriteString(c, "request"); err != nil {
 		t.Fatal(err)
 	}
-	if relaying.BusyRelays() != 1 {
-		t.Error("the relay does not count as busy")
+	if relaying.Relays() != 1 {
+		t.Error("the relay is not counted")
 	}
 	c.Close()
 	select {
@@ -108,7 +108,7 @@
 	case <-time.After(5 * time.Second):
 		t.Fatal("the upstream still waits for the caller")
 	}
-	for deadline := time.Now().Add(5 * time.Second); relaying.BusyRelays() > 0; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); relaying.Relays() > 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the relay has not ended")
 		}
@@ -191,3 +191,32 @@
 		t.Errorf("the upstream received %q", got)
 	}
 }
+
+// Guards against a planned stop that cuts a response whose upstream pauses: it waits until no relays are left.
+func TestRelayCountsWhileItsResponsePauses(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	address := startUpstream(t, func(c *net.TCPConn) {
+		defer c.Close()
+		io.ReadFull(c, make([]byte, len("request")))
+		io.WriteString(c, "first")
+		time.Sleep(pause)
+		io.WriteString(c, " rest")
+	})
+	relaying, caller := startNode(t, "relay", relayTo(t)), startNode(t, "caller", nil)
+	c, err := caller.OpenRelay(t.Context(), relaying.Addr(), peerwire.RelayOpen{Upstream: address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "request")
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		for relaying.Relays() > 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
+		relaying.Close()
+	}()
+	if b, err := io.ReadAll(c); string(b) != "first rest" || err != nil {
+		t.Errorf("the caller's instance got %q, %v", b, err)
+	}
+}
--- a/internal/transport/upstream/peek.go
+++ b/internal/transport/upstream/peek.go
@@ -23,13 +23,19 @@
 // isReusable reports whether an idle connection is open and holds no unread bytes: bytes
 // that arrive after a response belong to no request. A connection with a method Reusable decides, too.
 func isReusable(c net.Conn) bool {
-	if own, ok := c.(interface{ Reusable() bool }); ok && !own.Reusable() {
+	if !allowsReuse(c) {
 		return false
 	}
 	closed, unread := peekSocket(c)
 	return !closed && !unread
 }
 
+// allowsReuse returns what the method Reusable of the connection says, if it has one.
+func allowsReuse(c net.Conn) bool {
+	own, ok := c.(interface{ Reusable() bool })
+	return !ok || own.Reusable()
+}
+
 // peekSocket looks at the receive buffer of the socket without consuming it.
 func peekSocket(c net.Conn) (closed, unread bool) {
 	sc, ok := c.(syscall.Conn)
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 )
 
@@ -39,9 +40,23 @@
 	cn.written.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idle) >= c.opts.MaxIdle {
+	if c.closed || len(c.idle) >= c.opts.MaxIdle || !allowsReuse(cn.Conn) {
 		cn.Close()
 		return
 	}
 	c.idle = append(c.idle, cn)
 }
+
+// CloseUnusable closes the idle connections whose method Reusable does not allow a further request. Connections
+// that become idle later are checked then.
+func (c *Client) CloseUnusable() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = slices.DeleteFunc(c.idle, func(cn *conn) bool {
+		if allowsReuse(cn.Conn) {
+			return false
+		}
+		cn.Close()
+		return true
+	})
+}
