--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -161,6 +161,11 @@
 			callers.Go(func() { tb.runVersionedCaller(faultCtx, seed, n) })
 		}
 	}
+	if tb.options.Faults == StopFaults {
+		for n := range stopCallers {
+			callers.Go(func() { tb.runStopCaller(faultCtx, seed, n) })
+		}
+	}
 	if tb.options.Faults == DrillFaults {
 		callers.Go(func() { tb.runDeadlyPartCaller(faultCtx, seed, out) })
 		callers.Go(func() { tb.runLeavingCaller(faultCtx, seed) })
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -40,6 +40,9 @@
 // The removal plan ([RemovalFaults]) removes the entries of upstreams that still serve, while instances in several
 // failure domains lose the store for seconds, mostly without an error, and are killed, stopped and paused.
 //
+// The stop plan ([StopFaults]) stops instances in series, several at a time, while they get hangups and do not run for
+// moments. Callers hold connections before they use them, and parts of requests.
+//
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
 //
@@ -70,6 +73,8 @@
 //     over the instances that it has told.
 //   - A request runs at no more upstreams than its route allows, is given no later deadline than
 //     its caller's, and crashes no further upstreams once all instances could know that it does.
+//   - A planned stop leaves no request without an answer that was passed on, or that arrived before its connection
+//     ended, and ends within the grace period.
 //   - After the last fault every instance is ready, has the latest configuration and serves
 //     every kind of request.
 //   - No process uses more memory than the users' machines allow.
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -31,9 +31,11 @@
 	builds     []string // paths of daemon binaries; each start takes the next one
 
 	processFaults faultIntervals // when process faults may affect callers
+	stops         faultIntervals // from the stop signal to the exit
 
 	mu            sync.Mutex
 	starts        int
+	started       bool // the current process has been ready, and so handles signals
 	cmd           *exec.Cmd
 	exited        chan struct{} // closed when cmd has exited
 	exitExpected  bool          // a kill or stop was requested
@@ -136,7 +138,7 @@
 		out.Close()
 		return errors.Wrap(err, "start "+in.name)
 	}
-	in.exitExpected, in.exited = false, make(chan struct{})
+	in.exitExpected, in.started, in.exited = false, false, make(chan struct{})
 	go in.reap(in.cmd, out, in.exited)
 	return nil
 }
@@ -163,15 +165,48 @@
 	}
 }
 
-// awaitExit waits until the process exits, and kills it after the timeout.
-func (in *instance) awaitExit(timeout time.Duration) {
+// awaitStart waits until a new process is ready. It returns false after startTimeout.
+func (in *instance) awaitStart() bool {
+	if !in.awaitReady(startTimeout) {
+		return false
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.started = true
+	return true
+}
+
+// signalStarted sends a signal that does not end the process, unless it may not handle signals yet.
+func (in *instance) signalStarted(s syscall.Signal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.started {
+		return
+	}
+	if err := in.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		in.processErrors = append(in.processErrors, fmt.Sprintf("%s: signal %v: %v", in.name, s, err))
+	}
+}
+
+// stall stops the process from running until waitForEnd returns.
+func (in *instance) stall(waitForEnd func()) {
+	defer in.processFaults.begin()()
+	in.signalStarted(syscall.SIGSTOP)
+	waitForEnd()
+	in.signalStarted(syscall.SIGCONT)
+}
+
+// awaitExit waits until the process exits, and kills it after the timeout. It reports whether it was killed.
+func (in *instance) awaitExit(timeout time.Duration) (killed bool) {
 	in.mu.Lock()
 	exited := in.exited
 	in.mu.Unlock()
 	select {
 	case <-exited:
+		return false
 	case <-time.After(timeout):
 		in.signal(syscall.SIGKILL, true)
 		<-exited
+		return true
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -39,6 +39,7 @@
 	stateLeaving       // an upstream states that it leaves, and then starts again
 	statePause         // an upstream rejects requests and states when to come back
 	removeUpstream     // the entry of an upstream is removed although it still serves
+	stallProcess       // an instance does not run for a moment, also while it is stopped
 	faultKindCount
 
 	// mixedKindCount is the number of kinds that mixed plans draw.
@@ -48,7 +49,7 @@
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
 	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
 	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless", "upstream_ends", "store_returns",
-	"release", "upstream_crashes", "partition", "states_leaving", "states_pause", "entry_removed"}
+	"release", "upstream_crashes", "partition", "states_leaving", "states_pause", "entry_removed", "stall"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -107,6 +108,8 @@
 		return newPartitionPlan(seed, o)
 	case RemovalFaults:
 		return newRemovalPlan(seed, o)
+	case StopFaults:
+		return newStopPlan(seed, o)
 	}
 	return newMixedPlan(seed, o)
 }
--- /dev/null
+++ b/internal/soak/plan_stops.go
@@ -0,0 +1,34 @@
+package soak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// meanStopInterval is the mean time between two planned stops, meanReloadInterval that between two hangups.
+	meanStopInterval   = 700 * time.Millisecond
+	meanReloadInterval = 250 * time.Millisecond
+	// meanStallInterval is the mean time between two times at which an instance does not run for up to maxStall.
+	meanStallInterval = 300 * time.Millisecond
+	maxStall          = 450 * time.Millisecond
+	// meanRouteChangeInterval is the mean time between two changes of the routes.
+	meanRouteChangeInterval = 1500 * time.Millisecond
+)
+
+// newStopPlan generates a plan in which instances are stopped one after the other, several at a time, while they get
+// hangups and do not run for moments, and while the routes change.
+func newStopPlan(seed uint64, o Options) []fault {
+	rng := rand.New(rand.NewPCG(seed, 13))
+	instance := func() int { return rng.IntN(o.Instances) }
+	plan := drawFaults(rng, o.Duration, meanStopInterval, func() fault { return fault{kind: stopProcess, target: instance()} })
+	plan = append(plan, drawFaults(rng, o.Duration, meanReloadInterval, func() fault { return fault{kind: reloadProcess, target: instance()} })...)
+	plan = append(plan, drawFaults(rng, o.Duration, meanStallInterval, func() fault {
+		return fault{kind: stallProcess, target: instance(), duration: time.Duration(rng.Int64N(int64(maxStall)))}
+	})...)
+	plan = append(plan, drawFaults(rng, o.Duration, meanRouteChangeInterval, func() fault { return fault{kind: changeRoutes} })...)
+	slices.SortStableFunc(plan, func(a, b fault) int { return cmp.Compare(a.start, b.start) })
+	return plan
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -75,6 +75,8 @@
 	StatementFaults Faults = "statements"
 	// RemovalFaults removes entries of upstreams that still serve, while instances lose the store.
 	RemovalFaults Faults = "removals"
+	// StopFaults stops instances in series, with hangups and moments in which they do not run.
+	StopFaults Faults = "stops"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -113,6 +115,9 @@
 	Statements int
 	// Removals is the number of times that an upstream without an entry still served.
 	Removals int
+	// Held counts the requests on connections that callers held, by how the connection was used, whether its
+	// instance was being stopped, and how the request ended.
+	Held map[string]int
 }
 
 // Command returns the command line that repeats the run.
@@ -146,6 +151,9 @@
 	if r.Options.Faults == StatementFaults {
 		fmt.Fprintf(&b, "answers with statements: %d\n", r.Statements)
 	}
+	if r.Options.Faults == StopFaults {
+		fmt.Fprintf(&b, "requests on held connections:%s\n", formatCounts(r.Held))
+	}
 	if r.Options.Faults == RemovalFaults {
 		fmt.Fprintf(&b, "entries removed: %d\n", r.Removals)
 	}
@@ -216,6 +224,7 @@
 	tb.checkPartitions(observations)
 	tb.checkStatements(observations)
 	tb.checkRemovals(observations)
+	tb.checkStops()
 	return tb.report(observations), ctx.Err()
 }
 
@@ -303,7 +312,7 @@
 		started = append(started, in)
 	}
 	for _, in := range started {
-		if !in.awaitReady(startTimeout) {
+		if !in.awaitStart() {
 			return errors.Errorf("%s is not ready %v after its start, see %s", in.name, startTimeout, in.logFile())
 		}
 	}
@@ -339,7 +348,7 @@
 			tb.addViolation("%v", err)
 			return
 		}
-		if !in.awaitReady(startTimeout) {
+		if !in.awaitStart() {
 			tb.addViolation("%s is not ready %v after its start", in.name, startTimeout)
 		}
 	})
@@ -398,7 +407,7 @@
 const finalCallerNumber = maxCallers + 1
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold, Removals: tb.removals}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold, Removals: tb.removals, Held: tb.heldCounts}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -233,3 +233,26 @@
 		t.Error("no entry was removed")
 	}
 }
+
+// Guards against planned stops that leave requests without an answer: on connections that callers hold before they use
+// them, with hangups and moments in which the process does not run, in series and several at a time.
+func TestPlannedStopsLoseNoRequest(t *testing.T) {
+	file, err := buildDaemon()
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Seed: 8101, Duration: 12 * time.Second, Instances: 4, Upstreams: 4, Faults: StopFaults, Rate: 100, Daemon: file, Dir: t.TempDir()}
+	report, err := Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(report)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	for _, use := range connUseNames {
+		if report.Held[use+"/stopping/answered"] == 0 {
+			t.Errorf("no request on a connection of the kind %s was answered by a stopping instance", use)
+		}
+	}
+}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -67,6 +67,8 @@
 	atOthers         firstTries
 	statementsTold   int
 	removals         int
+	heldRequests     []heldRequest
+	heldCounts       map[string]int
 }
 
 func (tb *testbed) addViolation(format string, args ...any) {
@@ -156,7 +158,11 @@
 	i := f.target % len(tb.instances)
 	u := tb.upstreams[f.target%len(tb.upstreams)]
 	switch f.kind {
-	case killProcess, pauseProcess, stopProcess, reloadProcess:
+	case reloadProcess:
+		tb.instances[i].signalStarted(syscall.SIGHUP)
+	case stallProcess:
+		tb.instances[i].stall(waitForEnd)
+	case killProcess, pauseProcess, stopProcess:
 		tb.applyProcessFault(i, f, waitForEnd)
 	case disruptUpstreamLink:
 		defer u.linkFaults.begin()()
@@ -283,10 +289,6 @@
 	tb.processFaultMu[i].Lock()
 	defer tb.processFaultMu[i].Unlock()
 	in := tb.instances[i]
-	if f.kind == reloadProcess {
-		in.signal(syscall.SIGHUP, false)
-		return
-	}
 	defer in.processFaults.begin()()
 	switch f.kind {
 	case pauseProcess:
@@ -299,14 +301,18 @@
 		in.awaitExit(gracePeriod)
 		waitForEnd()
 	case stopProcess:
+		end := in.stops.begin()
 		in.signal(syscall.SIGTERM, true)
-		in.awaitExit(gracePeriod)
+		if killed := in.awaitExit(gracePeriod); killed && tb.options.Faults == StopFaults {
+			tb.addViolation("%s was there at the end of the grace period", in.name)
+		}
+		end()
 	}
 	if err := in.start(); err != nil {
 		tb.addViolation("%v", err)
 		return
 	}
-	if !in.awaitReady(startTimeout) {
+	if !in.awaitStart() {
 		tb.addViolation("%s is not ready %v after its start", in.name, startTimeout)
 	}
 }
