--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -45,6 +45,7 @@
 
 	mu        sync.Mutex
 	published map[string]dispatch.Upstream // by ID
+	running   map[string]dispatch.Upstream // those that are not superseded at their address
 	clients   map[string]*upstream.Client
 	waiters   map[uint64]chan dispatch.Decision
 
@@ -206,25 +207,29 @@
 }
 
 // updateUpstreams replaces the list of upstreams and closes the idle connections to removed
-// ones. It returns the upstreams in the place of which another process runs now.
+// ones. It returns the upstreams in the place of which another process runs now, each once.
 func (s *service) updateUpstreams(now time.Duration, upstreams []dispatch.Upstream) (replaced []dispatch.Upstream) {
-	s.dispatcher.Update(now, upstreams)
-	published, idByAddress, clientKeys := map[string]dispatch.Upstream{}, map[string]string{}, map[string]bool{}
+	latest := latestStarts(upstreams)
+	var used []dispatch.Upstream
+	published, running, clientKeys := map[string]dispatch.Upstream{}, map[string]dispatch.Upstream{}, map[string]bool{}
 	for _, u := range upstreams {
 		published[u.ID] = u
+		if isLaterStart(latest[u.Address], u.Incarnation) {
+			continue
+		}
+		used = append(used, u)
+		running[u.ID] = u
 		clientKeys[clientKey(u)] = true
-		idByAddress[u.Address] = u.ID
 	}
+	s.dispatcher.Update(now, used)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, old := range s.published {
-		successor, sameID := published[id]
-		restarted := sameID && old.Incarnation != "" && successor.Incarnation != "" && successor.Incarnation != old.Incarnation
-		if idAtAddress := idByAddress[old.Address]; restarted || idAtAddress != "" && idAtAddress != id {
+	for id, old := range s.running {
+		if wasReplaced(old, published[id], latest) {
 			replaced = append(replaced, old)
 		}
 	}
-	s.published = published
+	s.published, s.running = published, running
 	for key, c := range s.clients {
 		if !clientKeys[key] {
 			c.Close()
@@ -233,3 +238,29 @@
 	}
 	return replaced
 }
+
+// latestStarts returns the latest incarnation at each address. The entry of a process that has crashed stands
+// for a while beside that of the process that has started at its address.
+func latestStarts(upstreams []dispatch.Upstream) map[string]string {
+	latest := make(map[string]string, len(upstreams))
+	for _, u := range upstreams {
+		if start, ok := latest[u.Address]; !ok || isLaterStart(u.Incarnation, start) {
+			latest[u.Address] = u.Incarnation
+		}
+	}
+	return latest
+}
+
+// wasReplaced reports whether another process runs in the place of one that ran. The next entry under its ID is
+// zero if there is none. Of entries whose order of starts is unknown neither shows that the other's process has
+// ended; the removal of one does.
+func wasReplaced(old, next dispatch.Upstream, latest map[string]string) bool {
+	if old.Incarnation != "" && next.Incarnation != "" && next.Incarnation != old.Incarnation {
+		return true
+	}
+	start, taken := latest[old.Address]
+	if next.Address == old.Address {
+		return isLaterStart(start, next.Incarnation)
+	}
+	return taken && !isLaterStart(old.Incarnation, start)
+}
