gateway: no requests for an upstream whose address a server of another service has

What callers saw: nothing but time. An address may be assigned to a server of another service after reuse-after-s (2 s), while the entry of the crashed server there stands for three heartbeat intervals (3.6 s). Requests placed at the old entry reached the other service's server, which answers 421; a probe of the old entry succeeds there, so it got requests again after each ejection.

Cause: entries that name one address were compared within one service only.

Fix: the latest start at an address is taken over the entries of all configured services. An entry of a service that is not configured names no server and supersedes none; one without a required field was already refused by the decoder. No crash is recorded in this case, as before: the entry may stand only because its removal is deferred around an outage of the store, after a planned stop. A crash is found by the refused dials before the address is reused. The superseded upstream remains in the list by ID, where the origin of a stream is looked up, and is used again if the later entry is removed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,9 +194,13 @@
 			ID: u.ID, Incarnation: u.Incarnation, Version: u.Version, Address: u.Address, Domain: u.FailureDomain, Slots: u.Slots, KVCapacityTokens: kvCapacityTokens, Leaving: u.Leaving,
 		})
 	}
-	now := g.now()
+	var all []dispatch.Upstream // except of services that are not configured: their entries name no server
+	for name := range g.services {
+		all = append(all, upstreamsByService[name]...)
+	}
+	now, latest := g.now(), latestStarts(all)
 	for name, s := range g.services {
-		for _, replaced := range s.updateUpstreams(now, upstreamsByService[name]) {
+		for _, replaced := range s.updateUpstreams(now, upstreamsByService[name], latest) {
 			if !replaced.Leaving {
 				g.recordCrash(replaced, g.log.WithField("event", eventlog.CrashRecorded))
 			}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -82,7 +82,7 @@
 					if reversed {
 						slices.Reverse(published)
 					}
-					replaced := upstreamIDs(s.updateUpstreams(time.Duration(i)*time.Second, published))
+					replaced := upstreamIDs(s.updateUpstreams(time.Duration(i)*time.Second, published, latestStarts(published)))
 					if !slices.Equal(replaced, step.replaced) {
 						t.Errorf("step %d: replaced %v, want %v", i, replaced, step.replaced)
 					}
@@ -99,6 +99,28 @@
 	}
 }
 
+// Guards against requests at the address of a server of another service, and against a crash that is recorded for
+// it: the entry may stand because its removal is deferred, after a planned stop.
+func TestStartOfAnotherServiceSupersedesWithoutCrash(t *testing.T) {
+	s := &service{dispatcher: dispatch.New(dispatch.Options{}, rand.New(rand.NewPCG(1, 1))), clients: map[string]*upstream.Client{}}
+	u := dispatch.Upstream{ID: "a", Incarnation: "1", Address: "10.0.0.1:80", Slots: 4}
+	for i, step := range []struct {
+		latest string // at the address
+		used   int
+	}{{"1", 1}, {"2", 0}, {"2", 0}, {"1", 1}} {
+		replaced := s.updateUpstreams(time.Duration(i)*time.Second, []dispatch.Upstream{u}, map[string]string{u.Address: step.latest})
+		if len(replaced) > 0 {
+			t.Errorf("step %d: replaced %v", i, upstreamIDs(replaced))
+		}
+		if used := len(s.dispatcher.Snapshot(time.Duration(i) * time.Second)); used != step.used {
+			t.Errorf("step %d: %d upstreams are used, want %d", i, used, step.used)
+		}
+		if _, ok := s.publishedUpstream(u.ID); !ok {
+			t.Errorf("step %d: the published upstream is not known", i)
+		}
+	}
+}
+
 func upstreamIDs(upstreams []dispatch.Upstream) []string {
 	var ids []string
 	for _, u := range upstreams {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -207,9 +207,10 @@
 }
 
 // updateUpstreams replaces the list of upstreams and closes the idle connections to removed
-// ones. It returns the upstreams in the place of which another process runs now, each once.
-func (s *service) updateUpstreams(now time.Duration, upstreams []dispatch.Upstream) (replaced []dispatch.Upstream) {
-	latest := latestStarts(upstreams)
+// ones. Those at whose address the latest start is another one get no requests. It returns the upstreams in the
+// place of which another process of the service runs now, each once.
+func (s *service) updateUpstreams(now time.Duration, upstreams []dispatch.Upstream, latest map[string]string) (replaced []dispatch.Upstream) {
+	ownLatest := latestStarts(upstreams)
 	var used []dispatch.Upstream
 	published, running, clientKeys := map[string]dispatch.Upstream{}, map[string]dispatch.Upstream{}, map[string]bool{}
 	for _, u := range upstreams {
@@ -225,7 +226,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, old := range s.running {
-		if wasReplaced(old, published[id], latest) {
+		if wasReplaced(old, published[id], ownLatest) {
 			replaced = append(replaced, old)
 		}
 	}
