--- a/internal/transport/caller/doc.go
+++ b/internal/transport/caller/doc.go
@@ -1,4 +1,12 @@
 // Package caller manages the connections from callers: it bounds writes, reads the rest of a
 // refused request before a connection closes, and detects callers that close their
 // connection while their request is in progress.
+//
+// # End of a connection
+//
+// A connection is known to [Connections] from its acceptance until it is closed: unused, idle between two
+// requests, or busy. The HTTP server's own record of idle connections is not used, because it changes only once
+// the goroutine that reads has run: a request may have arrived by then. Only that goroutine ends the wait for a
+// request, by a timeout or after [Connections.CloseWaiting], and only if the socket holds no bytes.
+// [Listener.CloseAfterBacklog] does the same for connections that are not accepted yet.
 package caller
