--- a/internal/transport/caller/stop_test.go
+++ b/internal/transport/caller/stop_test.go
@@ -155,3 +155,24 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// Guards against the loss of a response that the HTTP server holds back while it reads the rest of a pipelined request.
+func TestStopKeepsTheResponseBeforeAPipelinedRequest(t *testing.T) {
+	l := openListener(t)
+	handled := make(chan struct{}, 2)
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.Conn().(*Conn).RequestHandled()
+		handled <- struct{}{}
+	}}
+	go server.Serve(l)
+	out := dial(t, l)
+	io.WriteString(out, requestHead+requestBody+requestHead+requestBody[:2])
+	<-handled
+	time.Sleep(20 * time.Millisecond)
+	l.Connections.CloseWaiting()
+	time.Sleep(20 * time.Millisecond)
+	io.WriteString(out, requestBody[2:])
+	if status := readStatus(out); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
