--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -107,7 +107,7 @@
 }
 
 // readPlatformChanges asks the platform itself for the changes up to now and applies them. The call has a time limit
-// of its own: if its context ended, the watch would be broken off, too.
+// of its own: several confirmations may wait for it.
 func (w *platformWatcher) readPlatformChanges() error {
 	after, _ := w.replica.Position()
 	w.gateway.metrics.platformReads.WithLabelValues("confirmation").Inc()
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,11 +90,12 @@
 type Client struct {
 	timeout     time.Duration
 	dialContext func(ctx context.Context, network, address string) (net.Conn, error)
-	http        *fasthttp.HostClient
+	ctx         context.Context // ends when the client is closed
+	cancel      context.CancelFunc
+	all         []*slot
 
-	mu     sync.Mutex
-	closed bool
-	conns  map[*trackedConn]struct{}
+	mu   sync.Mutex
+	free []*slot // the one used last at the end
 }
 
 // New returns a client. It opens no connection until the first call.
@@ -104,16 +106,12 @@
 	if o.Dial == nil {
 		o.Dial = new(net.Dialer).DialContext
 	}
-	c := &Client{timeout: o.Timeout, dialContext: o.Dial, conns: map[*trackedConn]struct{}{}}
-	c.http = &fasthttp.HostClient{
-		Addr:                o.Address,
-		Dial:                c.dial,
-		MaxConns:            maxConnections,
-		MaxResponseBodySize: maxResponseBytes,
-		// The library can't be told that a call has ended; see do.
-		MaxIdemponentCallAttempts: 1,
-		NoDefaultUserAgentHeader:  true,
+	c := &Client{timeout: o.Timeout, dialContext: o.Dial}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	for range maxConnections {
+		c.all = append(c.all, c.newSlot(o.Address))
 	}
+	c.free = slices.Clone(c.all)
 	return c
 }
 
@@ -223,10 +221,8 @@
 	Body   []byte
 }
 
-// Get calls the platform. When ctx ends, the connections of all calls in progress are closed.
+// Get calls the platform. The call ends when ctx does.
 func (c *Client) Get(ctx context.Context, uri string, timeout time.Duration) (*Response, error) {
-	stop := context.AfterFunc(ctx, c.closeActiveConns)
-	defer stop()
 	res := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
 	if err := c.do(ctx, uri, timeout, res); err != nil {
@@ -239,36 +235,48 @@
 	return out, nil
 }
 
-// closeActiveConns closes the connections of all calls in progress.
-func (c *Client) closeActiveConns() {
-	c.mu.Lock()
-	open := make([]*trackedConn, 0, len(c.conns))
-	for conn := range c.conns {
-		open = append(open, conn)
-	}
-	c.mu.Unlock()
-	for _, conn := range open {
-		_ = conn.Conn.Close() // the call in progress reports the error
-	}
-}
-
 // do calls the platform. A call that finds its connection closed is sent again, unless ctx has ended: then this
 // client has closed the connection.
 func (c *Client) do(ctx context.Context, uri string, timeout time.Duration, res *fasthttp.Response) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(c.ctx, cancel)()
+	if c.ctx.Err() != nil {
+		return errors.Wrap(net.ErrClosed, "platform")
+	}
+	s, err := c.acquireSlot()
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	defer c.releaseSlot(s)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI("http://" + c.http.Addr + uri)
-	deadline := time.Now().Add(timeout)
-	err := c.http.DoDeadline(req, res, deadline)
-	for attempt := 1; attempt < maxAttempts && ctx.Err() == nil && connectionEnded(err); attempt++ {
-		err = c.http.DoDeadline(req, res, deadline)
-	}
+	req.SetRequestURI("http://" + s.http.Addr + uri)
+	err = s.do(ctx, req, res, time.Now().Add(timeout))
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return ErrTooLarge
 	}
 	return errors.Wrap(err, "platform")
 }
 
+func (c *Client) acquireSlot() (*slot, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := len(c.free) - 1
+	if last < 0 {
+		return nil, fasthttp.ErrNoFreeConns
+	}
+	s := c.free[last]
+	c.free = c.free[:last]
+	return s, nil
+}
+
+func (c *Client) releaseSlot(s *slot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.free = append(c.free, s)
+}
+
 // connectionEnded reports whether a call failed since its connection ended, rather than by a time limit or a dial.
 func connectionEnded(err error) bool {
 	var op *net.OpError
@@ -280,39 +288,14 @@
 
 // Close ends all calls in progress, including a waiting watch, and refuses new ones.
 func (c *Client) Close() {
-	c.mu.Lock()
-	c.closed = true
-	open := c.conns
-	c.conns = nil
-	c.mu.Unlock()
-	for conn := range open {
-		_ = conn.Conn.Close()
+	c.cancel()
+	for _, s := range c.all {
+		s.http.CloseIdleConnections()
 	}
-	c.http.CloseIdleConnections()
-}
-
-// dial records the open connections, because the HTTP client cannot cancel a waiting call.
-func (c *Client) dial(addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
-	defer cancel()
-	raw, err := c.dialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	conn := &trackedConn{Conn: raw, client: c}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		_ = raw.Close()
-		return nil, net.ErrClosed
-	}
-	c.conns[conn] = struct{}{}
-	return conn, nil
 }
 
 type trackedConn struct {
 	net.Conn
-	client     *Client
 	readBy     time.Time // zero: no limit
 	transferBy time.Time // latest value of readBy
 	readBytes  int       // of the answer
@@ -343,11 +326,3 @@
 	}
 	return n, err
 }
-
-// Close closes the connection and removes it from the open connections of its client.
-func (c *trackedConn) Close() error {
-	c.client.mu.Lock()
-	delete(c.client.conns, c)
-	c.client.mu.Unlock()
-	return c.Conn.Close()
-}
--- /dev/null
+++ b/internal/transport/platform/slot.go
@@ -0,0 +1,90 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// slot makes one call at a time, on a connection of its own, because the HTTP client can't cancel a call: the
+// connection of a call must be known to end the call alone.
+type slot struct {
+	client *Client
+	http   *fasthttp.HostClient
+
+	mu   sync.Mutex
+	ctx  context.Context // of the call in progress
+	conn net.Conn        // opened last; nil before the first dial
+}
+
+func (c *Client) newSlot(address string) *slot {
+	s := &slot{client: c}
+	s.http = &fasthttp.HostClient{
+		Addr:                address,
+		Dial:                s.dial,
+		MaxConns:            1,
+		MaxResponseBodySize: maxResponseBytes,
+		// The library can't be told that a call has ended; see do.
+		MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader:  true,
+	}
+	return s
+}
+
+// do makes a call that ends when ctx does.
+func (s *slot) do(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, deadline time.Time) error {
+	s.begin(ctx)
+	defer s.finish()
+	defer context.AfterFunc(ctx, func() { s.abort(ctx) })()
+	err := ctx.Err()
+	for attempt := 0; attempt < maxAttempts && ctx.Err() == nil; attempt++ {
+		if err = s.http.DoDeadline(req, res, deadline); !connectionEnded(err) {
+			break
+		}
+	}
+	return err
+}
+
+func (s *slot) begin(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ctx = ctx
+}
+
+func (s *slot) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ctx = nil
+}
+
+// abort closes the connection of the call with the context, if it is still in progress.
+func (s *slot) abort(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == ctx && s.conn != nil {
+		_ = s.conn.Close() // the call reports the error
+	}
+}
+
+func (s *slot) dial(address string) (net.Conn, error) {
+	s.mu.Lock()
+	call := s.ctx
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(call, s.client.timeout)
+	defer cancel()
+	conn, err := s.client.dialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := call.Err(); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	s.conn = conn
+	return &trackedConn{Conn: conn}, nil
+}
