--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -15,6 +15,8 @@
 	ListenerClosed Event = "listener_closed"
 	// Stopped is logged when a graceful shutdown has completed.
 	Stopped Event = "stopped"
+	// StopDelayed is logged when background tasks are still running at the end of a graceful shutdown.
+	StopDelayed Event = "stop_delayed"
 	// SettingsChecked is logged when the settings file has been validated after SIGHUP.
 	SettingsChecked Event = "settings_checked"
 	// ConfigurationApplied is logged when a configuration takes effect.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
@@ -22,6 +21,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
+	"github.com/yuccabridge/yuccabridge/internal/tasks"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
 
@@ -210,31 +210,29 @@
 
 // Run serves requests until ctx is done, then drains the instance.
 func (g *Gateway) Run(ctx context.Context) error {
-	workCtx, stop := context.WithCancel(context.Background())
-	defer stop()
-	group, workCtx := errgroup.WithContext(workCtx)
-	group.Go(func() error {
+	background := tasks.NewGroup()
+	defer background.Stop()
+	background.Go("callers", func(context.Context) error {
 		return errors.Wrap(g.callerServer.Serve(callerListener{Listener: g.sockets.Callers, gateway: g}), "serve callers")
 	})
-	group.Go(func() error { return errors.Wrap(g.operationsServer.Serve(g.sockets.Operations), "serve operations") })
-	group.Go(func() error { return periodic.Run(workCtx, tickInterval, g.tick) })
-	group.Go(func() error { return periodic.Run(workCtx, caller.WatchInterval, g.callerWatcher.Check) })
-	group.Go(func() error { return g.platformWatcher.run(workCtx) })
+	background.Go("operations", func(context.Context) error {
+		return errors.Wrap(g.operationsServer.Serve(g.sockets.Operations), "serve operations")
+	})
+	background.Go("tick", func(ctx context.Context) error { return periodic.Run(ctx, tickInterval, g.tick) })
+	background.Go("caller_watch", func(ctx context.Context) error {
+		return periodic.Run(ctx, caller.WatchInterval, g.callerWatcher.Check)
+	})
+	g.platformWatcher.start(background)
 	if g.peers != nil {
-		group.Go(func() error { return g.peers.run(workCtx) })
+		g.peers.start(background)
 	}
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-workCtx.Done():
-		}
-		err := g.drain()
-		stop()
-		return err
-	})
 	g.log.WithFields(logrus.Fields{"event": eventlog.Started, "build": buildRevision(), "instance": g.settings.Instance, "failure_domain": g.settings.FailureDomain,
 		"callers": g.CallersAddress(), "operations": g.OperationsAddress()}).Info("instance started")
-	return group.Wait()
+	select {
+	case <-ctx.Done():
+	case <-background.Context().Done():
+	}
+	return g.drain(background)
 }
 
 // tick delivers scheduling decisions, logs changes of the upstream split, starts due probes and ends the start
@@ -253,8 +251,8 @@
 
 // drain performs a graceful shutdown: readiness fails first, callers are told to close
 // their connections, and after the drain delay the listener and the connections that wait for a
-// request are closed. The requests in progress are completed.
-func (g *Gateway) drain() error {
+// request are closed. The requests in progress are completed; until then, the background tasks go on.
+func (g *Gateway) drain(background *tasks.Group) error {
 	startedAt := time.Now()
 	g.draining.Store(true)
 	if g.peers != nil {
@@ -271,15 +269,26 @@
 		OtherWork:   g.peers.relays,
 		EndRequests: g.stopAnswering,
 	})
-	if err != nil {
-		return err
+	if taskErr := g.stopBackground(background, startedAt); taskErr != nil {
+		err = taskErr
 	}
+	g.log.WithFields(logrus.Fields{"event": eventlog.Stopped, "in_progress": g.callerWatcher.InProgress(), "after_ms": time.Since(startedAt).Milliseconds()}).Info("stopped")
+	return err
+}
+
+// stopBackground ends the background tasks, before the connections to peers: a task that gets no answer from them
+// would turn to the platform. Tasks that don't end soon are left to the exit of the process.
+func (g *Gateway) stopBackground(background *tasks.Group, drainStartedAt time.Time) error {
+	background.Stop()
 	if g.peers != nil {
-		g.peers.close()
+		background.Go("peer_connections", func(context.Context) error { g.peers.close(); return nil })
 	}
 	g.stopOperations()
-	g.log.WithFields(logrus.Fields{"event": eventlog.Stopped, "in_progress": g.callerWatcher.InProgress(), "after_ms": time.Since(startedAt).Milliseconds()}).Info("stopped")
-	return nil
+	running, err := background.Wait(tasks.StopTimeout)
+	if len(running) > 0 {
+		g.log.WithFields(logrus.Fields{"event": eventlog.StopDelayed, "tasks": strings.Join(running, ","), "after_ms": time.Since(drainStartedAt).Milliseconds()}).Warn("background tasks have not ended; stopping without them")
+	}
+	return err
 }
 
 // logListenerClosed logs what the connections are used for when the instance stops accepting them.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/joining"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
@@ -22,6 +21,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/peerwire"
+	"github.com/yuccabridge/yuccabridge/internal/tasks"
 	"github.com/yuccabridge/yuccabridge/internal/transport/peer"
 )
 
@@ -233,14 +233,12 @@
 	}
 }
 
-func (p *peers) run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.gossip.Run(ctx) })
-	group.Go(func() error { return p.pullLoop(ctx) })
-	group.Go(func() error { return p.pullQueued(ctx) })
-	group.Go(func() error { return p.reports.run(ctx) })
-	group.Go(func() error { return p.spreadOrigins(ctx) })
-	return group.Wait()
+func (p *peers) start(background *tasks.Group) {
+	background.Go("gossip", p.gossip.Run)
+	background.Go("peer_pulls", p.pullLoop)
+	background.Go("queued_peer_pulls", p.pullQueued)
+	background.Go("load_reports", p.reports.run)
+	background.Go("stream_origins", p.spreadOrigins)
 }
 
 // settled reports whether this instance knows what its peers refuse, or need not wait for them any longer.
--- a/internal/gateway/platform_outage_test.go
+++ b/internal/gateway/platform_outage_test.go
@@ -17,6 +17,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
+	"github.com/yuccabridge/yuccabridge/internal/tasks"
 )
 
 // keyDecoder decodes an entry to an upstream of its key.
@@ -179,10 +180,14 @@
 
 // watch runs the platform watcher until the test ends.
 func (g *Gateway) watch(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- g.platformWatcher.run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
+	background := tasks.NewGroup()
+	g.platformWatcher.start(background)
+	t.Cleanup(func() {
+		background.Stop()
+		if running, _ := background.Wait(time.Minute); len(running) > 0 {
+			t.Errorf("%v run on", running)
+		}
+	})
 }
 
 // publishes reports whether requests may be sent to the upstream of a key.
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -11,12 +11,12 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/readers"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
+	"github.com/yuccabridge/yuccabridge/internal/tasks"
 )
 
 const (
@@ -97,13 +97,11 @@
 	}
 }
 
-func (w *platformWatcher) run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return w.syncLoop(ctx) })
-	group.Go(func() error {
+func (w *platformWatcher) start(background *tasks.Group) {
+	background.Go("platform_sync", w.syncLoop)
+	background.Go("platform_removals", func(ctx context.Context) error {
 		return periodic.Run(ctx, removalCheckInterval, w.applyDueRemovals)
 	})
-	return group.Wait()
 }
 
 // isCurrent reports whether the copy was known to be current within the freshness bound. Upstreams are
