--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -15,6 +15,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			if ctx.Err() != nil {
+				return nil // both were ready
+			}
 			fn()
 		}
 	}
