--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/configsync"
@@ -24,6 +23,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
+	"github.com/yuccabridge/yuccabridge/internal/tasks"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
 
@@ -245,36 +245,39 @@
 // requests for the configured drain delay, waits for the requests in progress, at most until the end of the grace
 // period, and returns.
 func (in *Instance) Run(ctx context.Context) error {
-	runCtx, cancelRun := context.WithCancel(context.Background())
-	defer cancelRun()
-	group, runCtx := errgroup.WithContext(runCtx)
-	group.Go(func() error { return errors.Wrap(in.callersServer.Serve(in.sockets.Callers), "serve callers") })
-	group.Go(func() error { return errors.Wrap(in.operationsServer.Serve(in.sockets.Operations), "serve operations") })
-	group.Go(func() error { return periodic.Run(runCtx, poolTickInterval, in.tickPools) })
-	group.Go(func() error { return periodic.Run(runCtx, caller.WatchInterval, in.watcher.Check) })
-	group.Go(func() error { return periodic.Run(runCtx, loadPollInterval, func() { in.pollLoads(runCtx) }) })
-	group.Go(func() error { return periodic.Run(runCtx, placementTickInterval, func() { in.placement.tick(runCtx) }) })
+	background := tasks.NewGroup()
+	defer background.Stop()
+	every := func(name string, interval time.Duration, fn func(ctx context.Context)) {
+		background.Go(name, func(ctx context.Context) error {
+			return periodic.Run(ctx, interval, func() { fn(ctx) })
+		})
+	}
+	background.Go("callers", func(context.Context) error {
+		return errors.Wrap(in.callersServer.Serve(in.sockets.Callers), "serve callers")
+	})
+	background.Go("operations", func(context.Context) error {
+		return errors.Wrap(in.operationsServer.Serve(in.sockets.Operations), "serve operations")
+	})
+	every("pools", poolTickInterval, func(context.Context) { in.tickPools() })
+	every("caller_watch", caller.WatchInterval, func(context.Context) { in.watcher.Check() })
+	every("loads", loadPollInterval, in.pollLoads)
+	every("placement", placementTickInterval, in.placement.tick)
 	if in.peers != nil {
-		group.Go(func() error { return in.peers.runGossip(runCtx) })
-		group.Go(func() error { return periodic.Run(runCtx, metadataInterval, in.publishMetadata) })
-		group.Go(func() error { return periodic.Run(runCtx, suspicionResendInterval, in.peers.resendSuspicions) })
+		background.Go("gossip", in.peers.runGossip)
+		every("metadata", metadataInterval, func(context.Context) { in.publishMetadata() })
+		every("suspicions", suspicionResendInterval, func(context.Context) { in.peers.resendSuspicions() })
 	}
 	if in.config != nil {
-		group.Go(func() error { return in.config.run(runCtx) })
-		group.Go(func() error { return in.pollInstanceList(runCtx) })
+		background.Go("configuration", in.config.run)
+		background.Go("instance_list", in.pollInstanceList)
 	}
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-runCtx.Done():
-		}
-		err := in.drain()
-		cancelRun()
-		return err
-	})
 	in.log.WithFields(logrus.Fields{"event": "started", "instance": in.settings.Instance, "failure_domain": in.settings.FailureDomain,
 		"callers": in.CallersAddress(), "operations": in.OperationsAddress(), "peers": in.PeerAddress(), "gossip": in.GossipAddress()}).Info("instance started")
-	return group.Wait()
+	select {
+	case <-ctx.Done():
+	case <-background.Context().Done():
+	}
+	return in.drain(background)
 }
 
 func (in *Instance) tickPools() {
--- a/internal/entry/stopping.go
+++ b/internal/entry/stopping.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
+	"github.com/yuccabridge/yuccabridge/internal/tasks"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
 
@@ -68,8 +70,8 @@
 	return e
 }
 
-// drain performs a graceful shutdown within the grace period.
-func (in *Instance) drain() error {
+// drain performs a graceful shutdown within the grace period. The background tasks go on while requests are in progress.
+func (in *Instance) drain(background *tasks.Group) error {
 	startedAt := time.Now()
 	in.draining.Store(true)
 	if in.peers != nil {
@@ -81,18 +83,35 @@
 		DelayOver:   func(time.Time) { in.refusing.Store(true) },
 		EndRequests: func() { in.orders.closeLedger(); in.stop.endRequests() },
 	}
-	if err := in.sockets.Callers.Drain(d); err != nil {
-		return err
+	err := in.sockets.Callers.Drain(d)
+	if err == nil {
+		in.orders.drain(d.EndsAt())
+	}
+	if taskErr := in.stopBackground(background, startedAt); taskErr != nil {
+		err = taskErr
+	}
+	in.log.WithFields(map[string]any{"event": "stopped", "in_progress": in.watcher.InProgress(), "after_ms": time.Since(startedAt).Milliseconds()}).Info("instance stopped")
+	return err
+}
+
+// stopBackground ends the background tasks and the connections to the platform and to peers. Tasks that don't end soon
+// are left to the exit of the process.
+func (in *Instance) stopBackground(background *tasks.Group, drainStartedAt time.Time) error {
+	background.Stop()
+	if in.config != nil {
+		in.config.platform.Close()
 	}
-	in.orders.drain(d.EndsAt())
 	if in.peers != nil {
-		if err := in.peers.node.Close(); err != nil {
-			return errors.Wrap(err, "close peer node")
-		}
+		background.Go("peer_connections", func(context.Context) error {
+			return errors.Wrap(in.peers.node.Close(), "close peer node")
+		})
 	}
 	in.stopOperations()
-	in.log.WithFields(map[string]any{"event": "stopped", "in_progress": in.watcher.InProgress(), "after_ms": time.Since(startedAt).Milliseconds()}).Info("instance stopped")
-	return nil
+	running, err := background.Wait(tasks.StopTimeout)
+	if len(running) > 0 {
+		in.log.WithFields(map[string]any{"event": "stop_delayed", "tasks": strings.Join(running, ","), "after_ms": time.Since(drainStartedAt).Milliseconds()}).Warn("background tasks have not ended; stopping without them")
+	}
+	return err
 }
 
 // stopOperations stops the operations server without waiting for connections that readiness probes keep open.
--- a/internal/entry/stopping_test.go
+++ b/internal/entry/stopping_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +18,7 @@
 
 	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/emulator"
+	"github.com/yuccabridge/yuccabridge/internal/protocol/platformapi"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 )
 
@@ -27,6 +30,12 @@
 }
 
 func newStoppingEnv(t *testing.T, drainDelay, grace time.Duration) *stoppingEnv {
+	t.Helper()
+	return newStoppingEnvWith(t, drainDelay, grace, func(*settings.Settings) {})
+}
+
+// newStoppingEnvWith is like newStoppingEnv but modifies the settings.
+func newStoppingEnvWith(t *testing.T, drainDelay, grace time.Duration, adjust func(*settings.Settings)) *stoppingEnv {
 	t.Helper()
 	env := &stoppingEnv{testEnv: &testEnv{t: t}, done: make(chan error, 1)}
 	d := testDeployment()
@@ -49,6 +58,7 @@
 		t.Fatal(err)
 	}
 	s.ConfigurationFile = ""
+	adjust(s)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	if env.instance, err = New(s, log); err != nil {
@@ -222,3 +232,31 @@
 		t.Errorf("the stop took %s, the grace period is 2 s", took)
 	}
 }
+
+// Guards against a process that stays after its stop until a call of a silent platform times out.
+func TestStopDoesNotWaitForCallsOfThePlatform(t *testing.T) {
+	const (
+		drainDelay  = 50 * time.Millisecond
+		maxStopTime = 500 * time.Millisecond // the grace period is many seconds
+	)
+	called, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == platformapi.PathInstances {
+			once.Do(func() { close(called) })
+		}
+		<-release
+	}))
+	defer server.Close()
+	defer close(release)
+	env := newStoppingEnvWith(t, drainDelay, 10*time.Second, func(s *settings.Settings) {
+		s.Platform = &settings.Platform{Address: strings.TrimPrefix(server.URL, "http://")}
+	})
+	<-called
+	startedAt := time.Now()
+	env.cancel()
+	env.awaitStopped()
+	if took := time.Since(startedAt); took > maxStopTime {
+		t.Errorf("the stop took %s", took)
+	}
+}
