--- a/internal/transport/caller/drain.go
+++ b/internal/transport/caller/drain.go
@@ -53,7 +53,7 @@
 		return work
 	})
 	d.EndRequests()
-	AwaitIdle(time.Now().Add(lastAnswersTime), func() int { return l.Connections.Counts().Busy })
+	AwaitIdle(time.Now().Add(lastAnswersTime), func() int { return l.Connections.Counts().Total() })
 	return nil
 }
 
