--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,9 @@
 		g.sockets.Close()
 		return nil, err
 	}
+	if g.peers != nil {
+		close(g.peers.initialized)
+	}
 	return g, nil
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -62,6 +62,8 @@
 	joining    *joining.Barrier
 	joinLogged atomic.Bool
 	placement  atomic.Pointer[streamorigin.Placement]
+
+	initialized chan struct{} // closed when the instance may handle messages
 }
 
 // pullMessage requests what the peer knows beyond this instance: a snapshot after a position, a
@@ -102,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers.network")
 	}
-	p := &peers{gateway: g, self: membership.Member{Name: g.settings.Instance, Domain: sharedDomain, FailureDomain: g.settings.FailureDomain}, pullQueue: make(chan membership.Member, maxQueuedPulls)}
+	p := &peers{gateway: g, self: membership.Member{Name: g.settings.Instance, Domain: sharedDomain, FailureDomain: g.settings.FailureDomain}, pullQueue: make(chan membership.Member, maxQueuedPulls), initialized: make(chan struct{})}
 	rand.Read(p.self.Incarnation.Process[:])
 	p.node, err = peer.Listen(peer.Options{
 		Self:           peerwire.Identity{Name: p.self.Name, Domain: p.self.Domain, Process: p.self.Incarnation.Process},
@@ -368,8 +370,21 @@
 	}
 }
 
+// awaitInitialized waits until the instance may handle messages: the socket is open before.
+func (p *peers) awaitInitialized(ctx context.Context) error {
+	select {
+	case <-p.initialized:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // handleMessage handles a message from a peer and returns the answer.
 func (p *peers) handleMessage(ctx context.Context, from peerwire.Identity, m peerwire.Message) (peerwire.Message, error) {
+	if err := p.awaitInitialized(ctx); err != nil {
+		return nil, err
+	}
 	switch m := m.(type) {
 	case peerwire.ReplicaPull:
 		return p.handlePull(ctx, m)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -50,6 +50,9 @@
 // passes one peer at most. The address is the one that is published here; each request names the upstream
 // that it is for.
 func (p *peers) relay(ctx context.Context, from peerwire.Identity, open peerwire.RelayOpen) (net.Conn, error) {
+	if err := p.awaitInitialized(ctx); err != nil {
+		return nil, err
+	}
 	c, err := p.openRelay(ctx, open)
 	result := "opened"
 	if err != nil {
