--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -41,13 +41,13 @@
 	net.Conn
 	connections   *Connections
 	writeTimeout  time.Duration
-	acceptedAt    time.Time
 	lingerOnClose atomic.Bool
 
-	mu       sync.Mutex
-	phase    phase
-	readBy   time.Time // the read deadline that the server has set; zero: none
-	replaced bool      // another read deadline is in effect, until a request begins
+	mu           sync.Mutex
+	phase        phase
+	waitingSince time.Time // when it was accepted, or the last response had been written
+	readBy       time.Time // the read deadline that the server has set; zero: none
+	replaced     bool      // another read deadline is in effect, until a request begins
 }
 
 func (c *Conn) currentPhase() phase {
@@ -95,6 +95,9 @@
 	// firstRequestTimeout is how long a connection may be unused when the waiting connections are closed: the
 	// first request follows the handshake.
 	firstRequestTimeout = 500 * time.Millisecond
+	// nextRequestTimeout is how long a connection may be idle then: a response that began before the stop has not
+	// announced the end of the connection, and the caller may be sending its next request.
+	nextRequestTimeout = 300 * time.Millisecond
 )
 
 // Read implements io.Reader. The wait for a request ends, by a timeout or because the instance stops, only if
@@ -125,7 +128,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == answered {
-		c.phase = idle
+		c.phase, c.waitingSince = idle, time.Now()
 	}
 	return c.phase.waiting()
 }
@@ -151,8 +154,18 @@
 	if c.expectUnread() {
 		return true
 	}
-	until := c.acceptedAt.Add(firstRequestTimeout)
-	return c.currentPhase() == unused && time.Now().Before(until) && !upstream.PeerClosed(c) && c.replaceReadDeadline(until)
+	until := c.mayWaitUntil()
+	return time.Now().Before(until) && !upstream.PeerClosed(c) && c.replaceReadDeadline(until)
+}
+
+// mayWaitUntil returns until when a connection that has begun to wait a moment ago stays open for its next request.
+func (c *Conn) mayWaitUntil() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == unused {
+		return c.waitingSince.Add(firstRequestTimeout)
+	}
+	return c.waitingSince.Add(nextRequestTimeout)
 }
 
 // expectUnread reports whether bytes have arrived that have not been read, and allows time to read them.
--- a/internal/transport/caller/connections.go
+++ b/internal/transport/caller/connections.go
@@ -81,7 +81,7 @@
 }
 
 // CloseWaiting ends the connections that wait for a request, and from now on each one that begins to wait; those
-// that were accepted a moment ago may still send their first request. The goroutine that reads from a connection
+// that were accepted or answered a moment ago may still send a request. The goroutine that reads from a connection
 // closes it, after it has looked for bytes that have arrived: nobody else knows whether a request has been read.
 func (s *Connections) CloseWaiting() {
 	s.ending.Store(true)
--- a/internal/transport/caller/doc.go
+++ b/internal/transport/caller/doc.go
@@ -10,6 +10,9 @@
 // request, by a timeout or after [Connections.CloseWaiting], and only if the socket holds no bytes.
 // [Listener.CloseAfterBacklog] does the same for connections that are not accepted yet.
 //
+// A response that began before the stop can't announce the end of its connection. The connection stays open for a
+// moment after it, so that the next request gets an answer that announces the end.
+//
 // The first bytes of a request may have been read with the one before. [Attach] lets the server tell when such a request
 // begins, and sends each response at once, so that none waits in the server for the rest of a pipelined request.
 package caller
--- a/internal/transport/caller/listeners.go
+++ b/internal/transport/caller/listeners.go
@@ -32,7 +32,7 @@
 		l.endOnce.Do(func() { close(l.ended) })
 		return nil, err
 	}
-	c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout, acceptedAt: time.Now()}
+	c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout, waitingSince: time.Now()}
 	l.Connections.add(c)
 	return c, nil
 }
