--- a/internal/coordination/quarantine/doc.go
+++ b/internal/coordination/quarantine/doc.go
@@ -12,6 +12,12 @@
 //   - a suspect that completes is cleared of the crashes known to the instance where it
 //     completes. A completion does not clear a request that is refused there.
 //
+// Of a request that was answered less than 10 seconds before, the crashes within a second of the first
+// one after the answer count once: the loss of a failure domain takes several upstreams at which a
+// sound request may run. An instance that has seen the answer clears all of them but the one with the
+// lowest identifier. It judges only crashes whose time it knows, because it observed them or was
+// told of them when they happened.
+//
 // A request whose attempt was given up counts as running for another 10 seconds, because the
 // upstream may still work on it.
 //
@@ -61,7 +67,7 @@
 // # Known limitations
 //
 // A request that was running at two different crashes that no part explains is refused until its
-// entry expires, although it caused neither. A part that began to crash upstreams within the last 10
+// entry expires, although it caused neither, unless it was answered shortly before both at one moment. A part that began to crash upstreams within the last 10
 // seconds is found when these have passed. A part that no answered prompt has and that was at all
 // crashes of a deadly part is refused with it. When all instances end together, nothing is known. Copies that are already running when the first crash
 // happens can each crash an upstream. The page docs/decisions/crashing-requests.md
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -35,6 +35,15 @@
 	answeredPartLifetime = 10 * time.Second
 	// maxAnsweredParts bounds the parts that are known to be answered.
 	maxAnsweredParts = 16384
+
+	// answeredRequestLifetime is how long an answer counts against later crashes of the same request.
+	answeredRequestLifetime = 10 * time.Second
+	// maxAnsweredRequests bounds the requests that are known to be answered.
+	maxAnsweredRequests = 16384
+	// sameMoment is how far apart crashes with one cause are noticed: a failure domain that goes down takes
+	// several upstreams with it.
+	sameMoment = time.Second
+
 	// maxCrashesPerEntry is the maximum number of crashes that one entry keeps.
 	maxCrashesPerEntry = 8
 	// maxNameBytes is the maximum length of a name in a suspicion from a peer.
@@ -80,6 +89,10 @@
 	Age         time.Duration // time since the latest crash of the entry
 }
 
+// isReport reports whether s was sent at the time of its crash. In other suspicions, all crashes have the age of the
+// latest.
+func (s *Suspicion) isReport() bool { return !s.Cleared && s.Age == 0 && len(s.Crashes) == 1 }
+
 // Options configures a Quarantine. Zero values select the defaults.
 type Options struct {
 	Lifetime   time.Duration
@@ -137,15 +150,19 @@
 	s.addRun(f, suspect{team: team}, upstream)
 }
 
-// Completed records that a request completed successfully. A suspect that is not refused
-// is cleared of the crashes known to this instance; the caller sends the result to the
-// peers.
+// Completed records that a request completed successfully. A request that is not refused is
+// cleared of the crashes known to this instance, and the answer counts against crashes that
+// follow soon; the caller sends the result to the peers.
 func (q *Quarantine) Completed(now time.Duration, f Fingerprint, upstream string) []Suspicion {
 	s := q.lockShard(f)
 	defer s.mu.Unlock()
 	s.removeRun(f, upstream)
 	e := s.find(now, f)
-	if e == nil || e.verdict(q.convicted.Load()) == Refuse || len(e.openCrashes()) == 0 {
+	if e != nil && e.verdict(q.convicted.Load()) == Refuse {
+		return nil
+	}
+	s.answeredRequests.Put(now, f, &requestAnswer{at: now}, 0)
+	if e == nil || len(e.openCrashes()) == 0 {
 		return nil
 	}
 	return []Suspicion{e.clearOpenCrashes(now)}
@@ -182,19 +199,21 @@
 			if by.isPart && s.hasAnswered(now, f) {
 				continue
 			}
-			s.recordCrash(now, f, by, crashRecord{id: c, occurredAt: now})
+			s.recordCrash(now, f, by, crashRecord{id: c, occurredAt: now, timeKnown: true})
 			suspicions = append(suspicions, Suspicion{Fingerprint: f, Part: by.isPart, Team: by.team, Crashes: []CrashID{c}})
+			suspicions = s.clearSameMoment(now, f, suspicions)
 		}
 		s.mu.Unlock()
 	}
 	q.updateConvictions(now)
-	slices.SortFunc(suspicions, func(a, b Suspicion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortStableFunc(suspicions, func(a, b Suspicion) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return suspicions
 }
 
 // Merge adds suspicions from a peer. The result is the union of the crashes and of the
 // cleared crashes: order and repetition do not matter until the bounds are reached. It returns the
-// clearings of parts of which this instance has seen an answer; they must be sent to the peers.
+// clearings of parts and requests of which this instance has seen an answer, and those that the peer
+// has missed; they must be sent to the peers.
 func (q *Quarantine) Merge(now time.Duration, suspicions []Suspicion) []Suspicion {
 	var clearings []Suspicion
 	for _, suspicion := range suspicions {
@@ -209,9 +228,13 @@
 		for _, c := range suspicion.Crashes {
 			if len(c.Upstream) <= maxNameBytes && len(c.Incarnation) <= maxNameBytes {
 				s.recordCrash(now, suspicion.Fingerprint, suspect{team: suspicion.Team, isPart: suspicion.Part},
-					crashRecord{id: c, occurredAt: now - suspicion.Age, cleared: suspicion.Cleared})
+					crashRecord{id: c, occurredAt: now - suspicion.Age, timeKnown: suspicion.isReport(), cleared: suspicion.Cleared})
 			}
 		}
+		if !suspicion.Part && !suspicion.Cleared {
+			clearings = s.clearSameMoment(now, suspicion.Fingerprint, clearings)
+			clearings = s.appendMissedClearing(now, suspicion, clearings)
+		}
 		s.mu.Unlock()
 	}
 	q.updateConvictions(now)
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -116,11 +116,16 @@
 }
 
 func (r *regionModel) deliverPending() {
-	r.rng.Shuffle(len(r.pending), func(i, j int) { r.pending[i], r.pending[j] = r.pending[j], r.pending[i] })
-	for _, d := range r.pending {
-		r.instances[d.to].Merge(r.now, d.suspicions)
+	for len(r.pending) > 0 {
+		pending := r.pending
+		r.pending = nil
+		r.rng.Shuffle(len(pending), func(i, j int) { pending[i], pending[j] = pending[j], pending[i] })
+		for _, d := range pending {
+			if clearings := r.instances[d.to].Merge(r.now, d.suspicions); len(clearings) > 0 {
+				r.broadcast(d.to, clearings)
+			}
+		}
 	}
-	r.pending = nil
 }
 
 // startRequest runs a request at a random upstream and reports false if it is refused. A
--- a/internal/coordination/quarantine/shard.go
+++ b/internal/coordination/quarantine/shard.go
@@ -13,6 +13,7 @@
 type crashRecord struct {
 	id         CrashID
 	occurredAt time.Duration
+	timeKnown  bool // otherwise the crash may have occurred earlier
 	cleared    bool
 }
 
@@ -84,6 +85,7 @@
 	i, known := slices.BinarySearchFunc(e.crashes, c, func(a, b crashRecord) int { return compareCrashIDs(a.id, b.id) })
 	if known {
 		e.crashes[i].occurredAt = min(e.crashes[i].occurredAt, c.occurredAt)
+		e.crashes[i].timeKnown = e.crashes[i].timeKnown || c.timeKnown
 		e.crashes[i].cleared = e.crashes[i].cleared || c.cleared
 	} else {
 		e.crashes = slices.Insert(e.crashes, i, c)
@@ -159,6 +161,8 @@
 	running    map[string]map[Fingerprint]*requestRuns // by upstream
 	abandoned  []abandonedRun                          // ordered by expiry
 	answered   *expiring.Map[Fingerprint, struct{}]    // parts of answered prompts
+
+	answeredRequests *expiring.Map[Fingerprint, *requestAnswer]
 }
 
 // requestRuns counts the copies of one request, or the prompts with one part, that are running at one
@@ -181,6 +185,7 @@
 	s.teams = make(map[string]*teamList)
 	s.running = make(map[string]map[Fingerprint]*requestRuns)
 	s.answered = expiring.New(expiring.Options[Fingerprint, struct{}]{TTL: answeredPartLifetime, MaxEntries: maxAnsweredParts / shardCount})
+	s.answeredRequests = expiring.New(expiring.Options[Fingerprint, *requestAnswer]{TTL: answeredRequestLifetime, MaxEntries: maxAnsweredRequests / shardCount})
 }
 
 // find returns the entry of a fingerprint, or nil. It removes an expired entry.
--- a/internal/entry/dissemination.go
+++ b/internal/entry/dissemination.go
@@ -162,7 +162,7 @@
 	if len(list) > maxSuspicionsPerMessage {
 		return errors.Errorf("%d suspicions in one message, the limit is %d", len(list), maxSuspicionsPerMessage)
 	}
-	g.instance.quarantine.Merge(g.instance.now(), list)
+	g.instance.broadcastSuspicions(g.instance.quarantine.Merge(g.instance.now(), list))
 	return nil
 }
 
