--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,6 +42,7 @@
 	event        *bytebudget.Buffer // holds the last of them; nil unless the response is a stream
 	partsCleared bool               // the answer has shown that no part of the prompt crashes the upstream
 	crashed      bool               // the crash of the upstream has been recorded
+	unreachable  bool               // the connection was lost, and a dial failed
 	delivered    bool
 	finished     bool
 }
@@ -287,7 +288,7 @@
 	case status != dispatch.Cancelled && a.sendState == maybeSent && lostConnection(err):
 		a.confirmCrash()
 	}
-	if a.crashed && status == dispatch.Failed {
+	if a.unreachable && status == dispatch.Failed {
 		status = dispatch.Unreachable
 	}
 	ex.logEntry(eventlog.AttemptFailed).WithFields(logrus.Fields{
@@ -366,19 +367,28 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// confirmCrash dials the upstream and records a crash if that fails; otherwise the connection is
+// confirmCrash dials the upstream and records a crash if that shows one; if the dial succeeds, the connection is
 // kept for the next request.
 func (a *attempt) confirmCrash() {
 	dialCtx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
-	if a.exchange.service.clientFor(a.grant.Upstream).Warm(dialCtx) != nil {
+	err := a.exchange.service.clientFor(a.grant.Upstream).Warm(dialCtx)
+	a.unreachable = err != nil
+	if err != nil && showsCrash(err) {
 		a.recordCrash()
 	}
 }
 
+// showsCrash reports whether a failed dial after a lost connection shows that the upstream has crashed. A dial that
+// times out does not, unless a peer finds no listener: the link may hang, or this instance may be slow.
+func showsCrash(err error) bool {
+	failure := upstream.Failure{Phase: upstream.PhaseDial, Err: err}
+	return !failure.TimedOut() || errors.Is(err, errUpstreamRefuses)
+}
+
 // recordCrash records the crash against the requests that were running at the upstream.
 func (a *attempt) recordCrash() {
-	a.crashed = true
+	a.crashed, a.unreachable = true, true
 	a.exchange.gateway.recordCrash(a.grant.Upstream, a.exchange.logEntry(eventlog.CrashRecorded).WithField("fingerprint", a.exchange.fingerprint.String()))
 }
 
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -81,8 +81,10 @@
 
 // dial opens a connection to an upstream.
 func (p *upstreamPaths) dial(ctx context.Context, target dispatch.Upstream) (net.Conn, error) {
+	var firstRelayErr error
 	if p.asksPeersFirst(target.Address) {
-		if c, err := p.dialThroughPeers(ctx, target); err == nil {
+		var c net.Conn
+		if c, firstRelayErr = p.dialThroughPeers(ctx, target); firstRelayErr == nil {
 			return c, nil
 		}
 	}
@@ -92,15 +94,32 @@
 		return c, nil
 	}
 	if ctx.Err() != nil {
-		return nil, err
+		return nil, withRelayError(err, firstRelayErr)
 	}
 	relayed, relayErr := p.dialThroughPeers(ctx, target)
 	if relayErr != nil {
-		return nil, err
+		return nil, withRelayError(withRelayError(err, firstRelayErr), relayErr)
 	}
 	return relayed, nil
 }
 
+// refusedAtPeerError is the failure of a direct dial of an upstream at which a peer finds no listener.
+type refusedAtPeerError struct{ error }
+
+// Unwrap returns the failure of the direct dial.
+func (e refusedAtPeerError) Unwrap() error { return e.error }
+
+// Is reports that a peer finds no listener.
+func (e refusedAtPeerError) Is(target error) bool { return target == errUpstreamRefuses }
+
+// withRelayError adds to the failure of a direct dial what the peers found out.
+func withRelayError(err, relayErr error) error {
+	if relayErr == errUpstreamRefuses {
+		return refusedAtPeerError{err}
+	}
+	return err
+}
+
 func (p *upstreamPaths) dialDirectly(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -191,7 +210,8 @@
 	p.gateway.metrics.upstreamsThroughPeers.Set(float64(p.relayed))
 }
 
-// dialThroughPeers asks peers one after the other for a connection to the upstream.
+// dialThroughPeers asks peers one after the other for a connection to the upstream. It returns errUpstreamRefuses if
+// one of them found no listener there, errNoRelay if nothing is known.
 func (p *upstreamPaths) dialThroughPeers(ctx context.Context, target dispatch.Upstream) (net.Conn, error) {
 	g := p.gateway
 	p.mu.Lock()
@@ -233,6 +253,9 @@
 	p.mu.Lock()
 	p.path(target.Address).noRelayUntil = g.now() + relayBackoff
 	p.mu.Unlock()
+	if len(refusedBy) > 0 {
+		return nil, errUpstreamRefuses
+	}
 	return nil, errNoRelay
 }
 
