--- a/internal/coordination/orders/ledger.go
+++ b/internal/coordination/orders/ledger.go
@@ -334,6 +334,16 @@
 	return o
 }
 
+// StopBeginning makes the ledger issue no more tickets and begin no more orders. Those that have begun go on.
+func (l *Ledger) StopBeginning() {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		s.closed = true
+		s.mu.Unlock()
+	}
+}
+
 // Close closes the ledger for a graceful shutdown: it issues no more tickets, begins no more
 // orders and seals the orders that have begun but are not being sent. Orders that are
 // being sent may still finish. It returns the orders that it sealed and that are now
--- a/internal/entry/stopping.go
+++ b/internal/entry/stopping.go
@@ -80,7 +80,11 @@
 	in.log.WithFields(map[string]any{"event": "draining", "in_progress": in.watcher.InProgress()}).Info("draining")
 	d := caller.Drain{
 		StartedAt: startedAt, Delay: in.settings.DrainDelay.Std(), Grace: in.settings.Grace.Std(),
-		DelayOver:   func(time.Time) { in.refusing.Store(true) },
+		DelayOver: func(time.Time) {
+			// Peers may still forward orders.
+			in.orders.ledger.StopBeginning()
+			in.refusing.Store(true)
+		},
 		EndRequests: func() { in.orders.closeLedger(); in.stop.endRequests() },
 	}
 	err := in.sockets.Callers.Drain(d)
