--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -74,11 +74,16 @@
 func newUpstreamPaths(g *Gateway) *upstreamPaths {
 	direct := g.adapter.DialUpstream
 	if direct == nil {
-		direct = upstream.Dialer(unackedDataTimeout, keepAliveInterval)
+		direct = DefaultDialer()
 	}
 	return &upstreamPaths{gateway: g, direct: direct, byAddress: map[string]*upstreamPath{}, peerFailedAt: map[membership.Process]time.Duration{}}
 }
 
+// DefaultDialer returns the dial function for upstreams that applies unless the adapter has one.
+func DefaultDialer() func(ctx context.Context, address string) (net.Conn, error) {
+	return upstream.Dialer(unackedDataTimeout, keepAliveInterval)
+}
+
 // dial opens a connection to an upstream.
 func (p *upstreamPaths) dial(ctx context.Context, target dispatch.Upstream) (net.Conn, error) {
 	var firstRelayErr error
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -84,6 +84,8 @@
 	c, err := g.paths.direct(ctx, target.Address)
 	switch {
 	case err == nil:
+		// Whether the peer's request is long is known at the other end only, which also bounds the wait.
+		upstream.LiftUserTimeout(c)
 		return c, nil
 	case refusedConnection(err):
 		return nil, errUpstreamRefuses
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -203,6 +203,9 @@
 		return fail(PhaseDial, errBeforeSendRefused)
 	}
 	cn.requests++
+	if len(call.Request.Body()) > maxUnreadBytes {
+		defer liftUserTimeout(cn.Conn)()
+	}
 	if err := cn.SetWriteDeadline(time.Now().Add(c.opts.WriteTimeout)); err != nil {
 		return fail(PhaseWrite, errors.Wrap(err, "send request"))
 	}
