--- a/internal/transport/platform/slot.go
+++ b/internal/transport/platform/slot.go
@@ -9,6 +9,9 @@
 	"github.com/valyala/fasthttp"
 )
 
+// maxSlotConnections allows the connection of a call while the library closes an idle one, which it still counts.
+const maxSlotConnections = 2
+
 // slot makes one call at a time, on a connection of its own, because the HTTP client can't cancel a call: the
 // connection of a call must be known to end the call alone.
 type slot struct {
@@ -25,7 +28,7 @@
 	s.http = &fasthttp.HostClient{
 		Addr:                address,
 		Dial:                s.dial,
-		MaxConns:            1,
+		MaxConns:            maxSlotConnections,
 		MaxResponseBodySize: maxResponseBytes,
 		// The library can't be told that a call has ended; see do.
 		MaxIdemponentCallAttempts: 1,
