--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -60,6 +60,8 @@
 	SocketOptionFailed Event = "socket_option_failed"
 	// RequestUnreadable is logged when a request cannot be read.
 	RequestUnreadable Event = "request_unreadable"
+	// ConnectionClosed is logged when a stopping instance closes a connection that waits for a request.
+	ConnectionClosed Event = "connection_closed"
 	// RequestUnanswered is logged when a connection is closed with a request that has arrived and was not answered.
 	RequestUnanswered Event = "request_unanswered"
 	// RequestQueued is logged when a request is queued for an upstream.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,6 +91,7 @@
 		return nil, err
 	}
 	g.sockets.Callers.Connections.OnUnanswered = g.recordUnanswered
+	g.sockets.Callers.Connections.OnWaitEnded = g.recordWaitEnd
 	if g.peers, err = newPeers(g); err != nil {
 		g.sockets.Close()
 		return nil, err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 	requests              *prometheus.CounterVec
 	errorResponses        *prometheus.CounterVec
 	unanswered            *prometheus.CounterVec
+	closedWaiting         *prometheus.CounterVec
 	attempts              *prometheus.CounterVec
 	retries               *prometheus.CounterVec
 	retrySlack            prometheus.Gauge
@@ -41,6 +42,7 @@
 	m.requests = counter("gateway_requests_total", "Requests by how they ended.", "kind", "rank", "outcome")
 	m.errorResponses = counter("gateway_refused_total", "Answers of the instance's own by code.", "code")
 	m.unanswered = counter("gateway_unanswered_total", "Connections that were closed with a request that was not answered, by whether its bytes had been read.", "bytes")
+	m.closedWaiting = counter("gateway_waiting_connections_closed_total", "Connections of callers that were closed while they waited for a request, by reason.", "reason")
 	m.attempts = counter("gateway_attempts_total", "Sendings to upstreams by how they ended.", "outcome")
 	m.retries = counter("gateway_retries_total", "Decisions of the retry budget.", "decision")
 	m.retrySlack = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_retry_slack", Help: "Share of this instance in the retries of one window that need no requests."})
@@ -54,7 +56,7 @@
 	m.readsPlatform = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_reads_platform", Help: "1 if this instance reads the platform for its failure domain."})
 	m.platformAvailable = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_platform_available", Help: "1 if the last call of the platform was answered."})
 	m.deferredRemovals = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_deferred_removals", Help: "Upstreams whose entries are missing and that are kept because of an outage of the platform."})
-	m.registry.MustRegister(m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.registry.MustRegister(m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -119,6 +119,19 @@
 		Warn("closed a connection on which a request has arrived that was not answered")
 }
 
+// recordWaitEnd records a connection that was closed while it waited for a request: a request that is on its way meets
+// the close.
+func (g *Gateway) recordWaitEnd(end caller.WaitEnd) {
+	draining := g.draining.Load()
+	reason := "timeout"
+	if draining {
+		reason = "stop"
+		g.log.WithFields(map[string]any{"event": eventlog.ConnectionClosed, "unused": end.Unused, "waited_ms": end.Waited.Milliseconds()}).
+			Info("closed a connection that waits for a request")
+	}
+	g.metrics.closedWaiting.WithLabelValues(reason).Inc()
+}
+
 func (g *Gateway) idleTimeout() time.Duration {
 	if routing := g.routing.Load(); routing != nil && routing.limits.IdleTimeout > 0 {
 		return routing.limits.IdleTimeout
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -196,6 +196,16 @@
 	return "", false
 }
 
+// waitEnd returns how long the connection has waited for a request, unless its caller has closed it.
+func (c *Conn) waitEnd() (WaitEnd, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.phase.waiting() || upstream.PeerClosed(c) {
+		return WaitEnd{}, false
+	}
+	return WaitEnd{Unused: c.phase == unused, Waited: time.Since(c.waitingSince)}, true
+}
+
 // SyscallConn gives [upstream.PeerClosed] access to the socket.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
--- a/internal/transport/caller/conn_test.go
+++ b/internal/transport/caller/conn_test.go
@@ -147,3 +147,31 @@
 		t.Errorf("reported %v", reported)
 	}
 }
+
+// Guards against connections that end while their caller may be sending a request and leave no trace.
+func TestCloseReportsTheWaitForARequest(t *testing.T) {
+	l := openListener(t)
+	var reported []WaitEnd
+	l.Connections.OnWaitEnded = func(end WaitEnd) { reported = append(reported, end) }
+	_, fresh := connect(t, l)
+	fresh.Close()
+	_, kept := connect(t, l)
+	kept.RequestHandled()
+	if err := kept.SetReadDeadline(time.Now().Add(20 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := kept.Read(make([]byte, 1)); n > 0 || err == nil {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	kept.Close()
+	out, left := connect(t, l)
+	left.RequestHandled()
+	out.Close()
+	if _, err := left.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatal(err)
+	}
+	left.Close()
+	if len(reported) != 2 || !reported[0].Unused || reported[1].Unused || reported[1].Waited < 20*time.Millisecond {
+		t.Errorf("reported %+v", reported)
+	}
+}
--- a/internal/transport/caller/connections.go
+++ b/internal/transport/caller/connections.go
@@ -12,6 +12,9 @@
 	// request, or a part of one, that has arrived; nil: nothing is called. It must be set before the first
 	// connection is accepted.
 	OnUnanswered func(RequestBytes)
+	// OnWaitEnded is called when the instance closes a connection that waits for a request; nil: nothing is called.
+	// It must be set before the first connection is accepted.
+	OnWaitEnded func(WaitEnd)
 
 	ending atomic.Bool // connections that wait for a request end
 
@@ -29,6 +32,12 @@
 	BytesUnread RequestBytes = "unread"
 )
 
+// WaitEnd describes a connection that was closed while it waited for a request.
+type WaitEnd struct {
+	Unused bool          // it has carried no request
+	Waited time.Duration // since it was accepted, or since its last response was written
+}
+
 func newConnections() *Connections {
 	return &Connections{open: map[*Conn]struct{}{}}
 }
@@ -45,12 +54,15 @@
 	_, open := s.open[c]
 	delete(s.open, c)
 	s.mu.Unlock()
-	if !open || s.OnUnanswered == nil {
+	if !open {
 		return
 	}
-	if bytes, ok := c.unanswered(); ok {
+	if bytes, ok := c.unanswered(); ok && s.OnUnanswered != nil {
 		s.OnUnanswered(bytes)
 	}
+	if end, ok := c.waitEnd(); ok && s.OnWaitEnded != nil {
+		s.OnWaitEnded(end)
+	}
 }
 
 // Counts are numbers of open connections.
