--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -29,7 +30,9 @@
 		SecureErrorLogMessage:         true, // headers contain callers' keys
 		Logger:                        debugLogger{in},
 	}
-	caller.Attach(server)
+	caller.Attach(server, func() time.Duration {
+		return caller.ReuseTimeout(in.settings.DrainDelay.Std(), limits.IdleTimeout.Std())
+	})
 	return server
 }
 
--- a/internal/entry/stopping_test.go
+++ b/internal/entry/stopping_test.go
@@ -260,3 +260,29 @@
 		t.Errorf("the stop took %s", took)
 	}
 }
+
+// Guards against connections that a stop closes while their callers may send on them: answers say for how long a
+// connection may be used again, shorter than the drain delay.
+func TestAnswersTellHowLongAConnectionMayBeUsedAgain(t *testing.T) {
+	env := newStoppingEnv(t, 2*time.Second, 10*time.Second)
+	c, err := net.Dial("tcp", env.instance.CallersAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, path := range []string{"/v1/unknown", "/v1/unknown"} {
+		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+		if got := readAnswer(t, c); got.header.Get("Keep-Alive") != "timeout=1" || got.closes {
+			t.Errorf("Keep-Alive: %q; the end is announced: %t", got.header.Get("Keep-Alive"), got.closes)
+		}
+	}
+	env.cancel()
+	for !env.instance.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(900 * time.Millisecond)
+	fmt.Fprint(c, "GET /v1/unknown HTTP/1.1\r\nHost: h\r\n\r\n")
+	if got := readAnswer(t, c); got.header.Get("Keep-Alive") != "" || !got.closes {
+		t.Errorf("in the stop: Keep-Alive %q; the end is announced: %t", got.header.Get("Keep-Alive"), got.closes)
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -53,7 +53,7 @@
 		DisablePreParseMultipartForm:  true,
 		Logger:                        debugLogger{g},
 	}
-	caller.Attach(server)
+	caller.Attach(server, func() time.Duration { return caller.ReuseTimeout(g.settings.DrainDelay.Std(), g.idleTimeout()) })
 	return server
 }
 
@@ -98,7 +98,7 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	if c.Waiting() {
-		if err := c.SetReadDeadline(time.Now().Add(c.gateway.idleTimeout())); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(max(c.gateway.idleTimeout(), c.LeastWait()))); err != nil {
 			return 0, err
 		}
 	}
@@ -126,7 +126,7 @@
 	reason := "timeout"
 	if draining {
 		reason = "stop"
-		g.log.WithFields(map[string]any{"event": eventlog.ConnectionClosed, "unused": end.Unused, "waited_ms": end.Waited.Milliseconds()}).
+		g.log.WithFields(map[string]any{"event": eventlog.ConnectionClosed, "unused": end.Unused, "waited_ms": end.Waited.Milliseconds(), "reusable_ms": end.ReuseTimeout.Milliseconds()}).
 			Info("closed a connection that waits for a request")
 	}
 	g.metrics.closedWaiting.WithLabelValues(reason).Inc()
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -45,9 +45,10 @@
 
 	mu           sync.Mutex
 	phase        phase
-	waitingSince time.Time // when it was accepted, or the last response had been written
-	readBy       time.Time // the read deadline that the server has set; zero: none
-	replaced     bool      // another read deadline is in effect, until a request begins
+	waitingSince time.Time     // when it was accepted, or the last response had been written
+	reuseTimeout time.Duration // for which the last response has said that the connection may be used again
+	readBy       time.Time     // the read deadline that the server has set; zero: none
+	replaced     bool          // another read deadline is in effect, until a request begins
 }
 
 func (c *Conn) currentPhase() phase {
@@ -72,6 +73,28 @@
 	c.phase = answered
 }
 
+// MayBeReusedFor records for how long after the response that is written next the caller may use the connection again;
+// 0: nothing is announced.
+func (c *Conn) MayBeReusedFor(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reuseTimeout = timeout
+}
+
+// LeastWait returns how long the connection must wait for the next request, by what the last response has announced.
+func (c *Conn) LeastWait() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leastWait()
+}
+
+func (c *Conn) leastWait() time.Duration {
+	if c.reuseTimeout == 0 {
+		return 0
+	}
+	return c.reuseTimeout + reuseMargin
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -96,7 +119,8 @@
 	// first request follows the handshake.
 	firstRequestTimeout = 500 * time.Millisecond
 	// nextRequestTimeout is how long a connection may be idle then: a response that began before the stop has not
-	// announced the end of the connection, and the caller may be sending its next request.
+	// announced the end of the connection, and the caller may be sending its next request. A response may have
+	// announced a longer time.
 	nextRequestTimeout = 300 * time.Millisecond
 )
 
@@ -137,7 +161,7 @@
 func (c *Conn) beginRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = reading
+	c.phase, c.reuseTimeout = reading, 0
 	if !c.replaced {
 		return nil
 	}
@@ -165,7 +189,15 @@
 	if c.phase == unused {
 		return c.waitingSince.Add(firstRequestTimeout)
 	}
-	return c.waitingSince.Add(nextRequestTimeout)
+	until := c.waitingSince.Add(nextRequestTimeout)
+	announced := c.waitingSince.Add(c.leastWait())
+	if latest := c.connections.closeBy.Load(); latest != nil && announced.After(*latest) {
+		announced = *latest
+	}
+	if announced.After(until) {
+		return announced
+	}
+	return until
 }
 
 // expectUnread reports whether bytes have arrived that have not been read, and allows time to read them.
@@ -203,7 +235,7 @@
 	if !c.phase.waiting() || upstream.PeerClosed(c) {
 		return WaitEnd{}, false
 	}
-	return WaitEnd{Unused: c.phase == unused, Waited: time.Since(c.waitingSince)}, true
+	return WaitEnd{Unused: c.phase == unused, Waited: time.Since(c.waitingSince), ReuseTimeout: c.reuseTimeout}, true
 }
 
 // SyscallConn gives [upstream.PeerClosed] access to the socket.
--- a/internal/transport/caller/conn_test.go
+++ b/internal/transport/caller/conn_test.go
@@ -82,7 +82,7 @@
 		}()
 	}
 	write(t, busyOut, busy)
-	l.Connections.CloseWaiting()
+	l.Connections.CloseWaiting(time.Now().Add(time.Minute))
 	for range 2 {
 		if err := <-ended; err != io.EOF {
 			t.Errorf("a waiting connection ended with %v", err)
@@ -175,3 +175,6 @@
 		t.Errorf("reported %+v", reported)
 	}
 }
+
+// noReuse announces nothing about the reuse of connections.
+func noReuse() time.Duration { return 0 }
--- a/internal/transport/caller/connections.go
+++ b/internal/transport/caller/connections.go
@@ -16,7 +16,8 @@
 	// It must be set before the first connection is accepted.
 	OnWaitEnded func(WaitEnd)
 
-	ending atomic.Bool // connections that wait for a request end
+	ending  atomic.Bool               // connections that wait for a request end
+	closeBy atomic.Pointer[time.Time] // when they end at the latest, whatever has been announced
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -36,6 +37,8 @@
 type WaitEnd struct {
 	Unused bool          // it has carried no request
 	Waited time.Duration // since it was accepted, or since its last response was written
+	// ReuseTimeout is the time for which the last response has announced that the connection may be used again; 0: none.
+	ReuseTimeout time.Duration
 }
 
 func newConnections() *Connections {
@@ -93,9 +96,11 @@
 }
 
 // CloseWaiting ends the connections that wait for a request, and from now on each one that begins to wait; those
-// that were accepted or answered a moment ago may still send a request. The goroutine that reads from a connection
+// that were accepted or answered a moment ago may still send a request, and those that may be used again by what their
+// last response has announced, at most until a time. The goroutine that reads from a connection
 // closes it, after it has looked for bytes that have arrived: nobody else knows whether a request has been read.
-func (s *Connections) CloseWaiting() {
+func (s *Connections) CloseWaiting(latest time.Time) {
+	s.closeBy.Store(&latest)
 	s.ending.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/caller/drain.go
+++ b/internal/transport/caller/drain.go
@@ -44,7 +44,7 @@
 	if err := l.CloseAfterBacklog(); err != nil {
 		return errors.Wrap(err, "close caller listener")
 	}
-	l.Connections.CloseWaiting()
+	l.Connections.CloseWaiting(d.EndsAt())
 	AwaitIdle(d.EndsAt(), func() int {
 		work := l.Connections.Counts().Total()
 		if d.OtherWork != nil {
--- a/internal/transport/caller/drain_test.go
+++ b/internal/transport/caller/drain_test.go
@@ -20,8 +20,9 @@
 	testLatency = 20 * time.Millisecond
 )
 
-// delayProxy passes on connections to an address with testLatency in each direction. It returns its own address.
-func delayProxy(t *testing.T, address string) string {
+// delayProxy passes on connections to an address with testLatency in the one direction, and with another latency back. It
+// returns its own address.
+func delayProxy(t *testing.T, address string, back time.Duration) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -39,15 +40,15 @@
 				client.Close()
 				continue
 			}
-			go delayCopy(client, server)
-			go delayCopy(server, client)
+			go delayCopy(client, server, testLatency)
+			go delayCopy(server, client, back)
 		}
 	}()
 	return l.Addr().String()
 }
 
-// delayCopy copies what is read from one connection, and its end, to the other one after testLatency.
-func delayCopy(from, to net.Conn) {
+// delayCopy copies what is read from one connection, and its end, to the other one after the latency.
+func delayCopy(from, to net.Conn, latency time.Duration) {
 	type part struct {
 		bytes []byte
 		due   time.Time
@@ -58,7 +59,7 @@
 		for {
 			b := make([]byte, 4096)
 			n, err := from.Read(b)
-			parts <- part{b[:n], time.Now().Add(testLatency)}
+			parts <- part{b[:n], time.Now().Add(latency)}
 			if err != nil {
 				return
 			}
@@ -75,18 +76,25 @@
 // stoppableServer answers requests until it has drained, with a head that is sent at once and a body that lasts as long
 // as the query says, at most until the grace period is over.
 type stoppableServer struct {
-	listener *Listener
-	address  string // of a proxy that delays
-	draining atomic.Bool
-	delayEnd time.Time     // the end of the drain delay
-	drained  chan struct{} // closed when Drain has returned
-	ended    chan struct{} // closed when the requests in progress must end
+	listener   *Listener
+	address    string // of a proxy that delays
+	drainDelay time.Duration
+	draining   atomic.Bool
+	delayEnd   time.Time     // the end of the drain delay
+	drained    chan struct{} // closed when Drain has returned
+	ended      chan struct{} // closed when the requests in progress must end
 }
 
 func startStoppable(t *testing.T) *stoppableServer {
 	t.Helper()
-	s := &stoppableServer{listener: openListener(t), drained: make(chan struct{}), ended: make(chan struct{})}
-	server := &fasthttp.Server{ReadTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, Handler: func(ctx *fasthttp.RequestCtx) {
+	return startStoppableWith(t, testDrainDelay, testLatency)
+}
+
+func startStoppableWith(t *testing.T, drainDelay, latencyBack time.Duration) *stoppableServer {
+	t.Helper()
+	const idleTimeout = 10 * time.Second
+	s := &stoppableServer{listener: openListener(t), drainDelay: drainDelay, drained: make(chan struct{}), ended: make(chan struct{})}
+	server := &fasthttp.Server{ReadTimeout: 10 * time.Second, IdleTimeout: idleTimeout, Handler: func(ctx *fasthttp.RequestCtx) {
 		if s.draining.Load() {
 			ctx.SetConnectionClose()
 		}
@@ -101,9 +109,9 @@
 			})
 		}
 	}}
-	Attach(server)
+	Attach(server, func() time.Duration { return ReuseTimeout(drainDelay, idleTimeout) })
 	go server.Serve(s.listener)
-	s.address = delayProxy(t, s.listener.Addr().String())
+	s.address = delayProxy(t, s.listener.Addr().String(), latencyBack)
 	return s
 }
 
@@ -111,10 +119,10 @@
 	t.Helper()
 	s.draining.Store(true)
 	startedAt := time.Now()
-	s.delayEnd = startedAt.Add(testDrainDelay)
+	s.delayEnd = startedAt.Add(s.drainDelay)
 	go func() {
 		defer close(s.drained)
-		err := s.listener.Drain(Drain{StartedAt: startedAt, Delay: testDrainDelay, Grace: grace, DelayOver: func(time.Time) {}, EndRequests: func() { close(s.ended) }})
+		err := s.listener.Drain(Drain{StartedAt: startedAt, Delay: s.drainDelay, Grace: grace, DelayOver: func(time.Time) {}, EndRequests: func() { close(s.ended) }})
 		if err != nil {
 			t.Error(err)
 		}
@@ -129,6 +137,7 @@
 	answeredLast outcome = "answered, the end of the connection announced"
 	answeredKept outcome = "answered"
 	notSent      outcome = "not sent: the connection had ended"
+	notAllowed   outcome = "not sent: the time announced for further requests is over"
 	cut          outcome = "cut without an answer"
 )
 
@@ -136,6 +145,32 @@
 type keptConn struct {
 	net.Conn
 	answers chan outcome // closed at the end of the connection
+
+	mu        sync.Mutex
+	reusable  bool // the last response has announced a time for further requests
+	reuseNext time.Time
+}
+
+// reuseBy returns until when the connection may be used again, if the last response has said so.
+func (k *keptConn) reuseBy() (time.Time, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.reuseNext, k.reusable
+}
+
+// readReuseTimeout notes until when the connection may be used again.
+func (k *keptConn) readReuseTimeout(t *testing.T, h http.Header) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	value := h.Get("Keep-Alive")
+	if k.reusable = value != ""; !k.reusable {
+		return
+	}
+	var seconds int
+	if _, err := fmt.Sscanf(value, "timeout=%d", &seconds); err != nil {
+		t.Errorf("Keep-Alive: %s: %v", value, err)
+	}
+	k.reuseNext = time.Now().Add(time.Duration(seconds) * time.Second)
 }
 
 func (s *stoppableServer) dial(t *testing.T) *keptConn {
@@ -156,6 +191,7 @@
 			if _, err := io.Copy(io.Discard, res.Body); err != nil {
 				return
 			}
+			k.readReuseTimeout(t, res.Header)
 			if res.Close {
 				k.answers <- answeredLast
 				return
@@ -166,6 +202,14 @@
 	return k
 }
 
+// askIfAllowed sends a request unless the time announced for it is over.
+func (k *keptConn) askIfAllowed() outcome {
+	if by, announced := k.reuseBy(); announced && time.Now().After(by) {
+		return notAllowed
+	}
+	return k.ask(0)
+}
+
 // ask sends a request unless the connection is known to have ended; a response lasts as long as stated.
 func (k *keptConn) ask(lasts time.Duration) outcome {
 	select {
@@ -250,7 +294,7 @@
 	in.RequestHandled()
 	closing := make(chan struct{})
 	in.Conn = &endingConn{TCPConn: in.Conn.(*net.TCPConn), before: func() {
-		go func() { l.Connections.CloseWaiting(); close(closing) }()
+		go func() { l.Connections.CloseWaiting(time.Now().Add(time.Minute)); close(closing) }()
 		for !l.Connections.ending.Load() {
 			time.Sleep(time.Millisecond)
 		}
@@ -301,3 +345,126 @@
 		t.Errorf("the stop ended %s after the drain delay", late)
 	}
 }
+
+// Guards against idle connections that a stop closes while their callers may still use them: a request that crosses the
+// close gets neither an answer nor a refusal, and its caller sees that late if the close is queued on a full link.
+func TestNoRequestCrossesTheEndOfTheDrainDelay(t *testing.T) {
+	for name, latencyBack := range map[string]time.Duration{"free link": testLatency, "full link": 204 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			const callers, around = 40, 20 * time.Millisecond
+			s := startStoppableWith(t, 1500*time.Millisecond, latencyBack)
+			counts := map[outcome]int{}
+			var mu sync.Mutex
+			var group, first sync.WaitGroup
+			stopped := make(chan struct{})
+			for i := range callers {
+				c := s.dial(t)
+				first.Add(1)
+				group.Go(func() {
+					got := c.ask(0)
+					first.Done()
+					if got != answeredKept {
+						t.Errorf("before the stop: %s", got)
+					}
+					<-stopped
+					time.Sleep(time.Until(s.delayEnd.Add(time.Duration(i)*2*around/callers - around)))
+					sentAt := time.Now()
+					got = c.askIfAllowed()
+					if got == cut {
+						t.Errorf("a request sent %s after the drain delay met the close, %s after it was sent", sentAt.Sub(s.delayEnd).Round(time.Millisecond), time.Since(sentAt).Round(time.Millisecond))
+					}
+					mu.Lock()
+					counts[got]++
+					mu.Unlock()
+				})
+			}
+			first.Wait()
+			s.stop(t, 5*time.Second)
+			close(stopped)
+			group.Wait()
+			t.Log(counts)
+		})
+	}
+}
+
+// Guards against a connection that ends before the time is over for which it was said to be open: when it is idle in a
+// stop, and when a response on it has begun before the stop and ends later.
+func TestConnectionStaysOpenForTheAnnouncedTime(t *testing.T) {
+	const (
+		drainDelay = 1500 * time.Millisecond
+		early      = 20 * time.Millisecond // before the end of the announced time
+	)
+	for name, lasts := range map[string]time.Duration{"idle": 0, "until the drain delay": drainDelay, "beyond the drain delay": drainDelay + 500*time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const callers = 20
+			s := startStoppableWith(t, drainDelay, testLatency)
+			var group, asked sync.WaitGroup
+			var late atomic.Int32 // callers that did not run in time
+			for range callers {
+				c := s.dial(t)
+				asked.Add(1)
+				group.Go(func() {
+					asked.Done()
+					if got := c.ask(lasts); got != answeredKept {
+						t.Errorf("before the stop: %s", got)
+					}
+					by, announced := c.reuseBy()
+					if !announced {
+						t.Error("no time is announced")
+					}
+					time.Sleep(time.Until(by.Add(-early)))
+					switch got := c.askIfAllowed(); got {
+					case answeredLast:
+					case notAllowed:
+						late.Add(1)
+					default:
+						t.Errorf("the next request: %s", got)
+					}
+				})
+			}
+			asked.Wait()
+			time.Sleep(4 * testLatency)
+			s.stop(t, 8*time.Second)
+			group.Wait()
+			if n := late.Load(); n == callers {
+				t.Errorf("no caller ran in time")
+			}
+		})
+	}
+}
+
+// Guards against a stop that keeps connections open beyond the grace period, as responses have announced that they may be
+// used again.
+func TestStopClosesReusableConnectionsBeforeTheGracePeriodEnds(t *testing.T) {
+	const drainDelay, grace = 1500 * time.Millisecond, 2500 * time.Millisecond
+	s := startStoppableWith(t, drainDelay, testLatency)
+	c := s.dial(t)
+	go c.ask(grace - exitMargin - 100*time.Millisecond)
+	time.Sleep(4 * testLatency)
+	startedAt := time.Now()
+	s.stop(t, grace)
+	<-s.drained
+	if after := time.Since(startedAt); after > grace {
+		t.Errorf("the stop took %s", after)
+	}
+	if n := s.listener.Connections.Counts().Total(); n > 0 {
+		t.Errorf("%d connections were left", n)
+	}
+}
+
+func TestReuseTimeout(t *testing.T) {
+	for _, c := range []struct{ drainDelay, idleTimeout, want time.Duration }{
+		{2500 * time.Millisecond, 15 * time.Second, 2 * time.Second},
+		{2 * time.Second, time.Minute, time.Second},
+		{10 * time.Second, 4 * time.Second, 3 * time.Second},
+		{10 * time.Second, 3499 * time.Millisecond, 2 * time.Second},
+		{1499 * time.Millisecond, time.Minute, 0},
+		{10 * time.Second, 300 * time.Millisecond, 0},
+		{0, 0, 0},
+	} {
+		if got := ReuseTimeout(c.drainDelay, c.idleTimeout); got != c.want {
+			t.Errorf("drain delay %s, idle timeout %s: %s, want %s", c.drainDelay, c.idleTimeout, got, c.want)
+		}
+	}
+}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -11,21 +11,24 @@
 type requestConn interface {
 	RequestBegan()
 	RequestHandled()
+	MayBeReusedFor(time.Duration)
 }
 
 // Attach makes the server tell the connections of a [Listener] when a request begins and when it has been handled. It
-// must be called before the server serves.
+// must be called before the server serves. Responses announce for how long the connection may be used again, as
+// reuseTimeout returns it.
 //
 // A request may begin without a read from the connection: its first bytes have been read with the request before. The
 // server would then hold back the response until it has read the whole request; it sends each at once if the handler
 // sets a write deadline.
-func Attach(server *fasthttp.Server) {
+func Attach(server *fasthttp.Server, reuseTimeout func() time.Duration) {
 	handle := server.Handler
 	server.Handler = func(ctx *fasthttp.RequestCtx) {
 		handle(ctx)
 		if c, ok := ctx.Conn().(requestConn); ok {
 			// It fails only if the connection is closed. The connection limits each write by itself.
 			_ = ctx.SetWriteDeadline(time.Time{})
+			c.MayBeReusedFor(announceReuse(ctx, reuseTimeout()))
 			c.RequestHandled()
 		}
 	}
--- a/internal/transport/caller/stop_test.go
+++ b/internal/transport/caller/stop_test.go
@@ -17,7 +17,7 @@
 func serve(l *Listener, concurrency int) {
 	server := &fasthttp.Server{ReadTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second, Concurrency: concurrency,
 		Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetConnectionClose() }}
-	Attach(server)
+	Attach(server, noReuse)
 	go server.Serve(l)
 }
 
@@ -61,7 +61,7 @@
 		time.Sleep(5 * time.Millisecond)
 		close(start)
 		time.Sleep(300 * time.Microsecond)
-		l.Connections.CloseWaiting()
+		l.Connections.CloseWaiting(time.Now().Add(time.Minute))
 		callers.Wait()
 	}
 	if n := cut.Load(); n > 0 {
@@ -72,7 +72,7 @@
 // Guards against a stop that shortens the time which a caller has for the rest of its request.
 func TestStopKeepsTheReadTimeout(t *testing.T) {
 	l := openListener(t)
-	l.Connections.CloseWaiting()
+	l.Connections.CloseWaiting(time.Now().Add(time.Minute))
 	out := dial(t, l)
 	io.WriteString(out, requestHead)
 	time.Sleep(20 * time.Millisecond)
@@ -93,7 +93,7 @@
 	if err := l.CloseAfterBacklog(); err != nil {
 		t.Fatal(err)
 	}
-	l.Connections.CloseWaiting()
+	l.Connections.CloseWaiting(time.Now().Add(time.Minute))
 	time.Sleep(20 * time.Millisecond)
 	io.WriteString(asks, requestHead+requestBody)
 	if status := readStatus(asks); status != http.StatusOK {
@@ -162,13 +162,13 @@
 			l := openListener(t)
 			handled := make(chan struct{}, 2)
 			server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) { handled <- struct{}{} }}
-			Attach(server)
+			Attach(server, noReuse)
 			go server.Serve(l)
 			out := dial(t, l)
 			io.WriteString(out, requestHead+requestBody+begun)
 			<-handled
 			time.Sleep(20 * time.Millisecond)
-			l.Connections.CloseWaiting()
+			l.Connections.CloseWaiting(time.Now().Add(time.Minute))
 			time.Sleep(20 * time.Millisecond)
 			io.WriteString(out, (requestHead + requestBody)[len(begun):])
 			out.SetReadDeadline(time.Now().Add(5 * time.Second))
@@ -189,7 +189,7 @@
 func TestResponseDoesNotWaitForAPipelinedRequest(t *testing.T) {
 	l := openListener(t)
 	server := &fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}
-	Attach(server)
+	Attach(server, noReuse)
 	go server.Serve(l)
 	out := dial(t, l)
 	io.WriteString(out, requestHead+requestBody+requestHead+requestBody[:2])
