--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
@@ -31,7 +32,7 @@
 		Logger:                        debugLogger{in},
 	}
 	caller.Attach(server, func() time.Duration {
-		return caller.ReuseTimeout(in.settings.DrainDelay.Std(), limits.IdleTimeout.Std())
+		return lifecycle.ReuseTimeout(in.settings.DrainDelay.Std(), limits.IdleTimeout.Std())
 	})
 	return server
 }
@@ -51,7 +52,7 @@
 	writeError(ctx, e)
 	ctx.SetConnectionClose()
 	if c, ok := ctx.Conn().(*caller.Conn); ok {
-		c.RequestHandled()
+		c.RequestHandled(0)
 		c.LingerOnClose()
 	}
 }
@@ -73,7 +74,7 @@
 // handleRequest serves a request and writes the error response if it fails.
 func (in *Instance) handleRequest(ctx *fasthttp.RequestCtx) {
 	defer func() {
-		if in.draining.Load() {
+		if in.life.Stops() {
 			ctx.SetConnectionClose()
 		}
 	}()
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -59,7 +59,7 @@
 // no retry is allowed, and relays the response to the caller. If it returns an error,
 // nothing has been written to the caller.
 func (in *Instance) serveWithRetries(ctx *fasthttp.RequestCtx, r *request, newCall func(balancer.Pick) upstream.Call) *apierror.Error {
-	if in.refusing.Load() {
+	if in.refuses() {
 		return stoppingError()
 	}
 	if b := r.pool.retryBudget(r.class); b != nil {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -21,6 +21,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/pressure"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 	"github.com/yuccabridge/yuccabridge/internal/tasks"
@@ -43,8 +44,7 @@
 	seed        uint64
 	requestSeq  atomic.Uint64
 	routes      atomic.Pointer[routingTable]
-	draining    atomic.Bool
-	refusing    atomic.Bool // the drain delay is over: further requests may not end before the process does
+	life        *lifecycle.Life
 	stop        stop
 	watcher     *caller.Watcher
 	quarantine  *quarantine.Quarantine
@@ -88,6 +88,7 @@
 		pools:       map[string]*pool{},
 		leaving:     map[string]bool{},
 		initialized: make(chan struct{}),
+		life:        lifecycle.New(lifecycle.Options{DrainDelay: s.DrainDelay.Std(), Grace: s.Grace.Std()}),
 		stop:        newStop(),
 		pressure:    pressure.NewTable(),
 
@@ -152,6 +153,7 @@
 	defer in.configMu.Unlock()
 	in.configurePools(d)
 	in.routes.Store(newRoutingTable(revision, d, in.pools))
+	in.life.Serve()
 	in.metrics.revision.Set(float64(revision))
 	in.log.WithFields(logrus.Fields{"event": "configuration_applied", "revision": revision, "deployment": d.Name}).Info("configuration applied")
 }
--- a/internal/entry/late_forward_test.go
+++ b/internal/entry/late_forward_test.go
@@ -36,7 +36,7 @@
 	}
 	eventually(t, "the request is at the service", func() bool { return env.service.Counters().Requests == 1 })
 	env.cancel()
-	eventually(t, "the drain delay is over", env.instance.refusing.Load)
+	eventually(t, "the drain delay is over", env.instance.refuses)
 	forward := orders.OrderForward{Request: orders.RequestID{Entry: orders.Incarnation{1}, Number: 1, Attempt: 1}, Ticket: ticket, Body: body}
 	env.instance.orders.receive(orders.Member{Incarnation: orders.Incarnation{1}}, forward)
 	if got := env.instance.orders.ledger.Status(env.instance.now(), ticket); got.Kind != orders.NotRun {
--- a/internal/entry/operations.go
+++ b/internal/entry/operations.go
@@ -69,7 +69,7 @@
 
 // ready reports whether the instance should receive requests.
 func (in *Instance) ready() bool {
-	return in.routes.Load() != nil && !in.draining.Load() && (in.config == nil || in.config.machine.Ready())
+	return in.life.Ready() && (in.config == nil || in.config.machine.Ready())
 }
 
 func (in *Instance) handleReady(ctx *fasthttp.RequestCtx) {
@@ -86,7 +86,7 @@
 		Instance:      in.settings.Instance,
 		FailureDomain: in.settings.FailureDomain,
 		Ready:         in.ready(),
-		Draining:      in.draining.Load(),
+		Draining:      in.life.Stops(),
 		InProgress:    in.watcher.InProgress(),
 	}
 	if r := in.routes.Load(); r != nil {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -109,7 +109,7 @@
 func (in *Instance) handleOrder(ctx *fasthttp.RequestCtx, s serviceRoute, t *team) *apierror.Error {
 	header := string(ctx.Request.Header.Peek(headerTicket))
 	if header == "" {
-		if in.refusing.Load() {
+		if in.refuses() {
 			return stoppingError()
 		}
 		e := apierror.New(apierror.TicketRequired, "send the order again with the ticket in "+headerTicket+"; it did not run")
@@ -124,7 +124,7 @@
 	if apiErr != nil {
 		return apiErr
 	}
-	if in.refusing.Load() {
+	if in.refuses() {
 		return stoppingOrderError()
 	}
 	body, err := msgpack.Marshal(orderRequest{
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -108,7 +108,7 @@
 // leaves is not a candidate.
 func (d *placementDriver) controllerCandidates() []placement.Member {
 	var list []placement.Member
-	if !d.instance.draining.Load() {
+	if !d.instance.life.Stops() {
 		list = append(list, d.self)
 	}
 	if d.instance.peers == nil {
--- a/internal/entry/stopping.go
+++ b/internal/entry/stopping.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/orders"
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 	"github.com/yuccabridge/yuccabridge/internal/tasks"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
@@ -41,6 +42,9 @@
 	return ctx, func() { ignoreStop(); cancel(nil) }
 }
 
+// refuses reports whether further requests may not end before the process does: the drain delay is over.
+func (in *Instance) refuses() bool { return in.life.State() >= lifecycle.Draining }
+
 // stoppingError rejects a request that may not end before the instance does.
 func stoppingError() *apierror.Error {
 	e := apierror.New(apierror.Draining, "the instance stops; the request did not run")
@@ -73,23 +77,19 @@
 // drain performs a graceful shutdown within the grace period. The background tasks go on while requests are in progress.
 func (in *Instance) drain(background *tasks.Group) error {
 	startedAt := time.Now()
-	in.draining.Store(true)
+	in.life.Stop(startedAt)
 	if in.peers != nil {
 		in.peers.gossip.Leave()
 	}
 	in.log.WithFields(map[string]any{"event": "draining", "in_progress": in.watcher.InProgress()}).Info("draining")
 	d := caller.Drain{
-		StartedAt: startedAt, Delay: in.settings.DrainDelay.Std(), Grace: in.settings.Grace.Std(),
-		DelayOver: func(time.Time) {
-			// Peers may still forward orders.
-			in.orders.ledger.StopBeginning()
-			in.refusing.Store(true)
-		},
+		Life:        in.life,
+		DelayOver:   in.orders.ledger.StopBeginning, // peers may still forward orders
 		EndRequests: func() { in.orders.closeLedger(); in.stop.endRequests() },
 	}
 	err := in.sockets.Callers.Drain(d)
 	if err == nil {
-		in.orders.drain(d.EndsAt())
+		in.orders.drain(in.life.EndsAt())
 	}
 	if taskErr := in.stopBackground(background, startedAt); taskErr != nil {
 		err = taskErr
--- a/internal/entry/stopping_test.go
+++ b/internal/entry/stopping_test.go
@@ -277,7 +277,7 @@
 		}
 	}
 	env.cancel()
-	for !env.instance.draining.Load() {
+	for !env.instance.life.Stops() {
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(900 * time.Millisecond)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -73,7 +73,7 @@
 		ex.conn = c
 	}
 	defer func() {
-		if g.draining.Load() {
+		if g.life.Stops() {
 			ctx.SetConnectionClose()
 		}
 	}()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
 	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
@@ -45,10 +46,7 @@
 	seed            uint64
 	requestSequence atomic.Uint64
 	callerWatcher   *caller.Watcher
-	draining        atomic.Bool
-	stopsAt         atomic.Int64    // by when the process ends, as a [time.Duration] since the start; 0: the drain delay is not over
-	serving         atomic.Bool     // set once mayServe has been seen
-	servingSignal   chan struct{}   // closed when serving is set
+	life            *lifecycle.Life
 	answering       context.Context // ends when the requests in progress must be answered, as the process ends
 	stopAnswering   context.CancelFunc
 	routing         atomic.Pointer[routingTable]
@@ -76,7 +74,7 @@
 func New(s *settings.Gateway, adapter Adapter, log *logrus.Logger) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, adapter: adapter, log: log, metrics: newMetrics(), startedAt: time.Now(), seed: mathrand.Uint64(),
-		callerWatcher: caller.NewWatcher(), servingSignal: make(chan struct{}), quarantine: quarantine.New(quarantine.Options{}),
+		callerWatcher: caller.NewWatcher(), life: lifecycle.New(lifecycle.Options{DrainDelay: s.DrainDelay.Std(), Grace: s.Grace.Std()}), quarantine: quarantine.New(quarantine.Options{}),
 		origins: streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(s.FirstStart),
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
@@ -258,18 +256,15 @@
 // request are closed. The requests in progress are completed; until then, the background tasks go on.
 func (g *Gateway) drain(background *tasks.Group) error {
 	startedAt := time.Now()
-	g.draining.Store(true)
+	g.life.Stop(startedAt)
 	if g.peers != nil {
 		g.peers.leave()
 		g.leaveLimits()
 	}
 	g.log.WithFields(logrus.Fields{"event": eventlog.Draining, "in_progress": g.callerWatcher.InProgress()}).Info("draining")
 	err := g.sockets.Callers.Drain(caller.Drain{
-		StartedAt: startedAt, Delay: g.settings.DrainDelay.Std(), Grace: g.settings.Grace.Std(),
-		DelayOver: func(endsAt time.Time) {
-			g.logListenerClosed(startedAt)
-			g.stopsAt.Store(int64(endsAt.Sub(g.startedAt)))
-		},
+		Life:        g.life,
+		DelayOver:   func() { g.logListenerClosed(startedAt) },
 		OtherWork:   g.peers.relays,
 		EndRequests: g.stopAnswering,
 	})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -74,7 +74,7 @@
 	switch {
 	case !ok:
 		return nil, errUnknownUpstream
-	case target.Leaving || g.draining.Load():
+	case target.Leaving || g.life.Stops():
 		return nil, errLeaving
 	case g.paths.isRelayed(target.Address):
 		return nil, errNotReached
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -14,6 +14,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/retry"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
@@ -53,7 +54,7 @@
 		DisablePreParseMultipartForm:  true,
 		Logger:                        debugLogger{g},
 	}
-	caller.Attach(server, func() time.Duration { return caller.ReuseTimeout(g.settings.DrainDelay.Std(), g.idleTimeout()) })
+	caller.Attach(server, func() time.Duration { return lifecycle.ReuseTimeout(g.settings.DrainDelay.Std(), g.idleTimeout()) })
 	return server
 }
 
@@ -115,14 +116,14 @@
 // recordUnanswered logs a connection that was closed although its caller waits for an answer.
 func (g *Gateway) recordUnanswered(bytes caller.RequestBytes) {
 	g.metrics.unanswered.WithLabelValues(string(bytes)).Inc()
-	g.log.WithFields(map[string]any{"event": eventlog.RequestUnanswered, "bytes": string(bytes), "draining": g.draining.Load()}).
+	g.log.WithFields(map[string]any{"event": eventlog.RequestUnanswered, "bytes": string(bytes), "draining": g.life.Stops()}).
 		Warn("closed a connection on which a request has arrived that was not answered")
 }
 
 // recordWaitEnd records a connection that was closed while it waited for a request: a request that is on its way meets
 // the close.
 func (g *Gateway) recordWaitEnd(end caller.WaitEnd) {
-	draining := g.draining.Load()
+	draining := g.life.Stops()
 	reason := "timeout"
 	if draining {
 		reason = "stop"
@@ -164,7 +165,7 @@
 	g.adapter.Caller.WriteError(&ctx.Response, ErrorResponse{Error: e, Status: e.Status()})
 	ctx.SetConnectionClose()
 	if c, ok := ctx.Conn().(*callerConn); ok {
-		c.RequestHandled()
+		c.RequestHandled(0)
 		c.LingerOnClose()
 	}
 }
@@ -192,7 +193,8 @@
 
 // ready reports whether the instance should receive requests.
 func (g *Gateway) ready() bool {
-	return g.mayServe() && !g.draining.Load()
+	g.signalServing()
+	return g.life.Ready()
 }
 
 func (g *Gateway) handleReady(ctx *fasthttp.RequestCtx) {
@@ -239,7 +241,7 @@
 
 // State returns the current state of the instance.
 func (g *Gateway) State() State {
-	state := State{Instance: g.settings.Instance, Build: buildRevision(), Ready: g.ready(), Draining: g.draining.Load(), InProgress: g.callerWatcher.InProgress()}
+	state := State{Instance: g.settings.Instance, Build: buildRevision(), Ready: g.ready(), Draining: g.life.Stops(), InProgress: g.callerWatcher.InProgress()}
 	if routing := g.routing.Load(); routing != nil {
 		state.Version = routing.version
 	}
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -30,18 +30,16 @@
 
 // signalServing releases the held requests when the instance may serve.
 func (g *Gateway) signalServing() {
-	if g.serving.Load() || !g.mayServe() {
-		return
+	if !g.life.MayServe() && g.mayServe() {
+		g.life.Serve()
 	}
-	g.serving.Store(true)
-	close(g.servingSignal)
 }
 
 // awaitStart holds a request that has arrived while the instance starts. It returns an error if its caller
 // leaves meanwhile.
 func (ex *exchange) awaitStart() *apierror.Error {
 	g := ex.gateway
-	if g.serving.Load() {
+	if g.life.MayServe() {
 		return nil
 	}
 	limit := startHoldLimit - ex.arrived
@@ -57,7 +55,7 @@
 	defer unwatch()
 	g.metrics.heldAtStart.Inc()
 	select {
-	case <-g.servingSignal:
+	case <-g.life.Serving():
 	case <-timer.C:
 	case <-callerCtx.Done():
 	}
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -13,11 +13,9 @@
 // another instance takes the request.
 const stoppingRetryAfter = 50 * time.Millisecond
 
-// mayOutlastInstance reports whether the instance may end before the request does. It is false until the drain
-// delay is over: until then the balancer may not know that the instance stops.
+// mayOutlastInstance reports whether the instance may end before the request does.
 func (ex *exchange) mayOutlastInstance() bool {
-	stopsAt := time.Duration(ex.gateway.stopsAt.Load())
-	return stopsAt > 0 && ex.deadline > stopsAt
+	return !ex.gateway.life.Takes(ex.gateway.startedAt.Add(ex.deadline))
 }
 
 // stoppingError rejects a request that may not end before the instance does.
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
@@ -22,19 +23,6 @@
 	maxLingerBytes = 8 << 20
 )
 
-// phase is what a connection is being used for.
-type phase int32
-
-const (
-	unused   phase = iota // no byte has arrived yet
-	idle                  // a response has been written, and no byte of a further request has been read
-	reading               // a request has been read, at least in part
-	answered              // the request has been handled; its response may still be written
-)
-
-// waiting reports whether the connection waits for a request.
-func (p phase) waiting() bool { return p == unused || p == idle }
-
 // Conn is a connection from a caller. Each write has its own time limit, and Close first
 // reads the rest of a refused request.
 type Conn struct {
@@ -43,22 +31,20 @@
 	writeTimeout  time.Duration
 	lingerOnClose atomic.Bool
 
-	mu           sync.Mutex
-	phase        phase
-	waitingSince time.Time     // when it was accepted, or the last response had been written
-	reuseTimeout time.Duration // for which the last response has said that the connection may be used again
-	readBy       time.Time     // the read deadline that the server has set; zero: none
-	replaced     bool          // another read deadline is in effect, until a request begins
+	mu       sync.Mutex
+	use      lifecycle.Connection
+	readBy   time.Time // the read deadline that the server has set; zero: none
+	replaced bool      // another read deadline is in effect, until a request begins
 }
 
-func (c *Conn) currentPhase() phase {
+func (c *Conn) currentPhase() lifecycle.Phase {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase
+	return c.use.Phase()
 }
 
 // Waiting reports whether the next read waits for a request.
-func (c *Conn) Waiting() bool { return c.currentPhase() != reading }
+func (c *Conn) Waiting() bool { return c.currentPhase() != lifecycle.Reading }
 
 // RequestBegan marks the connection as carrying a request of which bytes have been read.
 func (c *Conn) RequestBegan() {
@@ -66,33 +52,19 @@
 	_ = c.beginRequest()
 }
 
-// RequestHandled marks the request on the connection as handled: the next read waits for another one.
-func (c *Conn) RequestHandled() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.phase = answered
-}
-
-// MayBeReusedFor records for how long after the response that is written next the caller may use the connection again;
-// 0: nothing is announced.
-func (c *Conn) MayBeReusedFor(timeout time.Duration) {
+// RequestHandled marks the request on the connection as handled: the next read waits for another one. The response
+// announces for how long the caller may use the connection again; 0: it doesn't.
+func (c *Conn) RequestHandled(reuseTimeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reuseTimeout = timeout
+	c.use.RequestHandled(reuseTimeout)
 }
 
 // LeastWait returns how long the connection must wait for the next request, by what the last response has announced.
 func (c *Conn) LeastWait() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leastWait()
-}
-
-func (c *Conn) leastWait() time.Duration {
-	if c.reuseTimeout == 0 {
-		return 0
-	}
-	return c.reuseTimeout + reuseMargin
+	return c.use.LeastWait()
 }
 
 // SetReadDeadline implements net.Conn.
@@ -111,18 +83,9 @@
 	return c.SetWriteDeadline(t)
 }
 
-const (
-	// unreadTimeout is the least time in which the rest of a request may arrive whose first bytes arrived before a
-	// read deadline.
-	unreadTimeout = time.Second
-	// firstRequestTimeout is how long a connection may be unused when the waiting connections are closed: the
-	// first request follows the handshake.
-	firstRequestTimeout = 500 * time.Millisecond
-	// nextRequestTimeout is how long a connection may be idle then: a response that began before the stop has not
-	// announced the end of the connection, and the caller may be sending its next request. A response may have
-	// announced a longer time.
-	nextRequestTimeout = 300 * time.Millisecond
-)
+// unreadTimeout is the least time in which the rest of a request may arrive whose first bytes arrived before a
+// read deadline.
+const unreadTimeout = time.Second
 
 // Read implements io.Reader. The wait for a request ends, by a timeout or because the instance stops, only if
 // nothing has arrived: a timer may fire before the goroutine that reads gets to run.
@@ -130,7 +93,7 @@
 	if !c.beginWait() {
 		return c.Conn.Read(b)
 	}
-	for !c.connections.ending.Load() || c.mayWaitLonger() {
+	for !c.connections.ending() || c.mayWaitLonger() {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
 			if deadlineErr := c.beginRequest(); err == nil {
@@ -139,7 +102,7 @@
 			return n, err
 		}
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-		if !timedOut || !c.connections.ending.Load() && !c.expectUnread() {
+		if !timedOut || !c.connections.ending() && !c.expectUnread() {
 			return n, err
 		}
 	}
@@ -151,17 +114,14 @@
 func (c *Conn) beginWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == answered {
-		c.phase, c.waitingSince = idle, time.Now()
-	}
-	return c.phase.waiting()
+	return c.use.Await(time.Now())
 }
 
 // beginRequest records that a request has begun, and restores the deadline for the rest of it.
 func (c *Conn) beginRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.reuseTimeout = reading, 0
+	c.use.RequestBegan()
 	if !c.replaced {
 		return nil
 	}
@@ -186,18 +146,7 @@
 func (c *Conn) mayWaitUntil() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == unused {
-		return c.waitingSince.Add(firstRequestTimeout)
-	}
-	until := c.waitingSince.Add(nextRequestTimeout)
-	announced := c.waitingSince.Add(c.leastWait())
-	if latest := c.connections.closeBy.Load(); latest != nil && announced.After(*latest) {
-		announced = *latest
-	}
-	if announced.After(until) {
-		return announced
-	}
-	return until
+	return c.use.WaitInStopUntil(*c.connections.endsAt.Load())
 }
 
 // expectUnread reports whether bytes have arrived that have not been read, and allows time to read them.
@@ -210,7 +159,7 @@
 func (c *Conn) replaceReadDeadline(t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.phase.waiting() {
+	if !c.use.Waiting() {
 		return false
 	}
 	c.replaced = true
@@ -219,10 +168,10 @@
 
 // unanswered returns which bytes of a request the connection holds, if its caller still waits for the answer.
 func (c *Conn) unanswered() (RequestBytes, bool) {
-	switch phase := c.currentPhase(); {
-	case phase == reading:
+	switch c.currentPhase() {
+	case lifecycle.Reading:
 		return BytesRead, !upstream.PeerClosed(c)
-	case phase.waiting():
+	case lifecycle.Unused, lifecycle.Idle:
 		return BytesUnread, upstream.HasUnread(c)
 	}
 	return "", false
@@ -232,10 +181,10 @@
 func (c *Conn) waitEnd() (WaitEnd, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.phase.waiting() || upstream.PeerClosed(c) {
+	if !c.use.Waiting() || upstream.PeerClosed(c) {
 		return WaitEnd{}, false
 	}
-	return WaitEnd{Unused: c.phase == unused, Waited: time.Since(c.waitingSince), ReuseTimeout: c.reuseTimeout}, true
+	return WaitEnd{Unused: c.use.Phase() == lifecycle.Unused, Waited: c.use.Waited(time.Now()), ReuseTimeout: c.use.ReuseTimeout()}, true
 }
 
 // SyscallConn gives [upstream.PeerClosed] access to the socket.
@@ -259,8 +208,8 @@
 func (c *Conn) markRefused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == unused {
-		c.phase = answered
+	if c.use.Phase() == lifecycle.Unused {
+		c.use.RequestHandled(0)
 	}
 }
 
--- a/internal/transport/caller/conn_test.go
+++ b/internal/transport/caller/conn_test.go
@@ -73,7 +73,7 @@
 	busyOut, busy := connect(t, l)
 	_, waiting := connect(t, l)
 	_, kept := connect(t, l)
-	kept.RequestHandled()
+	kept.RequestHandled(0)
 	ended := make(chan error, 2)
 	for _, c := range []*Conn{waiting, kept} {
 		go func() {
@@ -94,7 +94,7 @@
 	if got := l.Connections.Counts(); got != (Counts{Busy: 1}) {
 		t.Errorf("open: %+v", got)
 	}
-	busy.RequestHandled()
+	busy.RequestHandled(0)
 	if _, err := busy.Read(make([]byte, 16)); err != io.EOF {
 		t.Errorf("after its response the connection ended with %v", err)
 	}
@@ -141,7 +141,7 @@
 	read.Close()
 	read.Close()
 	_, answered := connect(t, l)
-	answered.RequestHandled()
+	answered.RequestHandled(0)
 	answered.Close()
 	if len(reported) != 2 || reported[0] != BytesUnread || reported[1] != BytesRead {
 		t.Errorf("reported %v", reported)
@@ -156,7 +156,7 @@
 	_, fresh := connect(t, l)
 	fresh.Close()
 	_, kept := connect(t, l)
-	kept.RequestHandled()
+	kept.RequestHandled(0)
 	if err := kept.SetReadDeadline(time.Now().Add(20 * time.Millisecond)); err != nil {
 		t.Fatal(err)
 	}
@@ -165,7 +165,7 @@
 	}
 	kept.Close()
 	out, left := connect(t, l)
-	left.RequestHandled()
+	left.RequestHandled(0)
 	out.Close()
 	if _, err := left.Read(make([]byte, 1)); err != io.EOF {
 		t.Fatal(err)
--- a/internal/transport/caller/connections.go
+++ b/internal/transport/caller/connections.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 )
 
 // Connections holds the open connections from callers, from their acceptance until they are closed.
@@ -16,8 +18,8 @@
 	// It must be set before the first connection is accepted.
 	OnWaitEnded func(WaitEnd)
 
-	ending  atomic.Bool               // connections that wait for a request end
-	closeBy atomic.Pointer[time.Time] // when they end at the latest, whatever has been announced
+	// endsAt is set once connections that wait for a request end: at the latest then, whatever has been announced.
+	endsAt atomic.Pointer[time.Time]
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -84,9 +86,9 @@
 	var counts Counts
 	for c := range s.open {
 		switch c.currentPhase() {
-		case unused:
+		case lifecycle.Unused:
 			counts.Unused++
-		case idle:
+		case lifecycle.Idle:
 			counts.Idle++
 		default:
 			counts.Busy++
@@ -95,13 +97,15 @@
 	return counts
 }
 
+// ending reports whether connections that wait for a request end.
+func (s *Connections) ending() bool { return s.endsAt.Load() != nil }
+
 // CloseWaiting ends the connections that wait for a request, and from now on each one that begins to wait; those
 // that were accepted or answered a moment ago may still send a request, and those that may be used again by what their
 // last response has announced, at most until a time. The goroutine that reads from a connection
 // closes it, after it has looked for bytes that have arrived: nobody else knows whether a request has been read.
 func (s *Connections) CloseWaiting(latest time.Time) {
-	s.closeBy.Store(&latest)
-	s.ending.Store(true)
+	s.endsAt.Store(&latest)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
--- a/internal/transport/caller/drain_test.go
+++ b/internal/transport/caller/drain_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 )
 
 const (
@@ -109,12 +111,20 @@
 			})
 		}
 	}}
-	Attach(server, func() time.Duration { return ReuseTimeout(drainDelay, idleTimeout) })
+	Attach(server, func() time.Duration { return lifecycle.ReuseTimeout(drainDelay, idleTimeout) })
 	go server.Serve(s.listener)
 	s.address = delayProxy(t, s.listener.Addr().String(), latencyBack)
 	return s
 }
 
+// stoppingLife returns the life of an instance that has been told to stop.
+func stoppingLife(since time.Time, drainDelay, grace time.Duration) *lifecycle.Life {
+	life := lifecycle.New(lifecycle.Options{DrainDelay: drainDelay, Grace: grace})
+	life.Serve()
+	life.Stop(since)
+	return life
+}
+
 func (s *stoppableServer) stop(t *testing.T, grace time.Duration) {
 	t.Helper()
 	s.draining.Store(true)
@@ -122,7 +132,7 @@
 	s.delayEnd = startedAt.Add(s.drainDelay)
 	go func() {
 		defer close(s.drained)
-		err := s.listener.Drain(Drain{StartedAt: startedAt, Delay: s.drainDelay, Grace: grace, DelayOver: func(time.Time) {}, EndRequests: func() { close(s.ended) }})
+		err := s.listener.Drain(Drain{Life: stoppingLife(startedAt, s.drainDelay, grace), DelayOver: func() {}, EndRequests: func() { close(s.ended) }})
 		if err != nil {
 			t.Error(err)
 		}
@@ -259,11 +269,11 @@
 	write(t, out, in)
 	go l.Accept() // until the listener is closed
 	var answered atomic.Bool
-	err := l.Drain(Drain{StartedAt: time.Now(), Grace: exitMargin + 50*time.Millisecond, DelayOver: func(time.Time) {}, EndRequests: func() {
+	err := l.Drain(Drain{Life: stoppingLife(time.Now(), 0, lifecycle.ExitMargin+50*time.Millisecond), DelayOver: func() {}, EndRequests: func() {
 		go func() {
-			time.Sleep(lastAnswersTime / 4)
+			time.Sleep(lifecycle.LastAnswersTime / 4)
 			in.Read(make([]byte, 16))
-			in.RequestHandled()
+			in.RequestHandled(0)
 			answered.Store(true)
 			in.Close()
 		}()
@@ -291,11 +301,11 @@
 func TestIdleTimeoutDoesNotUndoCloseWaiting(t *testing.T) {
 	l := openListener(t)
 	_, in := connect(t, l)
-	in.RequestHandled()
+	in.RequestHandled(0)
 	closing := make(chan struct{})
 	in.Conn = &endingConn{TCPConn: in.Conn.(*net.TCPConn), before: func() {
 		go func() { l.Connections.CloseWaiting(time.Now().Add(time.Minute)); close(closing) }()
-		for !l.Connections.ending.Load() {
+		for !l.Connections.ending() {
 			time.Sleep(time.Millisecond)
 		}
 	}}
@@ -322,7 +332,7 @@
 	startedAt := time.Now()
 	s.stop(t, grace)
 	<-kept.answers
-	if after := time.Since(startedAt); after > grace-exitMargin {
+	if after := time.Since(startedAt); after > grace-lifecycle.ExitMargin {
 		t.Errorf("the idle connection was closed after %s", after)
 	}
 	<-s.drained
@@ -440,7 +450,7 @@
 	const drainDelay, grace = 1500 * time.Millisecond, 2500 * time.Millisecond
 	s := startStoppableWith(t, drainDelay, testLatency)
 	c := s.dial(t)
-	go c.ask(grace - exitMargin - 100*time.Millisecond)
+	go c.ask(grace - lifecycle.ExitMargin - 100*time.Millisecond)
 	time.Sleep(4 * testLatency)
 	startedAt := time.Now()
 	s.stop(t, grace)
@@ -452,19 +462,3 @@
 		t.Errorf("%d connections were left", n)
 	}
 }
-
-func TestReuseTimeout(t *testing.T) {
-	for _, c := range []struct{ drainDelay, idleTimeout, want time.Duration }{
-		{2500 * time.Millisecond, 15 * time.Second, 2 * time.Second},
-		{2 * time.Second, time.Minute, time.Second},
-		{10 * time.Second, 4 * time.Second, 3 * time.Second},
-		{10 * time.Second, 3499 * time.Millisecond, 2 * time.Second},
-		{1499 * time.Millisecond, time.Minute, 0},
-		{10 * time.Second, 300 * time.Millisecond, 0},
-		{0, 0, 0},
-	} {
-		if got := ReuseTimeout(c.drainDelay, c.idleTimeout); got != c.want {
-			t.Errorf("drain delay %s, idle timeout %s: %s, want %s", c.drainDelay, c.idleTimeout, got, c.want)
-		}
-	}
-}
--- a/internal/transport/caller/listeners.go
+++ b/internal/transport/caller/listeners.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 )
 
 // Listener accepts connections from callers.
@@ -32,7 +34,7 @@
 		l.endOnce.Do(func() { close(l.ended) })
 		return nil, err
 	}
-	c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout, waitingSince: time.Now()}
+	c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout, use: lifecycle.Accepted(time.Now())}
 	l.Connections.add(c)
 	return c, nil
 }
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -10,8 +10,7 @@
 // requestConn is a [Conn], or wraps one.
 type requestConn interface {
 	RequestBegan()
-	RequestHandled()
-	MayBeReusedFor(time.Duration)
+	RequestHandled(reuseTimeout time.Duration)
 }
 
 // Attach makes the server tell the connections of a [Listener] when a request begins and when it has been handled. It
@@ -28,8 +27,7 @@
 		if c, ok := ctx.Conn().(requestConn); ok {
 			// It fails only if the connection is closed. The connection limits each write by itself.
 			_ = ctx.SetWriteDeadline(time.Time{})
-			c.MayBeReusedFor(announceReuse(ctx, reuseTimeout()))
-			c.RequestHandled()
+			c.RequestHandled(announceReuse(ctx, reuseTimeout()))
 		}
 	}
 	server.ConnState = func(c net.Conn, state fasthttp.ConnState) {
