--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -123,14 +123,15 @@
 // recordWaitEnd records a connection that was closed while it waited for a request: a request that is on its way meets
 // the close.
 func (g *Gateway) recordWaitEnd(end caller.WaitEnd) {
-	draining := g.life.Stops()
 	reason := "timeout"
-	if draining {
+	if end.InStop {
 		reason = "stop"
-		g.log.WithFields(map[string]any{"event": eventlog.ConnectionClosed, "unused": end.Unused, "waited_ms": end.Waited.Milliseconds(), "reusable_ms": end.ReuseTimeout.Milliseconds()}).
-			Info("closed a connection that waits for a request")
 	}
 	g.metrics.closedWaiting.WithLabelValues(reason).Inc()
+	if g.life.Stops() {
+		g.log.WithFields(map[string]any{"event": eventlog.ConnectionClosed, "caller": end.Caller, "reason": reason, "after_ms": time.Since(g.life.StoppingSince()).Milliseconds(),
+			"unused": end.Unused, "waited_ms": end.Waited.Milliseconds(), "reusable_ms": end.ReuseTimeout.Milliseconds()}).Info("closed a connection that waits for a request")
+	}
 }
 
 func (g *Gateway) idleTimeout() time.Duration {
--- a/internal/lifecycle/connection.go
+++ b/internal/lifecycle/connection.go
@@ -26,6 +26,8 @@
 	// reuseMargin is the time that a request and the response before it may take on their way together: the caller
 	// counts the announced time from when it has received the response.
 	reuseMargin = 500 * time.Millisecond
+	// maxResponseDelay bounds how long a stop takes a response to be on its way: its caller may be gone.
+	maxResponseDelay = 2 * time.Second
 )
 
 // ReuseTimeout returns for how long after a response its caller may use the connection again, in whole seconds as
@@ -38,7 +40,8 @@
 // Connection is what an instance knows of a connection from a caller. The zero value is not usable.
 type Connection struct {
 	phase        Phase
-	waitingSince time.Time     // when it was accepted, or the last response had been written
+	writtenAt    time.Time     // when the last response had been written
+	waitingSince time.Time     // when it was accepted, or the last response had been written or was still on its way
 	reuseTimeout time.Duration // for which the last response has said that the connection may be used again
 }
 
@@ -69,11 +72,19 @@
 // Await reports whether the next bytes belong to a new request. The response before it has been written.
 func (c *Connection) Await(now time.Time) bool {
 	if c.phase == Answered {
-		c.phase, c.waitingSince = Idle, now
+		c.phase, c.writtenAt, c.waitingSince = Idle, now, now
 	}
 	return c.Waiting()
 }
 
+// ResponseOnItsWay records that the last response has not arrived at the caller yet: the wait begins anew. It has no
+// effect once the response has been on its way for longer than maxResponseDelay.
+func (c *Connection) ResponseOnItsWay(now time.Time) {
+	if c.phase == Idle && now.Sub(c.writtenAt) <= maxResponseDelay {
+		c.waitingSince = now
+	}
+}
+
 // LeastWait returns how long the connection must wait for the next request, by what has been announced.
 func (c *Connection) LeastWait() time.Duration {
 	if c.reuseTimeout == 0 {
--- a/internal/lifecycle/life_test.go
+++ b/internal/lifecycle/life_test.go
@@ -102,3 +102,22 @@
 		}
 	}
 }
+
+// Guards against an unreachable caller that keeps a connection open as its last response does not arrive.
+func TestResponseOnItsWayDelaysTheCloseForALimitedTime(t *testing.T) {
+	c := Accepted(testStart)
+	c.RequestBegan()
+	c.RequestHandled(time.Second)
+	c.Await(testStart)
+	endsAt := testStart.Add(time.Minute)
+	c.ResponseOnItsWay(testStart.Add(700 * time.Millisecond))
+	if got, want := c.WaitInStopUntil(endsAt), testStart.Add(2200*time.Millisecond); !got.Equal(want) {
+		t.Errorf("on its way for 700 ms: waits until %s, want %s", got, want)
+	}
+	for after := time.Duration(0); after <= 10*time.Second; after += 100 * time.Millisecond {
+		c.ResponseOnItsWay(testStart.Add(after))
+	}
+	if got, want := c.WaitInStopUntil(endsAt), testStart.Add(maxResponseDelay+time.Second+reuseMargin); !got.Equal(want) {
+		t.Errorf("never arrived: waits until %s, want %s", got, want)
+	}
+}
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -184,7 +184,7 @@
 	if !c.use.Waiting() || upstream.PeerClosed(c) {
 		return WaitEnd{}, false
 	}
-	return WaitEnd{Unused: c.use.Phase() == lifecycle.Unused, Waited: c.use.Waited(time.Now()), ReuseTimeout: c.use.ReuseTimeout()}, true
+	return WaitEnd{Caller: c.RemoteAddr().String(), InStop: c.connections.ending(), Unused: c.use.Phase() == lifecycle.Unused, Waited: c.use.Waited(time.Now()), ReuseTimeout: c.use.ReuseTimeout()}, true
 }
 
 // SyscallConn gives [upstream.PeerClosed] access to the socket.
--- a/internal/transport/caller/connections.go
+++ b/internal/transport/caller/connections.go
@@ -3,8 +3,11 @@
 import (
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 )
 
@@ -37,6 +40,8 @@
 
 // WaitEnd describes a connection that was closed while it waited for a request.
 type WaitEnd struct {
+	Caller string        // its address
+	InStop bool          // the connections that wait for a request end
 	Unused bool          // it has carried no request
 	Waited time.Duration // since it was accepted, or since its last response was written
 	// ReuseTimeout is the time for which the last response has announced that the connection may be used again; 0: none.
@@ -100,6 +105,36 @@
 // ending reports whether connections that wait for a request end.
 func (s *Connections) ending() bool { return s.endsAt.Load() != nil }
 
+// noteResponsesOnTheirWay lets the wait of the connections begin anew whose last response has not arrived at the caller:
+// the caller counts the announced time from then.
+func (s *Connections) noteResponsesOnTheirWay() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if c.currentPhase() == lifecycle.Idle && hasUnacknowledged(c) {
+			c.mu.Lock()
+			c.use.ResponseOnItsWay(time.Now())
+			c.mu.Unlock()
+		}
+	}
+}
+
+// hasUnacknowledged reports whether bytes have been written to the connection that its other end has not acknowledged; false
+// if that can't be found out. It costs one system call.
+func hasUnacknowledged(c *Conn) bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var bytes int
+	controlErr := raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return controlErr == nil && err == nil && bytes > 0
+}
+
 // CloseWaiting ends the connections that wait for a request, and from now on each one that begins to wait; those
 // that were accepted or answered a moment ago may still send a request, and those that may be used again by what their
 // last response has announced, at most until a time. The goroutine that reads from a connection
--- a/internal/transport/caller/doc.go
+++ b/internal/transport/caller/doc.go
@@ -13,8 +13,10 @@
 // A response that began before the stop can't announce the end of its connection. It has announced instead for how long
 // the connection may be used again (Keep-Alive, [ReuseTimeout]): the connection stays open for that time and a margin, at
 // most until the end of the grace period, and the next request gets an answer that announces the end. The time is
-// shorter than the drain delay and the idle timeout, so a caller that keeps to it never sends on a connection that is
-// being closed. For callers that don't, the connection stays open for a moment after such a response.
+// shorter than the drain delay and the idle timeout, so a caller that keeps to it sends on no connection that is being
+// closed, except where a response that began before the stop ends so late that the time reaches beyond the end of the
+// grace period. The time counts from when the response has arrived: a stop looks for responses that are still on their way.
+// For callers that don't keep to it, the connection stays open for a moment after such a response.
 //
 // The first bytes of a request may have been read with the one before. [Attach] lets the server tell when such a request
 // begins, and sends each response at once, so that none waits in the server for the rest of a pipelined request.
--- a/internal/transport/caller/drain.go
+++ b/internal/transport/caller/drain.go
@@ -8,8 +8,12 @@
 	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 )
 
-// drainPollInterval is the interval at which a drain checks whether its requests have completed.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is the interval at which a drain checks whether its requests have completed.
+	drainPollInterval = 20 * time.Millisecond
+	// deliveryPollInterval is the interval at which it looks for responses that have not arrived at their callers.
+	deliveryPollInterval = 100 * time.Millisecond
+)
 
 // Drain is the end of the service of an instance: it carries out what its life demands after Stop.
 type Drain struct {
@@ -35,9 +39,14 @@
 // Drain carries out a drain. It returns when nothing is in progress, or when the requests that were left had time
 // to be answered.
 func (l *Listener) Drain(d Drain) error {
+	var lookedAt time.Time
 	for {
 		state, entered := d.Life.Advance(time.Now(), d.inProgress(l))
 		if !entered {
+			if time.Since(lookedAt) >= deliveryPollInterval {
+				lookedAt = time.Now()
+				l.Connections.noteResponsesOnTheirWay()
+			}
 			time.Sleep(drainPollInterval)
 			continue
 		}
