--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -229,7 +229,7 @@
 			return fail(PhaseHeader, errors.Wrap(err, "read response"))
 		}
 		if cn.acceptsResponse(call, &response.Response.Header) {
-			cn.keepAliveTimeout = parseKeepAliveTimeout(&response.Response.Header)
+			cn.keepAliveTimeout, cn.keepAliveStated = parseKeepAliveTimeout(&response.Response.Header)
 			return response, nil
 		}
 		if call.OnForeign != nil {
@@ -296,18 +296,25 @@
 }
 
 // parseKeepAliveTimeout returns the timeout of the Keep-Alive header, which is how long the
-// upstream keeps an idle connection open; 0 when it is absent.
-func parseKeepAliveTimeout(h *fasthttp.ResponseHeader) time.Duration {
-	for _, field := range strings.Split(string(h.Peek(fasthttp.HeaderKeepAlive)), ",") {
-		if value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout="); ok {
-			if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
-				return time.Duration(seconds) * time.Second
+// upstream keeps an idle connection open, if there is one. The name may be written in any case.
+func parseKeepAliveTimeout(h *fasthttp.ResponseHeader) (time.Duration, bool) {
+	for name, header := range h.All() {
+		if !strings.EqualFold(string(name), fasthttp.HeaderKeepAlive) {
+			continue
+		}
+		for field := range strings.SplitSeq(string(header), ",") {
+			key, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+			if seconds, err := strconv.Atoi(strings.Trim(value, `" `)); strings.EqualFold(key, "timeout") && err == nil && seconds >= 0 && seconds <= maxKeepAliveSeconds {
+				return time.Duration(seconds) * time.Second, true
 			}
 		}
 	}
-	return 0
+	return 0, false
 }
 
+// maxKeepAliveSeconds is the longest timeout that is read; a longer one is no limit.
+const maxKeepAliveSeconds = 24 * 60 * 60
+
 func writeRequest(cn *conn, r *fasthttp.Request) error {
 	if err := r.Write(cn.writer); err != nil {
 		return err
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -57,7 +57,8 @@
 	written          atomic.Bool
 	readAllowance    int // bytes that may still be read for the current call; see allowRead
 	lastUsed         time.Time
-	keepAliveTimeout time.Duration // announced by the upstream; 0: unknown
+	keepAliveTimeout time.Duration // announced by the upstream
+	keepAliveStated  bool          // the upstream has announced keepAliveTimeout
 	reused           bool
 	requests         int  // sent on it
 	singleUse        bool // a response on it named no request
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -39,7 +39,7 @@
 
 // reuseWindow is how long the connection may stay idle and still be reused.
 func (c *Client) reuseWindow(cn *conn) time.Duration {
-	if cn.keepAliveTimeout > 0 {
+	if cn.keepAliveStated {
 		return min(c.opts.ReuseWindow, cn.keepAliveTimeout-reuseMargin)
 	}
 	return c.opts.ReuseWindow
@@ -50,7 +50,7 @@
 	cn.written.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idle) >= c.opts.MaxIdle || !allowsReuse(cn.Conn) {
+	if c.closed || len(c.idle) >= c.opts.MaxIdle || !allowsReuse(cn.Conn) || time.Since(cn.lastUsed) >= c.reuseWindow(cn) {
 		cn.Close()
 		return
 	}
