--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -186,7 +186,8 @@
 	if err != nil {
 		return nil, err
 	}
-	cn := &conn{Conn: raw}
+	now := time.Now()
+	cn := &conn{Conn: raw, lastUsed: now, lastRead: now}
 	cn.reader = bufio.NewReaderSize(cn, 4<<10)
 	cn.writer = bufio.NewWriterSize(cn, 4<<10)
 	return cn, nil
--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -56,7 +56,8 @@
 	writer           *bufio.Writer
 	written          atomic.Bool
 	readAllowance    int // bytes that may still be read for the current call; see allowRead
-	lastUsed         time.Time
+	lastUsed         time.Time     // the upstream has sent the last bytes then, or later
+	lastRead         time.Time     // when the last read ended, or the request was written
 	keepAliveTimeout time.Duration // announced by the upstream
 	keepAliveStated  bool          // the upstream has announced keepAliveTimeout
 	reused           bool
@@ -67,6 +68,7 @@
 // Write records that bytes may have been sent, then writes them.
 func (cn *conn) Write(p []byte) (int, error) {
 	cn.written.Store(true)
+	cn.lastRead = time.Now()
 	return cn.Conn.Write(p)
 }
 
@@ -87,6 +89,9 @@
 	maxFramingFactor = 8
 )
 
+// awaitedReadTime is how long a read takes at least that has waited for its bytes.
+const awaitedReadTime = time.Millisecond
+
 // errEndlessFraming reports an upstream that sends bytes which are neither data nor the end.
 var errEndlessFraming = errors.New("the response has no end")
 
@@ -98,7 +103,15 @@
 	if cn.readAllowance <= 0 {
 		return 0, errEndlessFraming
 	}
+	began := time.Now()
 	n, err := cn.Conn.Read(p)
+	ended := time.Now()
+	if ended.Sub(began) >= awaitedReadTime {
+		cn.lastUsed = ended
+	} else {
+		cn.lastUsed = cn.lastRead // the bytes have arrived since the read before
+	}
+	cn.lastRead = ended
 	cn.readAllowance -= n
 	return n, err
 }
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -46,7 +46,6 @@
 }
 
 func (c *Client) putIdle(cn *conn) {
-	cn.lastUsed = time.Now()
 	cn.written.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
