--- a/internal/transport/upstream/conn.go
+++ b/internal/transport/upstream/conn.go
@@ -55,7 +55,7 @@
 	reader           *bufio.Reader
 	writer           *bufio.Writer
 	written          atomic.Bool
-	readAllowance    int // bytes that may still be read for the current call; see allowRead
+	readAllowance    int           // bytes that may still be read for the current call; see allowRead
 	lastUsed         time.Time     // the upstream has sent the last bytes then, or later
 	lastRead         time.Time     // when the last read ended, or the request was written
 	keepAliveTimeout time.Duration // announced by the upstream
