--- a/internal/coordination/dispatch/statement.go
+++ b/internal/coordination/dispatch/statement.go
@@ -107,13 +107,22 @@
 	return Decision{ID: r.ID, Wait: Wait{Reason: WaitSilent, Upstream: first.ID, Load: first.load()}}, true
 }
 
-// MaySend reports whether the upstream of a grant still takes requests: it may have stated otherwise since
-// the grant was given.
+// MaySend reports whether the upstream of a grant still takes requests: since the grant was given it may have
+// stated otherwise, or may be published no more.
 func (d *Dispatcher) MaySend(now time.Duration, token uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.grants[token]
-	return g == nil || !g.upstream.leaves() && !g.upstream.silent(now)
+	if g == nil {
+		return true
+	}
+	current := d.upstreams[g.upstream.ID]
+	return current != nil && current.isProcess(g.upstream) && !current.leaves() && !current.silent(now)
+}
+
+// isProcess reports whether both are the same process at the same address.
+func (u *upstream) isProcess(other *upstream) bool {
+	return u.Incarnation == other.Incarnation && u.Address == other.Address
 }
 
 // leaves reports whether the upstream takes no new requests, as published or as stated.
--- /dev/null
+++ b/internal/coordination/dispatch/statement_test.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against requests that are sent to an upstream which was ready when they were placed, and whose entry shows
+// since then that it is gone, leaves or is another process.
+func TestGrantEndsWithTheProcessOfItsUpstream(t *testing.T) {
+	ready := Upstream{ID: "i-a", Address: "10.0.0.1:80", Incarnation: "1", Slots: 4}
+	with := func(change func(*Upstream)) []Upstream {
+		u := ready
+		change(&u)
+		return []Upstream{u}
+	}
+	for name, tc := range map[string]struct {
+		next    []Upstream
+		maySend bool
+	}{
+		"unchanged":        {[]Upstream{ready}, true},
+		"more slots":       {with(func(u *Upstream) { u.Slots = 8 }), true},
+		"other capacity":   {with(func(u *Upstream) { u.KVCapacityTokens = simKVCapacity }), true},
+		"gone":             {nil, false},
+		"leaves":           {with(func(u *Upstream) { u.Leaving = true }), false},
+		"started again":    {with(func(u *Upstream) { u.Incarnation = "2" }), false},
+		"at other address": {with(func(u *Upstream) { u.Address = "10.0.0.2:80" }), false},
+	} {
+		d := New(Options{}, rand.New(rand.NewPCG(1, 1)))
+		d.Update(0, []Upstream{ready})
+		g := d.Submit(0, Request{ID: 1, Target: time.Second, Deadline: time.Second}).Grant
+		if g == nil {
+			t.Fatal("no upstream was granted")
+		}
+		d.Update(time.Millisecond, tc.next)
+		if got := d.MaySend(2*time.Millisecond, g.Token); got != tc.maySend {
+			t.Errorf("%s: the request may be sent: %v, want %v", name, got, tc.maySend)
+		}
+	}
+}
+
+// BenchmarkMaySend measures the last decision before a request is sent, among 100 upstreams.
+func BenchmarkMaySend(b *testing.B) {
+	d := New(Options{}, rand.New(rand.NewPCG(1, 1)))
+	var list []Upstream
+	for i := range 100 {
+		list = append(list, Upstream{ID: fmt.Sprintf("i-%08x", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Incarnation: "1764850000000", Slots: 4})
+	}
+	d.Update(0, list)
+	g := d.Submit(0, Request{ID: 1, Target: time.Second, Deadline: time.Second}).Grant
+	for b.Loop() {
+		if !d.MaySend(time.Millisecond, g.Token) {
+			b.Fatal("the upstream takes requests")
+		}
+	}
+}
