--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -166,7 +166,8 @@
 	// Malformed means that the upstream sent bytes that are no response, or a response that
 	// exceeds a bound.
 	Malformed
-	// Cancelled means that the caller disconnected; it says nothing about the upstream.
+	// Cancelled means that the caller disconnected, or that the request was withheld; it says nothing
+	// about the upstream.
 	Cancelled
 )
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -334,6 +334,8 @@
 			return dispatch.Cancelled
 		}
 		return dispatch.Failed
+	case failure.Withheld():
+		return dispatch.Cancelled
 	case failure.Phase == upstream.PhaseDial && failure.TimedOut(), failure.ConnectionTimedOut():
 		return dispatch.NoResponse
 	case failure.Phase == upstream.PhaseDial, !failure.Timeout && !failure.Reused:
--- a/internal/transport/upstream/failure.go
+++ b/internal/transport/upstream/failure.go
@@ -50,6 +50,9 @@
 // acknowledged neither data nor keep-alive probes.
 func (f *Failure) ConnectionTimedOut() bool { return errors.Is(f.Err, syscall.ETIMEDOUT) }
 
+// Withheld reports whether BeforeSend returned false: the upstream was reached.
+func (f *Failure) Withheld() bool { return errors.Is(f.Err, errBeforeSendRefused) }
+
 // LostConnection reports whether a pooled connection failed before the response began.
 // The upstream may have closed it while it was idle, or may have crashed; only a new
 // dial can tell the two apart.
