--- a/internal/coordination/dispatch/statement.go
+++ b/internal/coordination/dispatch/statement.go
@@ -49,6 +49,10 @@
 		return false
 	}
 	u, changed := g.upstream, false
+	published := d.upstreams[u.ID]
+	if published != nil && published.Incarnation == u.Incarnation {
+		u = published
+	}
 	if s.Leaving && !u.stated.leaving {
 		u.stated.leaving, u.leavingReported, changed = true, false, true
 	}
@@ -59,6 +63,9 @@
 		u.stated.silentUntil = max(u.stated.silentUntil, now+s.RetryAfter+jitter)
 		u.returning = 1
 	}
+	if published == nil {
+		d.keepLapsed(now, u)
+	}
 	return changed
 }
 
@@ -147,14 +154,30 @@
 // keepStatements keeps what upstreams have stated that are not among the next ones.
 func (d *Dispatcher) keepStatements(now time.Duration, next map[string]*upstream) {
 	for id, u := range d.upstreams {
-		if next[id] == nil && u.stated != (stated{}) {
-			d.lapsedStatements = append(d.lapsedStatements, lapsedStatement{id: id, incarnation: u.Incarnation, stated: u.stated, lapsedAt: now})
+		if next[id] == nil {
+			d.keepLapsed(now, u)
 		}
 	}
 	d.lapsedStatements = slices.DeleteFunc(d.lapsedStatements, func(l lapsedStatement) bool { return now-l.lapsedAt >= statementLifetime })
 	d.lapsedStatements = d.lapsedStatements[max(0, len(d.lapsedStatements)-maxLapsedStatements):]
 }
 
+// keepLapsed keeps what an upstream without an entry has stated. If another process of it has lapsed since, that has
+// taken its place.
+func (d *Dispatcher) keepLapsed(now time.Duration, u *upstream) {
+	if u.stated == (stated{}) {
+		return
+	}
+	i := slices.IndexFunc(d.lapsedStatements, func(l lapsedStatement) bool { return l.id == u.ID })
+	if i < 0 {
+		d.lapsedStatements = append(d.lapsedStatements, lapsedStatement{id: u.ID, incarnation: u.Incarnation, stated: u.stated, lapsedAt: now})
+		return
+	}
+	if l := &d.lapsedStatements[i]; l.incarnation == u.Incarnation {
+		l.stated = stated{leaving: l.stated.leaving || u.stated.leaving, silentUntil: max(l.stated.silentUntil, u.stated.silentUntil)}
+	}
+}
+
 // restoreStatements gives an upstream what the same process stated before its entry changed, in old, or
 // lapsed.
 func (d *Dispatcher) restoreStatements(u, old *upstream) {
--- a/internal/coordination/dispatch/statement_test.go
+++ b/internal/coordination/dispatch/statement_test.go
@@ -56,3 +56,38 @@
 		}
 	}
 }
+
+// Guards against losing what an upstream states in its answer to a request that was placed before its entry lapsed:
+// entries lapse while the platform is away, and come back.
+func TestStatementHoldsWhenTheEntryHasLapsedMeanwhile(t *testing.T) {
+	ready := Upstream{ID: "i-a", Address: "10.0.0.1:80", Incarnation: "1", Slots: 4}
+	next := ready
+	next.Incarnation = "2"
+	other := ready
+	other.KVCapacityTokens = simKVCapacity
+	for name, tc := range map[string]struct {
+		atAnswer, later []Upstream
+		holds           bool
+	}{
+		"gone at the answer, then back":             {nil, []Upstream{ready}, true},
+		"gone and back before the answer":           {[]Upstream{ready}, []Upstream{ready}, true},
+		"another entry of the process":              {[]Upstream{other}, []Upstream{other}, true},
+		"gone at the answer, then another process":  {nil, []Upstream{next}, false},
+		"another process before the answer arrives": {[]Upstream{next}, []Upstream{next}, false},
+	} {
+		for kind, statement := range map[string]Statement{"leaving": {Leaving: true}, "come back later": {RetryAfter: time.Minute}} {
+			d := New(Options{}, rand.New(rand.NewPCG(1, 1)))
+			d.Update(0, []Upstream{ready})
+			g := d.Submit(0, Request{ID: 1, Target: time.Second, Deadline: time.Second}).Grant
+			d.Update(time.Millisecond, nil)
+			d.Update(2*time.Millisecond, tc.atAnswer)
+			d.RecordStatement(3*time.Millisecond, g.Token, statement)
+			d.Done(3*time.Millisecond, g.Token, Refused)
+			d.Update(4*time.Millisecond, tc.later)
+			placed := d.Submit(5*time.Millisecond, Request{ID: 2, Target: time.Second, Deadline: time.Second}).Grant != nil
+			if placed == tc.holds {
+				t.Errorf("%s, %s: a request was placed: %v, want %v", name, kind, placed, !tc.holds)
+			}
+		}
+	}
+}
