--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -165,6 +165,9 @@
 		for n := range stopCallers {
 			callers.Go(func() { tb.runStopCaller(faultCtx, seed, n) })
 		}
+		for n := range reuseCallers {
+			callers.Go(func() { tb.runReuseCaller(faultCtx, seed, n) })
+		}
 	}
 	if tb.options.Faults == DrillFaults {
 		callers.Go(func() { tb.runDeadlyPartCaller(faultCtx, seed, out) })
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -41,7 +41,9 @@
 // failure domains lose the store for seconds, mostly without an error, and are killed, stopped and paused.
 //
 // The stop plan ([StopFaults]) stops instances in series, several at a time, while they get hangups and do not run for
-// moments. Callers hold connections before they use them, and parts of requests.
+// moments. Callers hold connections before they use them, and parts of requests. Some instances have a drain delay for
+// which responses announce how long a connection may be used again; callers use connections up to the end of that time,
+// also after streams, or ignore it.
 //
 // The fault plan is a function of the seed and the options, so a run is repeated with its seed.
 // The interleaving of the processes is not reproducible.
@@ -75,6 +77,8 @@
 //     its caller's, and crashes no further upstreams once all instances could know that it does.
 //   - A planned stop leaves no request without an answer that was passed on, or that arrived before its connection
 //     ended, and ends within the grace period.
+//   - A connection stays open for the time announced in Keep-Alive, counted by its caller, unless that reaches into the
+//     last 400 ms of the grace period, counted from the stop signal.
 //   - After the last fault every instance is ready, has the latest configuration and serves
 //     every kind of request.
 //   - No process uses more memory than the users' machines allow.
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -18,6 +18,8 @@
 const (
 	// gracePeriod is the time between the stop signal and the kill.
 	gracePeriod = 4 * time.Second
+	// drainDelay is the drain delay of the instances, but for some in [StopFaults].
+	drainDelay = 300 * time.Millisecond
 	// freshness is the time within which an instance must apply a published change.
 	freshness = 2 * time.Second
 )
@@ -25,6 +27,7 @@
 // instance is a daemon process that is restarted after kills and stops.
 type instance struct {
 	addresses
+	times      stopTimes
 	name       string
 	storeProxy *proxy
 	dir        string
@@ -107,13 +110,25 @@
 // addresses are the listen addresses of an instance.
 type addresses struct{ callers, operations, peers string }
 
+// stopTimes are the settings of an instance for planned stops.
+type stopTimes struct{ drainDelay, grace time.Duration }
+
+// stopTimes returns the times of an instance. Responses announce for how long a connection may be used again if the
+// drain delay is long enough; the stop plan has instances with and without.
+func (o Options) stopTimes(instance int) stopTimes {
+	if delay := stopDrainDelays[instance%len(stopDrainDelays)]; o.Faults == StopFaults && delay > drainDelay {
+		return stopTimes{drainDelay: delay, grace: gracePeriod - stallAllowance}
+	}
+	return stopTimes{drainDelay: drainDelay, grace: gracePeriod}
+}
+
 func newInstance(o Options, index int, name, failureDomain string, listen addresses, seeds []string, store *proxy) (*instance, error) {
-	in := &instance{name: name, builds: o.builds(index), dir: o.Dir, addresses: listen, storeProxy: store}
+	in := &instance{name: name, times: o.stopTimes(index), builds: o.builds(index), dir: o.Dir, addresses: listen, storeProxy: store}
 	quoted := strings.Join(seeds, `", "`)
 	text := fmt.Sprintf("instance: %s\nfailure_domain: %s\ncallers: {address: %s}\noperations: {address: %s}\nready_path: /ready\n"+
 		"freshness: %s\nplatform: {address: %s}\npeers: {address: %s, gossip: %s, seeds: [\"%s\"], network: yuccabridge fault soak}\n"+
-		"retries: {ratio: %g, window: %s, slack: %d}\ngrace: %s\ndrain_delay: 300ms\nmemory_mb: %d\n",
-		in.name, failureDomain, in.callers, in.operations, freshness, store.address(), in.peers, in.peers, quoted, retryRatio, retryWindow, retrySlack, gracePeriod, int(memoryLimit/1e6))
+		"retries: {ratio: %g, window: %s, slack: %d}\ngrace: %s\ndrain_delay: %s\nmemory_mb: %d\n",
+		in.name, failureDomain, in.callers, in.operations, freshness, store.address(), in.peers, in.peers, quoted, retryRatio, retryWindow, retrySlack, in.times.grace, in.times.drainDelay, int(memoryLimit/1e6))
 	return in, errors.Wrap(os.WriteFile(in.settingsFile(), []byte(text), 0o600), "write settings")
 }
 
--- a/internal/soak/plan_stops.go
+++ b/internal/soak/plan_stops.go
@@ -16,14 +16,28 @@
 	maxStall          = 450 * time.Millisecond
 	// meanRouteChangeInterval is the mean time between two changes of the routes.
 	meanRouteChangeInterval = 1500 * time.Millisecond
+	// stallAllowance is the part of gracePeriod that stalls may take before a process learns of the signal and at its end.
+	stallAllowance = 2 * maxStall
 )
 
-// newStopPlan generates a plan in which instances are stopped one after the other, several at a time, while they get
-// hangups and do not run for moments, and while the routes change.
+// stopDrainDelays are the drain delays of the instances of the stop plan, in turn.
+var stopDrainDelays = []time.Duration{drainDelay, 1600 * time.Millisecond, 2500 * time.Millisecond}
+
+// newStopPlan generates a plan in which instances are stopped one after the other, in rounds and several at a time, while
+// they get hangups and do not run for moments, and while the routes change.
 func newStopPlan(seed uint64, o Options) []fault {
 	rng := rand.New(rand.NewPCG(seed, 13))
 	instance := func() int { return rng.IntN(o.Instances) }
-	plan := drawFaults(rng, o.Duration, meanStopInterval, func() fault { return fault{kind: stopProcess, target: instance()} })
+	var round []int // instances that have not been stopped yet in this round
+	nextInRound := func() int {
+		if len(round) == 0 {
+			round = rng.Perm(o.Instances)
+		}
+		next := round[0]
+		round = round[1:]
+		return next
+	}
+	plan := drawFaults(rng, o.Duration, meanStopInterval, func() fault { return fault{kind: stopProcess, target: nextInRound()} })
 	plan = append(plan, drawFaults(rng, o.Duration, meanReloadInterval, func() fault { return fault{kind: reloadProcess, target: instance()} })...)
 	plan = append(plan, drawFaults(rng, o.Duration, meanStallInterval, func() fault {
 		return fault{kind: stallProcess, target: instance(), duration: time.Duration(rng.Int64N(int64(maxStall)))}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -118,6 +118,9 @@
 	// Held counts the requests on connections that callers held, by how the connection was used, whether its
 	// instance was being stopped, and how the request ended.
 	Held map[string]int
+	// Reused counts the further requests of callers that use connections again for longer, by how they choose the time,
+	// what their instance was doing, and the result.
+	Reused map[string]int
 }
 
 // Command returns the command line that repeats the run.
@@ -152,7 +155,7 @@
 		fmt.Fprintf(&b, "answers with statements: %d\n", r.Statements)
 	}
 	if r.Options.Faults == StopFaults {
-		fmt.Fprintf(&b, "requests on held connections:%s\n", formatCounts(r.Held))
+		fmt.Fprintf(&b, "requests on held connections:%s\nrequests on connections used again:%s\n", formatCounts(r.Held), formatCounts(r.Reused))
 	}
 	if r.Options.Faults == RemovalFaults {
 		fmt.Fprintf(&b, "entries removed: %d\n", r.Removals)
@@ -225,6 +228,7 @@
 	tb.checkStatements(observations)
 	tb.checkRemovals(observations)
 	tb.checkStops()
+	tb.checkReuse()
 	return tb.report(observations), ctx.Err()
 }
 
@@ -407,7 +411,7 @@
 const finalCallerNumber = maxCallers + 1
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold, Removals: tb.removals, Held: tb.heldCounts}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold, Removals: tb.removals, Held: tb.heldCounts, Reused: tb.reuseCounts}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -255,4 +256,12 @@
 			t.Errorf("no request on a connection of the kind %s was answered by a stopping instance", use)
 		}
 	}
+	for _, use := range reuseNames {
+		if report.Reused[fmt.Sprintf("%s/%s/%s", use, reuseStopping, reuseAnswered)] == 0 {
+			t.Errorf("no request on a connection used again (%s) was answered by a stopping instance", use)
+		}
+	}
+	if report.Reused[fmt.Sprintf("%s/%s/%s", reuseNames[keepsTimeStream], reuseAfterSignal, reuseAnswered)] == 0 {
+		t.Error("no request was answered after a stream that ended in a stop")
+	}
 }
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -111,15 +111,21 @@
 	return res.StatusCode
 }
 
-// checkStops checks that no request is lost by a planned stop: one that was passed on, or whose connection ended later
-// than it could have met the end on its way.
-func (tb *testbed) checkStops() {
+// executedIDs returns the IDs of the requests that upstreams have executed.
+func (tb *testbed) executedIDs() map[string]bool {
 	ran := map[string]bool{}
 	for _, u := range tb.upstreams {
 		for _, e := range u.Executions() {
 			ran[e.ID] = true
 		}
 	}
+	return ran
+}
+
+// checkStops checks that no request is lost by a planned stop: one that was passed on, or whose connection ended later
+// than it could have met the end on its way.
+func (tb *testbed) checkStops() {
+	ran := tb.executedIDs()
 	counts := map[string]int{}
 	for _, r := range tb.heldRequests {
 		state, result := "serving", "answered"
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -16,6 +16,7 @@
 	lookupPrefix     = "/lookup/"
 	orderPrefix      = "/order/"
 	streamPrefix     = "/stream/"
+	longStreamPrefix = streamPrefix + "long-"
 	routeTimeout     = 1500 * time.Millisecond
 	latencyTarget    = 300 * time.Millisecond
 	interTokenTarget = 200 * time.Millisecond
@@ -69,6 +70,8 @@
 	removals         int
 	heldRequests     []heldRequest
 	heldCounts       map[string]int
+	reusedRequests   []reusedRequest
+	reuseCounts      map[string]int
 }
 
 func (tb *testbed) addViolation(format string, args ...any) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -41,10 +41,12 @@
 }
 
 const (
-	eventsPerStream  = 8
-	eventInterval    = 15 * time.Millisecond
-	responseDelay    = 8 * time.Millisecond
-	breakAfterEvents = 3
+	eventsPerStream = 8
+	eventInterval   = 15 * time.Millisecond
+	// longEventInterval makes a stream last for more than a second.
+	longEventInterval = 130 * time.Millisecond
+	responseDelay     = 8 * time.Millisecond
+	breakAfterEvents  = 3
 	// faultyRequestShare is the fraction of requests that an active upstream fault affects.
 	faultyRequestShare = 0.4
 	// faultyShareOfMany replaces faultyRequestShare while several upstreams have the fault.
@@ -77,6 +79,9 @@
 	if strings.HasPrefix(execution.URI, streamPrefix) {
 		b.Events, b.Delay = eventsPerStream, eventInterval
 	}
+	if strings.HasPrefix(execution.URI, longStreamPrefix) {
+		b.Delay = longEventInterval
+	}
 	if strings.HasPrefix(execution.URI, versionedPrefix) {
 		b.Events, b.Delay, b.Version = eventsPerVersionedStream, eventInterval, u.version
 	}
