--- a/internal/experiment/client.go
+++ b/internal/experiment/client.go
@@ -55,13 +55,7 @@
 // newHTTPClient returns a client for streamed responses, which closes the connection of a
 // request when the context of the request ends.
 func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1024,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-		// Proxy settings of the environment must not redirect loopback traffic.
-		Proxy: nil,
-	}}
+	return &http.Client{Transport: newReuseTransport()}
 }
 
 // entryRequest is a request to an entry instance.
