--- a/internal/lifecycle/connection.go
+++ b/internal/lifecycle/connection.go
@@ -17,9 +17,9 @@
 func (p Phase) String() string { return [...]string{"unused", "idle", "reading", "answered"}[p] }
 
 const (
-	// firstRequestTimeout is how long a connection may be unused in a stop after the drain delay: the first request
+	// FirstRequestTimeout is how long a connection may be unused in a stop after the drain delay: the first request
 	// follows the handshake.
-	firstRequestTimeout = 500 * time.Millisecond
+	FirstRequestTimeout = 500 * time.Millisecond
 	// nextRequestTimeout is how long a connection may be idle then if nothing has been announced: a response that began
 	// before the stop has not announced the end of the connection, and the caller may be sending its next request.
 	nextRequestTimeout = 300 * time.Millisecond
@@ -102,7 +102,7 @@
 // holds, at most until the requests in progress are ended.
 func (c *Connection) WaitInStopUntil(endsAt time.Time) time.Time {
 	if c.phase == Unused {
-		return c.waitingSince.Add(firstRequestTimeout)
+		return c.waitingSince.Add(FirstRequestTimeout)
 	}
 	until := c.waitingSince.Add(nextRequestTimeout)
 	announced := c.waitingSince.Add(c.LeastWait())
--- a/internal/transport/caller/stop_test.go
+++ b/internal/transport/caller/stop_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 )
 
 // serverReadTimeout bounds the time from the acceptance of a connection until its first request has been read.
@@ -52,7 +54,7 @@
 // inTime reports whether the stop must leave the time for the request: its first bytes were sent before the waiting
 // connections were closed, or when the connection was hardly open, and the rest before the read timeouts were over.
 func (r *partedRequest) inTime(closedAt time.Time) bool {
-	opened := r.headSentAt.Before(closedAt) || r.headSentAt.Sub(r.dialAt) < firstRequestTimeout
+	opened := r.headSentAt.Before(closedAt) || r.headSentAt.Sub(r.dialAt) < lifecycle.FirstRequestTimeout
 	return opened && r.bodySentAt.Sub(r.headSentAt) < unreadTimeout && r.bodySentAt.Sub(r.dialAt) < serverReadTimeout
 }
 
