--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/yuccabridge/yuccabridge/platform/standin"
@@ -85,7 +87,7 @@
 			if !known {
 				continue
 			}
-			during := 0
+			var during []string
 			for _, a := range arrivals {
 				o, known := sent[a.ID]
 				if !known || o.instance != told.instance || !a.At.After(s.at) ||
@@ -96,11 +98,11 @@
 					tb.addViolation("%s got request %s %v after it had told front-%d that it leaves", u.Name, a.ID, a.At.Sub(s.at).Round(time.Millisecond), o.instance)
 				}
 				if !s.leaving && a.At.After(s.at.Add(statementMargin)) && a.At.Before(s.at.Add(statedPause)) {
-					during++
+					during = append(during, fmt.Sprintf("%s after %v, sent after %v", a.ID, a.At.Sub(s.at).Round(time.Millisecond), o.sent.Sub(s.at).Round(time.Millisecond)))
 				}
 			}
-			if during > maxDuringPause {
-				tb.addViolation("%s got %d requests from front-%d while it wanted none", u.Name, during, told.instance)
+			if len(during) > maxDuringPause {
+				tb.addViolation("%s got %d requests from front-%d while it wanted none, which it stated in its answer to %s: %s", u.Name, len(during), told.instance, told, strings.Join(during, "; "))
 			}
 			tb.statementsTold++
 		}
