--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -70,6 +70,8 @@
 	RequestRejected Event = "request_rejected"
 	// RequestPlaced is logged when a request is sent to an upstream.
 	RequestPlaced Event = "request_placed"
+	// RequestSentLate is logged when the first byte of a request is sent long after the request was placed.
+	RequestSentLate Event = "request_sent_late"
 	// UpstreamLimitChanged is logged when an upstream states another limit, or none.
 	UpstreamLimitChanged Event = "upstream_limit_changed"
 	// UpstreamStated is logged when an upstream states that it leaves, or when it wants requests again.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,10 +164,29 @@
 	if !a.exchange.service.dispatcher.MaySend(a.exchange.gateway.now(), a.grant.Token) {
 		return false
 	}
+	a.logLateSend()
 	a.recordSending()
 	return true
 }
 
+// lateSend is the time from the placement of a request to its first byte from which that is logged. It is many
+// round trips within a region.
+const lateSend = 200 * time.Millisecond
+
+// logLateSend logs how old the copy of the published upstreams is when a request is sent that was held up.
+func (a *attempt) logLateSend() {
+	ex := a.exchange
+	now := ex.gateway.now()
+	if now-a.startedAt < lateSend {
+		return
+	}
+	fields := logrus.Fields{"upstream": a.grant.Upstream.ID, "after_ms": (now - a.startedAt).Milliseconds()}
+	if age, ok := ex.gateway.platformWatcher.schedule.Age(now); ok {
+		fields["copy_age_ms"] = age.Milliseconds()
+	}
+	ex.logEntry(eventlog.RequestSentLate).WithFields(fields).Info("request sent long after it was placed")
+}
+
 // recordStatement records what the upstream states about itself in its answer. One that may come from
 // another upstream states nothing.
 func (a *attempt) recordStatement(h *fasthttp.ResponseHeader) {
