--- a/internal/coordination/streamorigin/doc.go
+++ b/internal/coordination/streamorigin/doc.go
@@ -9,6 +9,10 @@
 // since it computes the same choice. When instances come and go, those that have a record copy it to
 // its new holders.
 //
+// In a small fleet, records are copied to all other instances, too, in batches and a moment later: a loss of
+// power may take all holders and leave few instances, which then know the streams. Copies that an instance
+// has missed are not made up for; it asks all others.
+//
 // Records expire after [Lifetime]. A key that is recorded with two different origins is ambiguous and
 // counts as unknown.
 //
--- a/internal/coordination/streamorigin/placement.go
+++ b/internal/coordination/streamorigin/placement.go
@@ -20,6 +20,9 @@
 	// domainsAsked is the number of domains, first in the order of the key, that include the farHolders
 	// others whichever the domain of origin is.
 	domainsAsked = farHolders + 1
+	// maxFullCopyInstances is the number of instances up to which each record is copied to all of them, so
+	// that any one knows all streams. The number of messages grows with the square of the instances.
+	maxFullCopyInstances = 16
 	// slotCount is the number of groups of keys that share their holders, so that the choice is made
 	// once for each group and set of instances. It is a power of two.
 	slotCount = 1024
@@ -29,6 +32,7 @@
 type Placement struct {
 	byDomain map[string][]hashedMember
 	domains  []string
+	names    int
 
 	mu         sync.Mutex
 	holders    map[slotDomain][]membership.Member
@@ -48,9 +52,12 @@
 // NewPlacement returns a placement among the instances, which all live.
 func NewPlacement(instances []membership.Member) *Placement {
 	p := &Placement{byDomain: map[string][]hashedMember{}, holders: map[slotDomain][]membership.Member{}, candidates: map[slotDomain][]membership.Member{}}
+	names := map[string]bool{}
 	for _, m := range instances {
+		names[m.Name] = true
 		p.byDomain[m.FailureDomain] = append(p.byDomain[m.FailureDomain], hashedMember{m, xxhash.Sum64String(m.Name)})
 	}
+	p.names = len(names)
 	for domain, instances := range p.byDomain {
 		// Two processes may have one name for a moment; all instances must order them alike.
 		slices.SortFunc(instances, func(a, b hashedMember) int {
@@ -61,6 +68,13 @@
 	return p
 }
 
+// Instances returns the number of instances. One that has started again counts once while its last process is
+// still taken for live.
+func (p *Placement) Instances() int { return p.names }
+
+// FullCopies reports whether the fleet is so small that all instances have copies of all records.
+func (p *Placement) FullCopies() bool { return p.names <= maxFullCopyInstances }
+
 func slotOf(k Key) uint64 { return binary.BigEndian.Uint64(k[:]) % slotCount }
 
 // Holders returns the holders of the record of a stream that began in a failure domain.
@@ -69,7 +83,7 @@
 }
 
 // Candidates returns the instances that may hold the record of a stream, wherever it began, for an
-// instance of a failure domain: those of its own domain come first.
+// instance of a failure domain: those of its own domain come first. In a small fleet these are all.
 func (p *Placement) Candidates(k Key, domain string) []membership.Member {
 	return p.cached(p.candidates, slotDomain{slotOf(k), domain}, p.chooseCandidates)
 }
@@ -95,8 +109,17 @@
 }
 
 func (p *Placement) chooseCandidates(key slotDomain) []membership.Member {
-	candidates := p.first(key.slot, key.domain, homeHolders)
 	order := p.domainOrder(key.slot)
+	if p.FullCopies() {
+		candidates := p.first(key.slot, key.domain, len(p.byDomain[key.domain]))
+		for _, other := range order {
+			if other != key.domain {
+				candidates = append(candidates, p.first(key.slot, other, len(p.byDomain[other]))...)
+			}
+		}
+		return candidates
+	}
+	candidates := p.first(key.slot, key.domain, homeHolders)
 	for _, other := range order[:min(domainsAsked, len(order))] {
 		if other != key.domain {
 			candidates = append(candidates, p.first(key.slot, other, 1)...)
--- a/internal/coordination/streamorigin/placement_test.go
+++ b/internal/coordination/streamorigin/placement_test.go
@@ -66,6 +66,53 @@
 	})
 }
 
+// Guards against streams that nobody knows after all holders have ended at once: any instance of a small fleet
+// has been given their records, and any that has not, since it starts later, asks every other one.
+func TestAnyInstanceOfASmallFleetIsAsked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := testInstances(rapid.IntRange(1, 4).Draw(t, "domains"), rapid.IntRange(1, 4).Draw(t, "instances of each"))
+		p := NewPlacement(instances)
+		if !p.FullCopies() {
+			t.Fatalf("no copies among %d instances", len(instances))
+		}
+		key := KeyOf("team", rapid.String().Draw(t, "request"))
+		taker := rapid.SampledFrom(instances).Draw(t, "taken up at")
+		asked := names(p.Candidates(key, taker.FailureDomain))
+		for _, last := range instances {
+			if !slices.Contains(asked, last.Name) {
+				t.Fatalf("%s is not asked, only %v", last.Name, asked)
+			}
+		}
+		if len(asked) != len(instances) {
+			t.Fatalf("%d instances, asked %v", len(instances), asked)
+		}
+	})
+}
+
+// Guards against messages and memory that grow with the square of a large fleet, and against a small one that
+// counts as large while its instances start again and their last processes are not yet known to be dead.
+func TestOnlySmallFleetsHaveCopiesEverywhere(t *testing.T) {
+	small := testInstances(4, 4)
+	for _, m := range testInstances(4, 4)[1:] {
+		m.Incarnation.Process[2] = 1
+		small = append(small, m)
+	}
+	if p := NewPlacement(small); !p.FullCopies() || p.Instances() != 16 {
+		t.Errorf("%d instances that have started again, full copies: %v", p.Instances(), p.FullCopies())
+	}
+	for _, size := range []struct{ domains, perDomain int }{{17, 1}, {4, 15}, {19, 163}} {
+		p := NewPlacement(testInstances(size.domains, size.perDomain))
+		if p.FullCopies() {
+			t.Errorf("%d instances have full copies", p.Instances())
+		}
+		for i := range 20 {
+			if asked := p.Candidates(KeyOf("team", fmt.Sprint(i)), "domain-1"); len(asked) > homeHolders+domainsAsked {
+				t.Errorf("%d of %d instances are asked", len(asked), p.Instances())
+			}
+		}
+	}
+}
+
 // Guards against a choice that depends on the order in which instances are known, so that two instances
 // make different ones.
 func TestPlacementDoesNotDependOnTheOrder(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -63,6 +63,8 @@
 	joinLogged atomic.Bool
 	placement  atomic.Pointer[streamorigin.Placement]
 
+	originCopies streamorigin.CopyQueue
+
 	initialized chan struct{} // closed when the instance may handle messages
 }
 
@@ -241,6 +243,7 @@
 	background.Go("queued_peer_pulls", p.pullQueued)
 	background.Go("load_reports", p.reports.run)
 	background.Go("stream_origins", p.spreadOrigins)
+	background.Go("stream_origin_copies", p.copyOrigins)
 }
 
 // settled reports whether this instance knows what its peers refuse, or need not wait for them any longer.
--- a/internal/gateway/stream_origin.go
+++ b/internal/gateway/stream_origin.go
@@ -24,6 +24,9 @@
 	originQueryTimeout = 200 * time.Millisecond
 	// spreadInterval is how often records are copied to new holders after instances have come or gone.
 	spreadInterval = 200 * time.Millisecond
+	// copyInterval is how often the records of new streams are copied to all instances of a small fleet; those
+	// of this time are lost with their holders.
+	copyInterval = 100 * time.Millisecond
 	// maxOriginsPerMessage keeps a message far below the frame size limit.
 	maxOriginsPerMessage = 256
 )
@@ -69,8 +72,12 @@
 	if g.peers == nil {
 		return
 	}
-	holders := g.peers.placement.Load().Holders(record.Key, record.Origin.Domain)
+	placement := g.peers.placement.Load()
+	holders := placement.Holders(record.Key, record.Origin.Domain)
 	g.peers.sendOrigins(context.Background(), holders, []streamorigin.Record{record})
+	if placement.FullCopies() {
+		g.peers.originCopies.Add(now, record.Key, placement.Instances())
+	}
 }
 
 // renewOrigin renews the record of a stream that has lasted long, because its caller may go on with it
@@ -255,6 +262,24 @@
 	}
 }
 
+// copyOrigins copies the records of new streams to all other instances of a small fleet.
+func (p *peers) copyOrigins(ctx context.Context) error {
+	return periodic.Run(ctx, copyInterval, func() {
+		keys := p.originCopies.Take()
+		if len(keys) == 0 {
+			return
+		}
+		var records []streamorigin.Record
+		now := p.gateway.now()
+		for _, key := range keys {
+			if record, ok := p.gateway.origins.Record(now, key); ok {
+				records = append(records, record)
+			}
+		}
+		p.sendOrigins(ctx, p.livePeers(), records)
+	})
+}
+
 // spreadOrigins copies records to new holders while instances come and go.
 func (p *peers) spreadOrigins(ctx context.Context) error {
 	previous := p.placement.Load()
