--- a/internal/gateway/peer_messages_test.go
+++ b/internal/gateway/peer_messages_test.go
@@ -100,7 +100,7 @@
 const firstCoveredBuild = "9515157"
 
 // Guards against a message that changes without notice: builds that are in service side by side must read it. A field
-// may be added at the end, with a zero value that means what an older build does; then the golden file is
+// with a name may be added, with a zero value that means what an older build does; then the golden file is
 // written anew with -update. See docs/decisions/peer-messages.md.
 func TestMessagesKeepTheirEncoding(t *testing.T) {
 	g := goldie.New(t, goldie.WithFixtureDir("testdata/messages"))
