--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// gracePeriod is the time between the stop signal and the kill.
+	// gracePeriod is the time between the stop signal and the kill, but for some instances of [StopFaults].
 	gracePeriod = 4 * time.Second
 	// drainDelay is the drain delay of the instances, but for some in [StopFaults].
 	drainDelay = 300 * time.Millisecond
@@ -111,15 +111,18 @@
 type addresses struct{ callers, operations, peers string }
 
 // stopTimes are the settings of an instance for planned stops.
-type stopTimes struct{ drainDelay, grace time.Duration }
+type stopTimes struct {
+	drainDelay, grace time.Duration
+	kill              time.Duration // from the stop signal
+}
 
 // stopTimes returns the times of an instance. Responses announce for how long a connection may be used again if the
 // drain delay is long enough; the stop plan has instances with and without.
 func (o Options) stopTimes(instance int) stopTimes {
 	if delay := stopDrainDelays[instance%len(stopDrainDelays)]; o.Faults == StopFaults && delay > drainDelay {
-		return stopTimes{drainDelay: delay, grace: gracePeriod - stallAllowance}
+		return stopTimes{drainDelay: delay, grace: delay + timeAfterDrain, kill: delay + timeAfterDrain + stallAllowance}
 	}
-	return stopTimes{drainDelay: drainDelay, grace: gracePeriod}
+	return stopTimes{drainDelay: drainDelay, grace: gracePeriod, kill: gracePeriod}
 }
 
 func newInstance(o Options, index int, name, failureDomain string, listen addresses, seeds []string, store *proxy) (*instance, error) {
--- a/internal/soak/plan_stops.go
+++ b/internal/soak/plan_stops.go
@@ -16,8 +16,12 @@
 	maxStall          = 450 * time.Millisecond
 	// meanRouteChangeInterval is the mean time between two changes of the routes.
 	meanRouteChangeInterval = 1500 * time.Millisecond
-	// stallAllowance is the part of gracePeriod that stalls may take before a process learns of the signal and at its end.
-	stallAllowance = 2 * maxStall
+	// timeAfterDrain is the rest of the grace period after a drain delay for which a time is announced: requests that arrive
+	// in the delay, and connections whose announced time goes on, may take most of it.
+	timeAfterDrain = 1500 * time.Millisecond
+	// stallAllowance is the time that a stall before such a process learns of the signal and another one at its end may add,
+	// with an allowance for a busy machine.
+	stallAllowance = 2*maxStall + latenessTolerance
 )
 
 // stopDrainDelays are the drain delays of the instances of the stop plan, in turn.
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -306,7 +306,7 @@
 	case stopProcess:
 		end := in.stops.begin()
 		in.signal(syscall.SIGTERM, true)
-		if killed := in.awaitExit(gracePeriod); killed && tb.options.Faults == StopFaults {
+		if killed := in.awaitExit(in.times.kill); killed && tb.options.Faults == StopFaults {
 			tb.addViolation("%s was there at the end of the grace period", in.name)
 		}
 		end()
