--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -60,6 +60,8 @@
 	SocketOptionFailed Event = "socket_option_failed"
 	// RequestUnreadable is logged when a request cannot be read.
 	RequestUnreadable Event = "request_unreadable"
+	// RequestBodyRefused is logged when a request is refused because there is no memory for its body.
+	RequestBodyRefused Event = "request_body_refused"
 	// ConnectionClosed is logged when a stopping instance closes a connection that waits for a request.
 	ConnectionClosed Event = "connection_closed"
 	// RequestUnanswered is logged when a connection is closed with a request that has arrived and was not answered.
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -140,17 +140,6 @@
 	}
 }
 
-// reserveRequestBody reserves the memory of the request's body while it may be sent again. It
-// returns false if there is none.
-func (ex *exchange) reserveRequestBody() bool {
-	size := len(ex.httpCtx.Request.Body())
-	if size == 0 {
-		return true
-	}
-	ex.requestBody = ex.gateway.buffer.Reserve(nil)
-	return ex.requestBody.Grow(size) == nil
-}
-
 // releaseBodies returns the memory of the bodies that this exchange still holds.
 func (ex *exchange) releaseBodies() {
 	if ex.requestBody != nil {
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -117,6 +117,14 @@
 	IdleTimeout   time.Duration
 }
 
+// bodyBytes returns the bound of a request body.
+func (l Limits) bodyBytes() int {
+	if l.MaxBodyBytes > 0 {
+		return min(l.MaxBodyBytes, defaultMaxBodyBytes)
+	}
+	return defaultMaxBodyBytes
+}
+
 // Configuration is one version of the published configuration.
 type Configuration struct {
 	Version  uint64
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,6 +35,8 @@
 	cancel   context.CancelFunc
 	conn     *callerConn
 
+	maxBodyBytes int                     // bound of the request's body
+	bodyErr      error                   // of reading the request's body
 	requestBody  *bytebudget.Reservation // nil if the request has no body
 	responseBody *heldBody               // nil if the response has no body or is a stream
 
@@ -79,18 +81,51 @@
 	}()
 	ex.request = g.adapter.Caller.ReadRequest(&ctx.Request.Header)
 	if e := ex.admit(); e != nil {
-		ex.respondWithError(e)
-		ex.finish()
+		ex.refuse(e)
 		return
 	}
 	ex.forward()
 	if !ctx.Response.IsBodyStream() && !ctx.Hijacked() {
 		ex.finish()
+		ctx.Request.ResetBody() // its memory is not reserved any more, and the response may take a while to write
 	}
 }
 
-// admit determines the route, team and service of the request.
+// refuse ends a request that was not admitted.
+func (ex *exchange) refuse(e *apierror.Error) {
+	ex.releaseBodies()
+	discarded := e == errCallerClosed || ex.discardBody()
+	if ex.bodyErr != nil {
+		ex.gateway.handleReadError(ex.httpCtx, ex.bodyErr)
+		return
+	}
+	ex.respondWithError(e)
+	if !discarded {
+		ex.httpCtx.SetConnectionClose()
+		if ex.conn != nil {
+			ex.conn.LingerOnClose()
+		}
+	}
+	ex.finish()
+}
+
+// admit determines the route, team and service of the request, and reads its body.
 func (ex *exchange) admit() *apierror.Error {
+	if e := ex.admitHeader(); e != nil {
+		return e
+	}
+	if e := ex.receiveBody(); e != nil {
+		return e
+	}
+	ex.setDeadline()
+	if ex.mayOutlastInstance() {
+		return stoppingError()
+	}
+	return ex.locateStream()
+}
+
+// admitHeader determines the route, team and service of the request.
+func (ex *exchange) admitHeader() *apierror.Error {
 	if e := ex.awaitStart(); e != nil {
 		return e
 	}
@@ -109,22 +144,13 @@
 	if e := ex.authenticate(routing); e != nil {
 		return e
 	}
-	if limit := routing.limits.MaxBodyBytes; limit > 0 && len(ex.httpCtx.Request.Body()) > limit {
-		return apierror.New(apierror.BodyTooLarge, "the request body is too large")
-	}
-	ex.setDeadline()
-	if ex.mayOutlastInstance() {
-		return stoppingError()
+	ex.maxBodyBytes = routing.limits.bodyBytes()
+	if ex.httpCtx.Request.Header.ContentLength() > ex.maxBodyBytes {
+		return bodyTooLargeError()
 	}
 	if ex.service = ex.gateway.lookupService(ex.route.selectService(ex.request.ID)); ex.service == nil {
 		return notReadyError("the service of the route is not known")
 	}
-	if e := ex.locateStream(); e != nil {
-		return e
-	}
-	if !ex.reserveRequestBody() {
-		return ex.withRetryAfter(apierror.New(apierror.Overloaded, "the memory for bodies in progress is used up; the request did not run"))
-	}
 	return nil
 }
 
@@ -172,7 +198,7 @@
 	ignoreStop := context.AfterFunc(ex.gateway.answering, func() { cancel(errInstanceStops) })
 	ex.callCtx, ex.cancel = callCtx, func() { ignoreStop(); cancel(nil); cancelLimit(); unwatch() }
 	ex.sharedParts = partFingerprints(ex.service.name, ex.request.PromptPrefix)
-	ex.fingerprint = quarantine.FingerprintOf(fingerprintKey, ex.team, append(slices.Clone(ex.httpCtx.Request.Header.RequestURI()), ex.httpCtx.Request.Body()...))
+	ex.fingerprint = quarantine.FingerprintOf(fingerprintKey, ex.team, ex.httpCtx.Request.Header.RequestURI(), ex.httpCtx.Request.Body())
 }
 
 // fingerprintKey and partKey are shared by all instances so that they compute the same
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	publishedMu     sync.Mutex
 	published       *publishedConfiguration
 	buffer          *bytebudget.Budget // for bodies in progress
+	uploads         *bytebudget.Budget // for the bodies of requests above smallBodyBytes
 	platformWatcher *platformWatcher
 	peers           *peers
 
@@ -77,6 +78,7 @@
 		callerWatcher: caller.NewWatcher(), life: lifecycle.New(lifecycle.Options{DrainDelay: s.DrainDelay.Std(), Grace: s.Grace.Std()}), quarantine: quarantine.New(quarantine.Options{}),
 		origins: streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(s.FirstStart),
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
+		uploads:   bytebudget.New(max(s.RequestBufferMB*1e6, defaultMaxBodyBytes)), // the largest body fits
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
 	}
 	g.answering, g.stopAnswering = context.WithCancel(context.Background())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	retrySlack            prometheus.Gauge
 	resumes               prometheus.Counter
 	streamsLocated        *prometheus.CounterVec
+	bodyWaits             *prometheus.CounterVec
 	relays                *prometheus.CounterVec
 	upstreamsThroughPeers prometheus.Gauge
 	configurationVersion  prometheus.Gauge
@@ -48,6 +49,7 @@
 	m.retrySlack = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_retry_slack", Help: "Share of this instance in the retries of one window that need no requests."})
 	m.resumes = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "gateway_resumes_total", Help: "Streams that went on at another upstream."})
 	m.streamsLocated = counter("gateway_streams_located_total", "Streams that callers went on with, by where their origin was known.", "source")
+	m.bodyWaits = counter("gateway_request_body_waits_total", "Request bodies that were not read at once for want of memory, by result.", "result")
 	m.relays = counter("gateway_relays_total", "Connections to upstreams through peers, by side and result.", "side", "result")
 	m.upstreamsThroughPeers = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_upstreams_through_peers", Help: "Upstreams that this instance reaches through peers only."})
 	m.configurationVersion = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_configuration_version", Help: "Version of the configuration in force."})
@@ -56,7 +58,7 @@
 	m.readsPlatform = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_reads_platform", Help: "1 if this instance reads the platform for its failure domain."})
 	m.platformAvailable = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_platform_available", Help: "1 if the last call of the platform was answered."})
 	m.deferredRemovals = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_deferred_removals", Help: "Upstreams whose entries are missing and that are kept because of an outage of the platform."})
-	m.registry.MustRegister(m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.registry.MustRegister(m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -43,6 +43,9 @@
 	server := &fasthttp.Server{
 		Handler:                       g.handleRequest,
 		ErrorHandler:                  g.handleReadError,
+		HeaderReceived:                holdTooLargeBody,
+		ExpectHandler:                 g.handleExpectation,
+		StreamRequestBody:             true,
 		MaxRequestBodySize:            defaultMaxBodyBytes,
 		ReadBufferSize:                maxHeaderBytes,
 		Concurrency:                   g.settings.MaxConnections,
@@ -94,6 +97,7 @@
 type callerConn struct {
 	*caller.Conn
 	gateway *Gateway
+	readBy  time.Time // the deadline for the rest of a request
 }
 
 // Read implements net.Conn.
@@ -109,8 +113,16 @@
 // RequestBegan sets the deadline for the rest of a request.
 func (c *callerConn) RequestBegan() {
 	c.Conn.RequestBegan()
+	c.setRequestDeadline(time.Now().Add(c.gateway.headerTimeout() + bodyReadTimeout))
+}
+
+// extendRequest allows the rest of a request more time: the instance has not read for so long.
+func (c *callerConn) extendRequest(by time.Duration) { c.setRequestDeadline(c.readBy.Add(by)) }
+
+func (c *callerConn) setRequestDeadline(t time.Time) {
+	c.readBy = t
 	// It fails only if the connection is closed; the read of the rest fails, too.
-	_ = c.SetReadDeadline(time.Now().Add(c.gateway.headerTimeout() + bodyReadTimeout))
+	_ = c.SetReadDeadline(t)
 }
 
 // recordUnanswered logs a connection that was closed although its caller waits for an answer.
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -59,6 +59,9 @@
 	case <-timer.C:
 	case <-callerCtx.Done():
 	}
+	if ex.conn != nil {
+		ex.conn.extendRequest(g.now() - ex.arrived)
+	}
 	if callerCtx.Err() != nil || upstream.PeerClosed(ex.httpCtx.Conn()) {
 		return errCallerClosed
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -47,8 +47,11 @@
 	// MemoryMB is the memory limit of the process in 10^6 bytes; 0: no limit.
 	MemoryMB int `yaml:"memory_mb,omitempty" validate:"min=0"`
 	// BufferMB is the memory in 10^6 bytes for the bodies of responses that are not yet sent on
-	// and of requests that may be sent again. Default: a quarter of memory_mb, or 64.
+	// and for small ones of requests. Default: a quarter of memory_mb, or 64.
 	BufferMB int `yaml:"buffer_mb,omitempty" validate:"min=0"`
+	// RequestBufferMB is the memory in 10^6 bytes for the larger bodies of requests, from before they
+	// are read until the request ends. Default: a quarter of memory_mb, or 64.
+	RequestBufferMB int `yaml:"request_buffer_mb,omitempty" validate:"min=0"`
 	// MaxConnections limits the callers' open connections. Default 1024.
 	MaxConnections int `yaml:"max_connections,omitempty" validate:"min=0,max=1000000"`
 	// PromptTokensPerMS is the initial estimate of an upstream's prefill rate in tokens per
@@ -59,7 +62,7 @@
 }
 
 const (
-	// bufferShare is the part of the memory limit that bodies in progress may take: one in four.
+	// bufferShare is the part of the memory limit that each buffer for bodies may take: one in four.
 	bufferShare = 4
 	// defaultBufferMB applies without a memory limit.
 	defaultBufferMB = 64
@@ -121,8 +124,10 @@
 	setDefault(&s.MaxConnections, 1024)
 	if s.MemoryMB > 0 {
 		setDefault(&s.BufferMB, max(s.MemoryMB/bufferShare, 1))
+		setDefault(&s.RequestBufferMB, max(s.MemoryMB/bufferShare, 1))
 	}
 	setDefault(&s.BufferMB, defaultBufferMB)
+	setDefault(&s.RequestBufferMB, defaultBufferMB)
 	setDefault(&s.PromptTokensPerMS, 40)
 	setDefault(&s.Log.Level, "info")
 	return s, nil
