--- a/internal/transport/caller/drain_test.go
+++ b/internal/transport/caller/drain_test.go
@@ -83,6 +83,7 @@
 	address    string // of a proxy that delays
 	drainDelay time.Duration
 	draining   atomic.Bool
+	handled    atomic.Int32  // requests for which it is decided what the response announces
 	delayEnd   time.Time     // the end of the drain delay
 	drained    chan struct{} // closed when Drain has returned
 	ended      chan struct{} // closed when the requests in progress must end
@@ -106,6 +107,7 @@
 		if s.draining.Load() {
 			ctx.SetConnectionClose()
 		}
+		s.handled.Add(1)
 		if lasts, err := time.ParseDuration(string(ctx.QueryArgs().Peek("lasts"))); err == nil {
 			ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 				w.WriteString("begin")
@@ -426,13 +428,11 @@
 			t.Parallel()
 			const callers = 20
 			s := startStoppableWith(t, drainDelay, testLatency)
-			var group, asked sync.WaitGroup
+			var group sync.WaitGroup
 			var late atomic.Int32 // callers that did not run in time
 			for range callers {
 				c := s.dial(t)
-				asked.Add(1)
 				group.Go(func() {
-					asked.Done()
 					if got := c.ask(lasts); got != answeredKept {
 						t.Errorf("before the stop: %s", got)
 					}
@@ -450,8 +450,9 @@
 					}
 				})
 			}
-			asked.Wait()
-			time.Sleep(4 * testLatency)
+			for s.handled.Load() < callers {
+				time.Sleep(time.Millisecond)
+			}
 			s.stop(t, 8*time.Second)
 			group.Wait()
 			if n := late.Load(); n == callers {
--- a/internal/transport/caller/grace_end_test.go
+++ b/internal/transport/caller/grace_end_test.go
@@ -18,15 +18,13 @@
 		around            = 20 * time.Millisecond
 	)
 	s := startStoppableWith(t, drainDelay, 204*time.Millisecond)
-	var group, asked sync.WaitGroup
+	var group sync.WaitGroup
 	stopped := make(chan time.Time)
 	counts := map[outcome]int{}
 	var mu sync.Mutex
 	for i := range callers {
 		c := s.dial(t)
-		asked.Add(1)
 		group.Go(func() {
-			asked.Done()
 			if got := c.ask(streamEnds); got != answeredKept {
 				t.Errorf("the stream: %s", got)
 			}
@@ -42,8 +40,9 @@
 			mu.Unlock()
 		})
 	}
-	asked.Wait()
-	time.Sleep(2 * testLatency)
+	for s.handled.Load() < callers {
+		time.Sleep(time.Millisecond)
+	}
 	startedAt := time.Now()
 	s.stop(t, grace)
 	for range callers {
