--- a/internal/transport/caller/drain_test.go
+++ b/internal/transport/caller/drain_test.go
@@ -470,13 +470,13 @@
 	c := s.dial(t)
 	go c.ask(grace - lifecycle.ExitMargin - 100*time.Millisecond)
 	time.Sleep(4 * testLatency)
-	startedAt := time.Now()
+	startedAt := s.clock.Elapsed()
 	s.stop(t, grace)
 	<-s.drained
-	if after := time.Since(startedAt); after > grace {
+	if after := s.clock.Elapsed() - startedAt; after > grace {
 		t.Errorf("the stop took %s", after)
 	}
-	if n := s.listener.Connections.Counts().Total(); n > 0 {
-		t.Errorf("%d connections were left", n)
+	if after := <-s.waitEnds - startedAt; after > grace {
+		t.Errorf("the connection was closed after %s", after)
 	}
 }
