--- a/internal/experiment/reuse.go
+++ b/internal/experiment/reuse.go
@@ -2,10 +2,10 @@
 
 import (
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
 const (
@@ -35,7 +35,7 @@
 	if err != nil || res.Close {
 		return res, err
 	}
-	timeout, ok := keepAliveTimeout(res.Header)
+	timeout, ok := upstream.ParseKeepAlive(res.Header.Get("Keep-Alive"))
 	if !ok || timeout > maxIdleTime {
 		timeout = maxIdleTime
 	}
@@ -75,16 +75,3 @@
 		transport.CloseIdleConnections()
 	}
 }
-
-// keepAliveTimeout returns the time that a response announces in Keep-Alive.
-func keepAliveTimeout(h http.Header) (time.Duration, bool) {
-	for _, parameter := range strings.Split(h.Get("Keep-Alive"), ",") {
-		value, ok := strings.CutPrefix(strings.TrimSpace(parameter), "timeout=")
-		if !ok {
-			continue
-		}
-		seconds, err := strconv.ParseUint(value, 10, 31)
-		return time.Duration(seconds) * time.Second, err == nil
-	}
-	return 0, false
-}
--- a/internal/soak/reuse.go
+++ b/internal/soak/reuse.go
@@ -8,8 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -132,24 +130,11 @@
 	if _, err := io.Copy(io.Discard, res.Body); err != nil {
 		return errors.Wrap(errBrokenOff, err.Error())
 	}
-	c.timeout, c.last = announcedTimeout(res.Header), res.Close
+	c.last = res.Close
+	c.timeout, _ = sockets.ParseKeepAlive(res.Header.Get("Keep-Alive"))
 	return nil
 }
 
-// announcedTimeout returns the time that a response gives in Keep-Alive; 0 if there is none.
-func announcedTimeout(h http.Header) time.Duration {
-	for _, parameter := range strings.Split(h.Get("Keep-Alive"), ",") {
-		if value, ok := strings.CutPrefix(strings.TrimSpace(parameter), "timeout="); ok {
-			seconds, err := strconv.Atoi(value)
-			if err != nil {
-				return 0
-			}
-			return time.Duration(seconds) * time.Second
-		}
-	}
-	return 0
-}
-
 // awaitEnd waits until a time and returns false if the connection ends, or holds bytes, before.
 func (c *reusingConn) awaitEnd(until time.Time) bool {
 	c.in.readBy = until
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -303,11 +303,19 @@
 		if !strings.EqualFold(string(name), fasthttp.HeaderKeepAlive) {
 			continue
 		}
-		for field := range strings.SplitSeq(string(header), ",") {
-			key, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-			if seconds, err := strconv.Atoi(strings.Trim(value, `" `)); strings.EqualFold(key, "timeout") && err == nil && seconds >= 0 && seconds <= maxKeepAliveSeconds {
-				return time.Duration(seconds) * time.Second, true
-			}
+		if timeout, ok := ParseKeepAlive(string(header)); ok {
+			return timeout, true
+		}
+	}
+	return 0, false
+}
+
+// ParseKeepAlive returns the timeout in the value of a Keep-Alive header, if there is one.
+func ParseKeepAlive(header string) (time.Duration, bool) {
+	for field := range strings.SplitSeq(header, ",") {
+		key, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(strings.Trim(value, `" `)); strings.EqualFold(key, "timeout") && err == nil && seconds >= 0 && seconds <= maxKeepAliveSeconds {
+			return time.Duration(seconds) * time.Second, true
 		}
 	}
 	return 0, false
