--- a/internal/transport/caller/doc.go
+++ b/internal/transport/caller/doc.go
@@ -11,7 +11,7 @@
 // [Listener.CloseAfterBacklog] does the same for connections that are not accepted yet.
 //
 // A response that began before the stop can't announce the end of its connection. It has announced instead for how long
-// the connection may be used again (Keep-Alive, [ReuseTimeout]): the connection stays open for that time and a margin, at
+// the connection may be used again (Keep-Alive, [lifecycle.ReuseTimeout]): the connection stays open for that time and a margin, at
 // most until the end of the grace period, and the next request gets an answer that announces the end. The time is
 // shorter than the drain delay and the idle timeout, so a caller that keeps to it sends on no connection that is being
 // closed, except where a response that began before the stop ends so late that the time reaches beyond the end of the
