--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
 	"github.com/yuccabridge/yuccabridge/internal/tasks"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
+	"github.com/yuccabridge/yuccabridge/internal/transport/peer"
 )
 
 // Adapter holds the implementations of the protocols of a deployment.
@@ -34,6 +35,8 @@
 	Decoder  Decoder
 	// DialUpstream replaces the dialer for upstreams, so that tests can interrupt links; nil: the default.
 	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
+	// DialPeer replaces the dialer for peers, so that tests can slow links; nil: the default.
+	DialPeer peer.DialFunc
 }
 
 // Gateway is one instance of the router.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,7 @@
 	readsPlatform         prometheus.Gauge
 	platformAvailable     prometheus.Gauge
 	deferredRemovals      prometheus.Gauge
+	pullAnswerBytes       *prometheus.CounterVec
 }
 
 const namespace = "yuccabridge"
@@ -58,7 +59,8 @@
 	m.readsPlatform = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_reads_platform", Help: "1 if this instance reads the platform for its failure domain."})
 	m.platformAvailable = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_platform_available", Help: "1 if the last call of the platform was answered."})
 	m.deferredRemovals = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_deferred_removals", Help: "Upstreams whose entries are missing and that are kept because of an outage of the platform."})
-	m.registry.MustRegister(m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.pullAnswerBytes = counter("gateway_pull_answer_bytes_total", "Bytes of answers to peers that ask what is published, by content.", "content")
+	m.registry.MustRegister(m.pullAnswerBytes, m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -114,6 +114,7 @@
 		Keys:           keys,
 		PrivateNetwork: true,
 		Handler:        peer.HandlerFunc(p.handleMessage),
+		Dialer:         g.adapter.DialPeer,
 		Relay:          p.relay,
 		RelayDialer:    relayDialer(),
 	})
@@ -416,10 +417,10 @@
 	}
 	after := replica.Position{Era: request.Era, Revision: request.Revision}
 	if request.Follow.Confirm {
-		return p.encodePush(pushMessage{Follow: p.gateway.platformWatcher.confirmFollower(ctx, after)})
+		return p.encodePush(answerChanges, pushMessage{Follow: p.gateway.platformWatcher.confirmFollower(ctx, after)})
 	}
 	if wait := time.Duration(request.Follow.WaitMS) * time.Millisecond; wait > 0 {
-		return p.encodePush(pushMessage{Follow: p.gateway.platformWatcher.serveFollower(ctx, after, wait)})
+		return p.encodePush(answerChanges, pushMessage{Follow: p.gateway.platformWatcher.serveFollower(ctx, after, wait)})
 	}
 	reply := pushMessage{
 		Snapshot:      p.gateway.platformWatcher.snapshotAfter(after),
@@ -434,14 +435,25 @@
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
 		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
 	}
-	return p.encodePush(reply)
+	content := answerChanges
+	if reply.Snapshot != nil || reply.Configuration != nil {
+		content = answerCopy
+	}
+	return p.encodePush(content, reply)
 }
 
-func (p *peers) encodePush(reply pushMessage) (peerwire.Message, error) {
+// Contents of answers to pulls, in metrics.
+const (
+	answerChanges = "changes"
+	answerCopy    = "copy" // with all entries, or the configuration
+)
+
+func (p *peers) encodePush(content string, reply pushMessage) (peerwire.Message, error) {
 	payload, err := msgpack.Marshal(reply)
 	if err != nil {
 		return nil, errors.Wrap(err, "push")
 	}
+	p.gateway.metrics.pullAnswerBytes.WithLabelValues(content).Add(float64(len(payload)))
 	return peerwire.ReplicaPush{Payload: payload}, nil
 }
 
