--- a/internal/transport/peer/node_test.go
+++ b/internal/transport/peer/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -367,3 +368,31 @@
 		t.Errorf("dialled %d times, %d links", s.Dialed, len(a.links))
 	}
 }
+
+// pacedConn delivers what it reads at a limited rate.
+type pacedConn struct {
+	net.Conn
+	bytesPerSecond int
+}
+
+func (c *pacedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(len(b), 4<<10)])
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(c.bytesPerSecond))
+	return n, err
+}
+
+// Guards against a connection that is closed while a large message still arrives over a slow link.
+func TestLargeFrameMayTakeLongerThanTheLivenessTimeout(t *testing.T) {
+	const size, bytesPerSecond = 1 << 20, 1 << 20 // a second, with a liveness timeout of 0.3 s
+	b := startNode(t, "b", nil)
+	a := startNode(t, "a", func(o *Options) {
+		o.Dialer = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := new(net.Dialer).DialContext(ctx, network, address)
+			return &pacedConn{Conn: c, bytesPerSecond: bytesPerSecond}, err
+		}
+	})
+	mustQuery(t, a, b, strings.Repeat("x", size))
+	if s := a.Stats(); s.Dialed != 1 || s.TimedOut != 0 {
+		t.Errorf("%+v", s)
+	}
+}
