--- a/internal/transport/peer/conn.go
+++ b/internal/transport/peer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,9 @@
 // outgoingQueueLength bounds the frames queued for writing on one connection.
 const outgoingQueueLength = 64
 
+// maxWriteBytes bounds what has to be written within the liveness timeout.
+const maxWriteBytes = 64 << 10
+
 // connection is an authenticated connection. One goroutine reads, one writes, and at most
 // MaxHandlers handle requests.
 type connection struct {
@@ -26,7 +30,7 @@
 	handlerSlots chan struct{}
 	goroutines   sync.WaitGroup
 
-	lastRead atomic.Int64 // time of the last received frame, in ns since the node started
+	lastRead atomic.Int64 // time of the last received bytes, in ns since the node started
 	lastCall atomic.Int64
 
 	mu              sync.Mutex
@@ -76,10 +80,7 @@
 
 func (c *connection) readLoop() {
 	for {
-		if c.session.conn.SetReadDeadline(time.Now().Add(c.node.opts.LivenessTimeout)) != nil {
-			return
-		}
-		b, err := peerwire.ReadFrame(c.session.reader, peerwire.MaxFrameBytes)
+		b, err := peerwire.ReadFrame(livenessReader{c}, peerwire.MaxFrameBytes)
 		if err != nil {
 			c.node.countReadError(err)
 			return
@@ -89,11 +90,25 @@
 			c.node.countReadError(err)
 			return
 		}
-		c.lastRead.Store(int64(c.node.now()))
 		c.handleFrame(f)
 	}
 }
 
+// livenessReader reads from a connection until nothing arrives for the liveness timeout. A large frame may take longer
+// than that in all.
+type livenessReader struct{ c *connection }
+
+func (r livenessReader) Read(p []byte) (int, error) {
+	if err := r.c.session.conn.SetReadDeadline(time.Now().Add(r.c.node.opts.LivenessTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := r.c.session.reader.Read(p)
+	if n > 0 {
+		r.c.lastRead.Store(int64(r.c.node.now()))
+	}
+	return n, err
+}
+
 func (c *connection) handleFrame(f peerwire.Frame) {
 	_, keepAlive := f.Message.(peerwire.KeepAlive)
 	_, unknown := f.Message.(peerwire.Unknown)
@@ -192,11 +207,15 @@
 	if err != nil {
 		return err
 	}
-	if err := c.session.conn.SetWriteDeadline(time.Now().Add(c.node.opts.LivenessTimeout)); err != nil {
-		return err
+	for piece := range slices.Chunk(b, maxWriteBytes) {
+		if err := c.session.conn.SetWriteDeadline(time.Now().Add(c.node.opts.LivenessTimeout)); err != nil {
+			return err
+		}
+		if _, err := c.session.conn.Write(piece); err != nil {
+			return err
+		}
 	}
-	_, err = c.session.conn.Write(b)
-	return err
+	return nil
 }
 
 func (c *connection) isIdle() bool {
@@ -242,7 +261,7 @@
 	case <-c.ctx.Done():
 		return nil, ErrConnectionLost
 	case <-ctx.Done():
-		// No frame was read since the request was sent: the connection may no longer deliver
+		// Nothing was read since the request was sent: the connection may no longer deliver
 		// data, so it is closed and the next call dials again.
 		if c.node.now()-started > 2*c.node.opts.KeepAliveInterval && time.Duration(c.lastRead.Load()) < started {
 			c.close()
--- a/internal/transport/peer/options.go
+++ b/internal/transport/peer/options.go
@@ -67,7 +67,7 @@
 	RelayDialer DialFunc
 
 	KeepAliveInterval time.Duration // between keep-alive frames; default 1 s
-	LivenessTimeout   time.Duration // without a received frame until a connection is closed; default 3 s
+	LivenessTimeout   time.Duration // without received bytes until a connection is closed; default 3 s
 	HandshakeTimeout  time.Duration // for dial and handshake; default 2 s
 	IdleTimeout       time.Duration // without a call until a dialled connection is closed; default 60 s
 	MaxInbound        int           // accepted connections; default 1024
