--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -134,11 +134,7 @@
 		position, _ := w.replica.Position()
 		answer.Era, answer.Revision = position.Era, position.Revision
 	}
-	size := 0
-	for _, c := range changes {
-		size += len(c.Key) + len(c.Value)
-	}
-	if size > maxChangesBytes {
+	if changesSize(changes) > maxChangesBytes {
 		answer.Changes, answer.Behind = nil, true
 	}
 	if endedAt, ok := w.replica.LastOutage(now); ok {
@@ -147,6 +143,15 @@
 	return answer
 }
 
+// changesSize returns the bytes of the keys and values of changes.
+func changesSize(changes []replica.Change) int {
+	size := 0
+	for _, c := range changes {
+		size += len(c.Key) + len(c.Value)
+	}
+	return size
+}
+
 // updateReaders chooses the readers of the failure domain among the live instances and this one.
 func (p *peers) updateReaders() {
 	schedule := p.gateway.platformWatcher.schedule
--- a/internal/gateway/peer_messages_test.go
+++ b/internal/gateway/peer_messages_test.go
@@ -43,6 +43,9 @@
 	if !firstBuild {
 		pull.Follow = followMessage{WaitMS: 800}
 		pull.Deferred = []replica.EntryState{{Key: "servers/i-3", Era: 3, Revision: 14}}
+		pull.Brief, pull.ConfigurationAt = true, replica.Position{Era: 3, Revision: 12}
+		push.Brief = &briefAnswer{Changes: []replica.Change{{Item: item}}, ChangesTo: replica.Position{Era: 3, Revision: 18}, Position: replica.Position{Era: 3, Revision: 19},
+			ConfigurationVersion: 6, ConfigurationAt: replica.Position{Era: 3, Revision: 12}}
 		push.Settled = true
 		push.Removed = pull.Deferred
 		push.Follow = followAnswer{Served: true, Era: 3, Revision: 18, AgeMS: 40, OutageEnded: true, OutageEndedMS: 5000,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,7 @@
 	"math"
 	mathrand "math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	// idlePullIntervals is the number of pull intervals between requests while the platform
 	// is available: the connection to it may have failed without an error.
 	idlePullIntervals = 10
+	// copyTimeout bounds the transfer of a copy from a peer, over a link that is slow or busy.
+	copyTimeout = 8 * time.Second
 	// joinPullTime is how long after its start an instance pulls from each peer that it learns
 	// of, because it knows nothing of what was broadcast before.
 	joinPullTime = 10 * time.Second
@@ -64,6 +67,7 @@
 	placement  atomic.Pointer[streamorigin.Placement]
 
 	originCopies streamorigin.CopyQueue
+	copyMu       sync.Mutex // held during the transfer of a copy from a peer
 
 	initialized chan struct{} // closed when the instance may handle messages
 }
@@ -75,6 +79,11 @@
 	Era, Revision, ConfigurationVersion, RefusedDigest uint64
 	Follow                                             followMessage
 	Deferred                                           []replica.EntryState
+	// Brief asks for no snapshot and no configuration: the answer holds the changes after the position if they
+	// are few, and says whether the peer has more. An older build answers in full.
+	Brief bool
+	// ConfigurationAt is the position of the configuration that this instance has; a snapshot needs no copy of it.
+	ConfigurationAt replica.Position
 }
 
 // pushMessage is the answer to a pullMessage. Snapshot is nil if the peer has nothing
@@ -93,6 +102,8 @@
 	Follow followAnswer
 	// Removed are the entries asked for whose removal has taken effect at the peer.
 	Removed []replica.EntryState
+	// Brief is the answer to a brief pull; nil in a full one.
+	Brief *briefAnswer
 }
 
 // newPeers opens the sockets for peers; it returns nil if the settings do not configure
@@ -323,29 +334,73 @@
 // newPullMessage returns a request for what a peer knows beyond this instance, with a snapshot if the peer's is
 // after the position.
 func (p *peers) newPullMessage(after replica.Position) pullMessage {
-	return pullMessage{Era: after.Era, Revision: after.Revision, ConfigurationVersion: p.gateway.configurationVersion(), RefusedDigest: p.gateway.quarantine.RefusedDigest(p.gateway.now())}
+	version, at := p.gateway.configurationPosition()
+	return pullMessage{Era: after.Era, Revision: after.Revision, ConfigurationVersion: version, ConfigurationAt: at, Brief: true,
+		RefusedDigest: p.gateway.quarantine.RefusedDigest(p.gateway.now())}
 }
 
-// pull requests what a peer knows beyond this instance, with a snapshot if the peer's is after the
-// position.
+// pull requests what a peer knows beyond this instance, with the changes after the position. What is too large for
+// that is copied only if the platform does not send it.
 func (p *peers) pull(ctx context.Context, member membership.Member, after replica.Position) {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-	defer cancel()
 	request := p.newPullMessage(after)
 	request.Deferred = p.gateway.platformWatcher.replica.Deferred(maxDeferredPerPull)
+	reply, ok := p.pullOnce(ctx, member, request, peerCallTimeout)
+	switch {
+	case !ok:
+	case p.needsCopy(reply.Brief):
+		go p.copyFrom(ctx, member, after, reply)
+	default:
+		p.recordJoinAnswer(member, reply)
+	}
+}
+
+// copyFrom copies what the brief answer of a peer does not hold, one copy at a time. An instance that joins waits for
+// its turn, since what the peer has in force may be in the copy.
+func (p *peers) copyFrom(ctx context.Context, member membership.Member, after replica.Position, brief pushMessage) {
+	if !p.copyMu.TryLock() {
+		if p.joining.Settled() {
+			return
+		}
+		p.copyMu.Lock()
+	}
+	defer p.copyMu.Unlock()
+	if p.needsCopy(brief.Brief) {
+		request := p.newPullMessage(after)
+		request.Brief = false
+		if _, ok := p.pullOnce(ctx, member, request, copyTimeout); !ok {
+			return
+		}
+	}
+	p.recordJoinAnswer(member, brief)
+}
+
+// recordJoinAnswer records that a peer has told this instance all it knows.
+func (p *peers) recordJoinAnswer(member membership.Member, reply pushMessage) {
+	p.joining.Answered(p.gateway.now(), member.UDP, reply.Settled)
+	p.logJoined()
+}
+
+// pullOnce sends a pull and applies the answer.
+func (p *peers) pullOnce(ctx context.Context, member membership.Member, request pullMessage, timeout time.Duration) (pushMessage, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	reply, err := p.exchangePull(ctx, member, request)
 	if err != nil {
 		p.logCallFailure("pull", member.Name, err)
-		return
+		return reply, false
 	}
-	defer func() {
-		p.joining.Answered(p.gateway.now(), member.UDP, reply.Settled)
-		p.logJoined()
-	}()
+	p.applyPush(member, reply)
+	return reply, true
+}
+
+func (p *peers) applyPush(member membership.Member, reply pushMessage) {
 	p.gateway.versions.Merge(p.gateway.now(), reply.Versions)
-	if reply.Snapshot != nil {
+	if reply.Snapshot != nil && p.gateway.completeSnapshot(reply.Snapshot) {
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
 	}
+	if reply.Brief != nil && len(reply.Brief.Changes) > 0 {
+		p.gateway.platformWatcher.applyChanges(reply.Brief.Changes, reply.Brief.ChangesTo, member.Name)
+	}
 	p.gateway.platformWatcher.confirmRemovals(reply.Removed, member.Name)
 	if reply.Configuration != nil {
 		p.gateway.applyConfigurationItem(*reply.Configuration, member.Name)
@@ -423,14 +478,18 @@
 		return p.encodePush(answerChanges, pushMessage{Follow: p.gateway.platformWatcher.serveFollower(ctx, after, wait)})
 	}
 	reply := pushMessage{
-		Snapshot:      p.gateway.platformWatcher.snapshotAfter(after),
-		Configuration: p.gateway.configurationNewerThan(request.ConfigurationVersion),
-		Versions:      p.gateway.versions.Observations(p.gateway.now(), p.gateway.platformWatcher.isCurrent()),
-		Settled:       p.settled(),
-		Removed:       p.gateway.platformWatcher.replica.Removed(request.Deferred),
-	}
-	if reply.Snapshot != nil && reply.Configuration != nil && reply.Snapshot.Holds(reply.Configuration) {
-		reply.Configuration = nil // once is enough: it may fill half of a message
+		Versions: p.gateway.versions.Observations(p.gateway.now(), p.gateway.platformWatcher.isCurrent()),
+		Settled:  p.settled(),
+		Removed:  p.gateway.platformWatcher.replica.Removed(request.Deferred),
+	}
+	if request.Brief {
+		reply.Brief = p.newBriefAnswer(after, request.ConfigurationVersion)
+	} else {
+		reply.Snapshot = p.gateway.platformWatcher.snapshotAfter(after, request.ConfigurationAt)
+		reply.Configuration = p.gateway.configurationNewerThan(request.ConfigurationVersion)
+		if reply.Snapshot != nil && reply.Configuration != nil && reply.Snapshot.Holds(reply.Configuration) {
+			reply.Configuration = nil // once is enough: it may fill half of a message
+		}
 	}
 	if now := p.gateway.now(); p.gateway.quarantine.RefusedDigest(now) != request.RefusedDigest {
 		reply.Suspicions = p.gateway.quarantine.Refused(now, maxSuspicionsPerPull)
@@ -458,15 +517,20 @@
 }
 
 // snapshotAfter returns a snapshot of the replica if it is after a position, nil otherwise. Entries that are too large
-// to be of an upstream have no value in it: the whole must fit into one message.
-func (w *platformWatcher) snapshotAfter(position replica.Position) *replica.Snapshot {
+// to be of an upstream have no value in it: the whole must fit into one message. Neither has the configuration of
+// position heldConfiguration, which the receiver has.
+func (w *platformWatcher) snapshotAfter(position, heldConfiguration replica.Position) *replica.Snapshot {
 	current, ok := w.replica.Position()
 	if !ok || current.Compare(position) <= 0 {
 		return nil
 	}
 	snapshot := w.replica.Snapshot()
 	for i, item := range snapshot.Items {
-		if len(item.Value) > MaxUpstreamEntryBytes && !w.gateway.adapter.Decoder.IsConfiguration(item.Key) {
+		omit := len(item.Value) > MaxUpstreamEntryBytes
+		if w.gateway.adapter.Decoder.IsConfiguration(item.Key) {
+			omit = item.Position() == heldConfiguration
+		}
+		if omit {
 			snapshot.Items[i].Value = nil
 		}
 	}
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -434,14 +434,20 @@
 	return &g.published.item
 }
 
-// configurationVersion returns the newest version that was published; 0 if there is none.
-func (g *Gateway) configurationVersion() uint64 {
+// configurationPosition returns the newest version that was published, and its position; zero if there is none.
+func (g *Gateway) configurationPosition() (version uint64, at replica.Position) {
 	g.publishedMu.Lock()
 	defer g.publishedMu.Unlock()
 	if g.published == nil {
-		return 0
+		return 0, replica.Position{}
 	}
-	return g.published.version
+	return g.published.version, g.published.item.Position()
+}
+
+// configurationVersion returns the newest version that was published; 0 if there is none.
+func (g *Gateway) configurationVersion() uint64 {
+	version, _ := g.configurationPosition()
+	return version
 }
 
 // applyUpstream applies one changed entry. The caller must hold configurationMu.
