--- a/internal/gateway/confirmation.go
+++ b/internal/gateway/confirmation.go
@@ -111,7 +111,7 @@
 func (w *platformWatcher) readPlatformChanges() error {
 	after, _ := w.replica.Position()
 	w.gateway.metrics.platformReads.WithLabelValues("confirmation").Inc()
-	changes, position, err := w.gateway.adapter.Store.Watch(context.Background(), w.prefix, after, 0)
+	changes, position, err := w.gateway.adapter.Store.Watch(context.Background(), w.prefix, after, 0, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -111,7 +111,7 @@
 	defer timer.Stop()
 	for held := true; held; {
 		changed := w.changed.Load()
-		if position, ok := w.replica.Position(); !ok || position.Compare(after) > 0 {
+		if position, ok := w.replica.Position(); !ok || position.Compare(after) > 0 || w.lacksArrivingChange(position, after) {
 			break
 		}
 		select {
@@ -134,6 +134,10 @@
 		position, _ := w.replica.Position()
 		answer.Era, answer.Revision = position.Era, position.Revision
 	}
+	// The follower reads a large change with this instance, not after it.
+	if position, _ := w.replica.Position(); len(changes) == 0 && w.lacksArrivingChange(position, after) {
+		answer.Behind = true
+	}
 	if changesSize(changes) > maxChangesBytes {
 		answer.Changes, answer.Behind = nil, true
 	}
@@ -143,6 +147,12 @@
 	return answer
 }
 
+// lacksArrivingChange reports whether a large answer arrives that a follower at a position needs, too. One that is
+// ahead of this instance has read it.
+func (w *platformWatcher) lacksArrivingChange(position, follower replica.Position) bool {
+	return w.largeArrives.Load() && follower.Compare(position) <= 0
+}
+
 // changesSize returns the bytes of the keys and values of changes.
 func changesSize(changes []replica.Change) int {
 	size := 0
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -22,7 +22,7 @@
 	return replica.Snapshot{Revision: 1}, nil
 }
 
-func (emptyStore) Watch(ctx context.Context, _ string, after replica.Position, wait time.Duration) ([]replica.Change, replica.Position, error) {
+func (emptyStore) Watch(ctx context.Context, _ string, after replica.Position, wait time.Duration, _ func()) ([]replica.Change, replica.Position, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
--- a/internal/gateway/platform_outage_test.go
+++ b/internal/gateway/platform_outage_test.go
@@ -127,7 +127,7 @@
 	return nil
 }
 
-func (s *outageStore) Watch(ctx context.Context, _ string, after replica.Position, wait time.Duration) ([]replica.Change, replica.Position, error) {
+func (s *outageStore) Watch(ctx context.Context, _ string, after replica.Position, wait time.Duration, _ func()) ([]replica.Change, replica.Position, error) {
 	if !s.answers(ctx, wait+WatchTimeoutMargin) {
 		return nil, after, errUnanswered
 	}
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -72,7 +72,9 @@
 	// behind is set from a ping that ended an outage until the changes since then have been read.
 	behind  atomic.Bool
 	recent  *replica.Recent               // for followers
-	changed atomic.Pointer[chan struct{}] // closed when the position changes
+	changed atomic.Pointer[chan struct{}] // closed when the position changes, or a large answer arrives
+	// largeArrives is set while a large answer to the watch arrives.
+	largeArrives atomic.Bool
 	// confirmations read what was published until a request arrived, platformConfirmations from the platform
 	// itself.
 	confirmations, platformConfirmations confirmations
@@ -303,7 +305,11 @@
 	}
 	after, _ := w.replica.Position()
 	w.gateway.metrics.platformReads.WithLabelValues("platform").Inc()
-	changes, position, err := w.gateway.adapter.Store.Watch(ctx, w.prefix, after, question.Wait)
+	changes, position, err := w.gateway.adapter.Store.Watch(ctx, w.prefix, after, question.Wait, func() {
+		w.largeArrives.Store(true)
+		w.signalChange()
+	})
+	w.largeArrives.Store(false) // before the position changes: a follower at the new one has all
 	if err != nil {
 		w.failedWatches++
 		return err
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -136,8 +136,9 @@
 	// Read returns all entries under a prefix.
 	Read(ctx context.Context, prefix string) (replica.Snapshot, error)
 	// Watch waits for changes after a position, at most for the given duration. It also
-	// returns the position up to which the changes are complete, of the same era.
-	Watch(ctx context.Context, prefix string, after replica.Position, wait time.Duration) ([]replica.Change, replica.Position, error)
+	// returns the position up to which the changes are complete, of the same era. It calls onLarge, if it is not
+	// nil, while an answer arrives that is too large for one message to a follower.
+	Watch(ctx context.Context, prefix string, after replica.Position, wait time.Duration, onLarge func()) ([]replica.Change, replica.Position, error)
 	// Ping makes a call with a small answer and returns an error unless the platform answers it within
 	// PingTimeout.
 	Ping(ctx context.Context) error
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -196,7 +196,7 @@
 }
 
 func (c *Client) get(uri string, timeout time.Duration, res *fasthttp.Response) (Outcome, error) {
-	if err := c.do(context.Background(), uri, timeout, res); err != nil {
+	if err := c.do(context.Background(), uri, timeout, nil, res); err != nil {
 		return Unavailable, err
 	}
 	switch code := res.StatusCode(); code {
@@ -221,11 +221,19 @@
 	Body   []byte
 }
 
+// LargeResponseBytes is the size from which a response counts as large.
+const LargeResponseBytes = 48 << 10
+
 // Get calls the platform. The call ends when ctx does.
 func (c *Client) Get(ctx context.Context, uri string, timeout time.Duration) (*Response, error) {
+	return c.GetLarge(ctx, uri, timeout, nil)
+}
+
+// GetLarge is like Get. It calls onLarge, if it is not nil, while a large response arrives; onLarge must not block.
+func (c *Client) GetLarge(ctx context.Context, uri string, timeout time.Duration, onLarge func()) (*Response, error) {
 	res := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
-	if err := c.do(ctx, uri, timeout, res); err != nil {
+	if err := c.do(ctx, uri, timeout, onLarge, res); err != nil {
 		return nil, err
 	}
 	out := &Response{Status: res.StatusCode(), Header: http.Header{}, Body: append([]byte(nil), res.Body()...)}
@@ -237,7 +245,7 @@
 
 // do calls the platform. A call that finds its connection closed is sent again, unless ctx has ended: then this
 // client has closed the connection.
-func (c *Client) do(ctx context.Context, uri string, timeout time.Duration, res *fasthttp.Response) error {
+func (c *Client) do(ctx context.Context, uri string, timeout time.Duration, onLarge func(), res *fasthttp.Response) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(c.ctx, cancel)()
@@ -252,7 +260,7 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + s.http.Addr + uri)
-	err = s.do(ctx, req, res, time.Now().Add(timeout))
+	err = s.do(ctx, req, res, time.Now().Add(timeout), onLarge)
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return ErrTooLarge
 	}
@@ -296,6 +304,7 @@
 
 type trackedConn struct {
 	net.Conn
+	slot       *slot
 	readBy     time.Time // zero: no limit
 	transferBy time.Time // latest value of readBy
 	readBytes  int       // of the answer
@@ -313,6 +322,9 @@
 		return 0, ErrTooLarge
 	}
 	n, err := c.Conn.Read(p)
+	if c.readBytes < LargeResponseBytes && c.readBytes+n >= LargeResponseBytes {
+		c.slot.notifyLarge()
+	}
 	c.readBytes += n
 	if n == 0 || err != nil || c.readBy.IsZero() {
 		return n, err
--- a/internal/transport/platform/slot.go
+++ b/internal/transport/platform/slot.go
@@ -18,9 +18,10 @@
 	client *Client
 	http   *fasthttp.HostClient
 
-	mu   sync.Mutex
-	ctx  context.Context // of the call in progress
-	conn net.Conn        // opened last; nil before the first dial
+	mu      sync.Mutex
+	ctx     context.Context // of the call in progress
+	onLarge func()          // of the call in progress; nil if it has been called
+	conn    net.Conn        // opened last; nil before the first dial
 }
 
 func (c *Client) newSlot(address string) *slot {
@@ -38,8 +39,8 @@
 }
 
 // do makes a call that ends when ctx does.
-func (s *slot) do(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, deadline time.Time) error {
-	s.begin(ctx)
+func (s *slot) do(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, deadline time.Time, onLarge func()) error {
+	s.begin(ctx, onLarge)
 	defer s.finish()
 	defer context.AfterFunc(ctx, func() { s.abort(ctx) })()
 	err := ctx.Err()
@@ -51,16 +52,27 @@
 	return err
 }
 
-func (s *slot) begin(ctx context.Context) {
+func (s *slot) begin(ctx context.Context, onLarge func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ctx = ctx
+	s.ctx, s.onLarge = ctx, onLarge
 }
 
 func (s *slot) finish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ctx = nil
+	s.ctx, s.onLarge = nil, nil
+}
+
+// notifyLarge tells the call in progress, once, that its response is large.
+func (s *slot) notifyLarge() {
+	s.mu.Lock()
+	onLarge := s.onLarge
+	s.onLarge = nil
+	s.mu.Unlock()
+	if onLarge != nil {
+		onLarge()
+	}
 }
 
 // abort closes the connection of the call with the context, if it is still in progress.
@@ -89,5 +101,5 @@
 		return nil, err
 	}
 	s.conn = conn
-	return &trackedConn{Conn: conn}, nil
+	return &trackedConn{Conn: conn, slot: s}, nil
 }
