--- a/internal/coordination/readers/doc.go
+++ b/internal/coordination/readers/doc.go
@@ -22,9 +22,8 @@
 //	readers killed, frozen, cut off or refused    0.65 B + call    1.3 s     2.6 s
 //	the same and the platform's answer is lost    0.65 B + 0.5 s   1.8 s     3.1 s
 //
-// and a large change one transfer later: an instance that others ask tells them when a large answer begins to arrive,
-// and they read it from the platform at the same time.
-//
-// The pause lets changes in quick succession share a call. A call takes some milliseconds.
+// A large change takes one transfer longer: an instance that others ask tells them when a large answer begins to arrive,
+// and they read it from the platform at the same time. The pause lets changes in quick succession share a call. A
+// call takes some milliseconds.
 // Before the first full read, every instance reads for itself, so that starting depends on nobody.
 package readers
