--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -226,7 +226,7 @@
 		if c.opts.PreserveHeaderCase {
 			response.Response.Header.DisableNormalizing()
 		}
-		if err := response.Response.Read(cn.reader); err != nil {
+		if err := readResponse(cn.reader, &response.Response); err != nil {
 			return fail(PhaseHeader, errors.Wrap(err, "read response"))
 		}
 		if cn.acceptsResponse(call, &response.Response.Header) {
--- /dev/null
+++ b/internal/transport/upstream/status_test.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+// respond starts an upstream that answers the first request of each connection with text, byte by byte or at once.
+func respond(t *testing.T, text string, byteByByte bool) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				if !byteByByte {
+					io.WriteString(c, text)
+					return
+				}
+				for i := range text {
+					io.WriteString(c, text[i:i+1])
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a response with an invalid status code that counts as a success: the HTTP library reads 000 as 200.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for line, want := range map[string]int{
+		"HTTP/1.1 000 OK": 0, "HTTP/1.1 000": 0, "HTTP/1.1 099 X": 0, "HTTP/1.1 0 OK": 0, "HTTP/1.1 ": 0, "HTTP/1.1 2": 0,
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK": 0, "\r\nHTTP/1.1 000 OK": 0,
+		"HTTP/1.1 200 OK": 200, "HTTP/1.1 200": 200, "HTTP/1.1 599 X": 599, "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 404 Not Found": 404,
+	} {
+		for _, byteByByte := range []bool{false, true} {
+			client := New(respond(t, line+"\r\nContent-Length: 4\r\n\r\nbody", byteByByte), Options{})
+			request := fasthttp.AcquireRequest()
+			request.SetRequestURI("http://upstream/")
+			response, err := client.Do(t.Context(), Call{Request: request})
+			if want == 0 {
+				if failure, ok := err.(*Failure); !ok || failure.Phase != PhaseHeader || !failure.Malformed {
+					t.Errorf("%q: %+v", line, err)
+				}
+				client.Close()
+				continue
+			}
+			if err != nil || response.Response.StatusCode() != want {
+				t.Errorf("%q: %v", line, err)
+			}
+			client.Close()
+		}
+	}
+}
