--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -31,8 +31,9 @@
 	followerBackoffFraction = 0.25
 	// minWatchPause lets changes in quick succession share a call.
 	minWatchPause = 100 * time.Millisecond
-	// fullReadTimeout bounds a full read, including from a slow platform.
-	fullReadTimeout = 4 * time.Second
+	// fullReadTimeout bounds a full read, whose calls have limits of their own: the platform must still have the
+	// changes since its first page.
+	fullReadTimeout = 12 * time.Second
 	// initialBackoff and maxBackoff bound the pause before a failed call is retried.
 	initialBackoff = 30 * time.Millisecond
 	maxBackoff     = 400 * time.Millisecond
