--- a/internal/transport/peer/relay.go
+++ b/internal/transport/peer/relay.go
@@ -262,27 +262,41 @@
 	}
 }
 
-// tcpEstablished is the state of an open connection in TCP_INFO.
-const tcpEstablished = 1
+// States of a connection in TCP_INFO.
+const (
+	tcpStateUnknown = 0 // the kernel does not tell
+	tcpEstablished  = 1
+	tcpClosed       = 7 // by both ends, or by a reset
+)
 
-// closedByPeer reports whether the peer has closed the connection, though bytes from before may be unread: they
-// are of a request that was given up while this process was paused. Where the kernel does not tell, it
-// returns false.
-func (s *session) closedByPeer() bool {
-	tcp, ok := tcpConn(s.conn)
+// tcpState returns the state of a connection.
+func tcpState(c net.Conn) uint8 {
+	tcp, ok := tcpConn(c)
 	if !ok {
-		return false
+		return tcpStateUnknown
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return true
+		return tcpClosed
 	}
-	closed := false
+	var state uint8
 	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err == nil && info.State != tcpEstablished
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
 	})
-	return closed || err != nil
+	if err != nil {
+		return tcpClosed
+	}
+	return state
+}
+
+// closedByPeer reports whether the peer has closed the connection, though bytes from before may be unread: they
+// are of a request that was given up while this process was paused. Where the kernel does not tell, it
+// returns false.
+func (s *session) closedByPeer() bool {
+	state := tcpState(s.conn)
+	return state != tcpStateUnknown && state != tcpEstablished
 }
 
 // relayFromUpstream relays until the upstream ends the connection. Only a regular end is passed on as such.
@@ -298,7 +312,8 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		// A write that noticed a reset has taken its error, so that the next read returns io.EOF.
+		if err == io.EOF && tcpState(upstream) != tcpClosed {
 			_ = s.writeFrame(peerwire.RelayEnd{}) // if it is lost, the peer sees a broken connection
 		}
 		if err != nil {
--- a/internal/transport/peer/relay_test.go
+++ b/internal/transport/peer/relay_test.go
@@ -220,3 +220,32 @@
 		t.Errorf("the caller's instance got %q, %v", b, err)
 	}
 }
+
+// Guards against a reset that reaches the caller as a regular end, because the relay notices it while it writes the
+// upload and its next read finds only an end.
+func TestRelayPassesOnAResetDuringAnUpload(t *testing.T) {
+	const tries, part = 200, "part of an answer"
+	address := startUpstream(t, func(c *net.TCPConn) {
+		defer c.Close()
+		if _, err := io.CopyN(io.Discard, c, 256<<10); err != nil {
+			return
+		}
+		io.WriteString(c, part)
+		c.SetLinger(0)
+	})
+	relaying, caller := startNode(t, "relay", relayTo(t)), startNode(t, "caller", nil)
+	upload := make([]byte, 1<<20)
+	for range tries {
+		c, err := caller.OpenRelay(t.Context(), relaying.Addr(), peerwire.RelayOpen{Upstream: address})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var writing sync.WaitGroup
+		writing.Go(func() { c.Write(upload) })
+		if text, err := io.ReadAll(c); err == nil {
+			t.Fatalf("a regular end after %q", text)
+		}
+		c.Close()
+		writing.Wait()
+	}
+}
