--- a/internal/coordination/dispatch/choose.go
+++ b/internal/coordination/dispatch/choose.go
@@ -178,6 +178,9 @@
 			continue
 		}
 		h := rendezvousHash(session, u.nameHash)
+		if !u.takesBack(now, h) {
+			continue
+		}
 		i := n
 		for i > 0 && hashes[i-1] < h {
 			i--
@@ -210,7 +213,7 @@
 // eligible reports whether the upstream may receive the request now. The second pass includes
 // ejected upstreams, the third pass also those in r.Exclude.
 func (d *Dispatcher) eligible(now time.Duration, u *upstream, r *Request, pass int) bool {
-	return u.limiter.Permitted(now) && !u.heldBack(now) && d.available(u, r, pass)
+	return u.permitted(now) && !u.heldBack(now) && d.available(u, r, pass)
 }
 
 // available reports whether the upstream may receive the request, apart from its limit.
--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -51,7 +51,8 @@
 	upstreams        map[string]*upstream
 	byTag            map[Tag]*upstream
 	domainAnsweredAt map[string]time.Duration // by failure domain: send time of the latest answered request
-	byHash           []*upstream              // ordered by nameHash, the same on all instances
+	byHash           []*upstream              // those in service, ordered by nameHash, the same on all instances
+	evacuated        []*upstream              // those of evacuated failure domains, ordered by nameHash
 
 	tokensPerMS           float64 // learned prefill rate
 	serviceLatencySeconds float64 // mean response time of a service without prompts
@@ -71,7 +72,10 @@
 	nextLateScanAt   time.Duration
 	instances        []uint64 // hashes of the names of all live instances, without duplicates
 	self             uint64   // hash of the name of this instance
+	known            []uint64 // hashes of the names of all instances that may be running, without duplicates
+	membersUnknown   bool     // this instance does not know yet which others may be running
 	leaving          bool     // this instance holds no limits any more
+	newlyCold        []ColdUpstream
 	lapsedLimits     []lapsedLimit
 	lapsedStatements []lapsedStatement
 	medianBuffer     []float64
@@ -96,6 +100,7 @@
 	answered         bool
 	latencySensitive bool
 	corrections      time.Duration // of the upstream when the request was sent
+	cold             bool          // counts against the limit of a cold upstream
 }
 
 // New returns a dispatcher without upstreams. rng must not be shared.
@@ -128,18 +133,23 @@
 			d.restoreLimit(now, u, old)
 			d.restoreStatements(u, old)
 		}
-		u.Upstream = published
+		d.applyPublished(now, u, old, published)
 		next[published.ID] = u
 	}
 	d.keepLimits(now, next)
 	d.keepStatements(now, next)
 	d.upstreams, d.byTag = next, make(map[Tag]*upstream, len(next))
-	d.byHash = d.byHash[:0]
+	d.byHash, d.evacuated = d.byHash[:0], d.evacuated[:0]
 	for _, u := range next {
-		d.byHash = append(d.byHash, u)
+		if u.Evacuated {
+			d.evacuated = append(d.evacuated, u)
+		} else {
+			d.byHash = append(d.byHash, u)
+		}
 		d.byTag[u.tag] = u
 	}
 	slices.SortFunc(d.byHash, compareNameHash)
+	slices.SortFunc(d.evacuated, compareNameHash)
 	d.updateSplit(now)
 }
 
@@ -405,10 +415,13 @@
 	d.lastToken++
 	g := &grant{
 		upstream: u, rank: r.Rank, promptTokens: r.Prompt, cachedTokens: c.cachedTokens, sentAt: now, predictedWait: c.predictedWait, work: c.work,
-		latencySensitive: isLatencySensitive(r), corrections: u.corrections[rankIndex(r.Rank)],
+		latencySensitive: isLatencySensitive(r), corrections: u.corrections[rankIndex(r.Rank)], cold: u.isCold(now),
 	}
 	d.grants[d.lastToken] = g
 	u.limiter.Sent(now, d.lastToken)
+	if g.cold {
+		u.cold.limiter.Sent(now, d.lastToken)
+	}
 	u.local.InFlight++
 	if g.latencySensitive {
 		u.local.Streams++
@@ -422,7 +435,7 @@
 			d.unreportedWork = append(d.unreportedWork, Work{Upstream: u.tag, Prefill: c.work, Rank: r.Rank, Long: r.long, Session: sessionPart(r.Prefix)})
 		}
 	}
-	return Decision{ID: r.ID, Grant: &Grant{Upstream: u.Upstream, Token: d.lastToken, Wait: c.predictedWait, Work: c.work, Cached: c.cachedTokens, Preferred: c.preferred, Load: u.load() - 1}}
+	return Decision{ID: r.ID, Grant: &Grant{Upstream: u.Upstream, Token: d.lastToken, Wait: c.predictedWait, Work: c.work, Cached: c.cachedTokens, Preferred: c.preferred, Load: u.load() - 1, Cold: g.cold}}
 }
 
 // reject returns a rejection with a retry delay.
--- a/internal/coordination/dispatch/feedback.go
+++ b/internal/coordination/dispatch/feedback.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // FirstOutput records the start of an answer and corrects the upstream's predictions.
 func (d *Dispatcher) FirstOutput(now time.Duration, token uint64) {
@@ -11,8 +17,8 @@
 		return
 	}
 	g.answered = true
-	d.recordAnswer(g)
-	g.upstream.limiter.Answered(token)
+	d.recordAnswer(now, g)
+	g.upstream.limitAnswered(token)
 	elapsed := now - g.sentAt
 	if g.upstream.KVCapacityTokens == 0 {
 		d.updateResponseTimes(now, g, elapsed)
@@ -85,9 +91,10 @@
 	delete(d.grants, token)
 	u := g.upstream
 	if status == Succeeded || status == Refused {
-		u.limiter.Answered(token)
+		u.limitAnswered(token)
 	} else {
 		u.limiter.GivenUp(token)
+		u.cold.limiter.GivenUp(token)
 	}
 	u.local.InFlight--
 	if g.latencySensitive {
@@ -98,12 +105,12 @@
 	}
 	switch status {
 	case Succeeded:
-		d.recordAnswer(g)
+		d.recordAnswer(now, g)
 		u.malformed = 0
 		u.recordSuccess()
 		u.failures.observe(now, 0, failureWeight)
 	case Failed:
-		d.recordAnswer(g)
+		d.recordAnswer(now, g)
 		u.failures.observe(now, 1, failureWeight)
 	case Unreachable:
 		u.recordConnectFailure(now)
@@ -113,7 +120,7 @@
 		u.failures.observe(now, 1, failureWeight)
 		d.ejectUnresponsiveDomain(now, u)
 	case Refused:
-		d.recordAnswer(g)
+		d.recordAnswer(now, g)
 		u.addWork(now, g.rank, refusedDelay)
 	case Misdirected:
 		u.recordMisdirected(now)
@@ -129,8 +136,8 @@
 const refusedDelay = 100 * time.Millisecond
 
 // recordAnswer records that the upstream answered.
-func (d *Dispatcher) recordAnswer(g *grant) {
-	g.upstream.recordReachable()
+func (d *Dispatcher) recordAnswer(now time.Duration, g *grant) {
+	d.recordReachable(now, g.upstream)
 	g.upstream.noResponseAt = 0
 	if last := d.domainAnsweredAt[g.upstream.Domain]; last < g.sentAt {
 		d.domainAnsweredAt[g.upstream.Domain] = g.sentAt
@@ -191,7 +198,7 @@
 	}
 	u.probing = false
 	if ok {
-		u.recordReachable()
+		d.recordReachable(now, u)
 		return
 	}
 	u.recordConnectFailure(now)
@@ -215,19 +222,24 @@
 	StatedLeaving bool `json:",omitempty"`
 	// Silent reports whether it has stated that it wants no requests from this instance yet.
 	Silent bool `json:",omitempty"`
+	// Cold reports whether it counts as cold. ColdHolder reports whether this instance sends to it meanwhile.
+	Cold       bool `json:",omitempty"`
+	ColdHolder bool `json:",omitempty"`
 }
 
 // Snapshot returns the state of all upstreams, ordered by nameHash.
 func (d *Dispatcher) Snapshot(now time.Duration) []UpstreamState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make([]UpstreamState, 0, len(d.byHash))
-	for _, u := range d.byHash {
+	out := make([]UpstreamState, 0, len(d.upstreams))
+	for u := range d.all() {
 		out = append(out, UpstreamState{
 			Upstream: u.Upstream, InFlight: u.local.InFlight, Load: u.load(), Wait: u.predictedWait(now, Ranks), Slowness: u.slownessFactor(now, d.medians(now)),
 			Failures: u.failures.decayed(now), Ejected: u.ejected(), ForLong: u.forLong,
 			Limit: u.limiter.Limit().Rate, LimitHolder: u.limiter.Limited() && u.limiter.Holder(), StatedLeaving: u.stated.leaving, Silent: u.silent(now),
+			Cold: u.isCold(now), ColdHolder: u.isCold(now) && u.cold.limiter.Holder(),
 		})
 	}
+	slices.SortFunc(out, func(a, b UpstreamState) int { return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)) })
 	return out
 }
--- a/internal/coordination/dispatch/limits.go
+++ b/internal/coordination/dispatch/limits.go
@@ -19,7 +19,7 @@
 	if g == nil {
 		return false
 	}
-	g.upstream.limiter.Answered(token)
+	g.upstream.limitAnswered(token)
 	if !g.upstream.limiter.Observe(now, g.sentAt, rate) {
 		return false
 	}
@@ -34,6 +34,7 @@
 	defer d.mu.Unlock()
 	if g := d.grants[token]; g != nil {
 		g.upstream.limiter.NotSent(token)
+		g.upstream.cold.limiter.NotSent(token)
 	}
 }
 
@@ -49,7 +50,7 @@
 	}
 	slices.Sort(d.instances)
 	d.instances = slices.Compact(d.instances)
-	for _, u := range d.byHash {
+	for u := range d.all() {
 		if u.limiter.Limited() {
 			d.placeInHolderOrder(now, u)
 		}
@@ -62,26 +63,33 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.leaving = true
-	for _, u := range d.byHash {
+	for u := range d.all() {
 		if u.limiter.Limited() {
 			d.placeInHolderOrder(now, u)
 		}
+		d.placeInColdOrder(now, u)
 	}
 }
 
 // placeInHolderOrder updates the position of this instance in the order of the upstream's holders:
 // the live instances in rendezvous hash order.
 func (d *Dispatcher) placeInHolderOrder(now time.Duration, u *upstream) {
+	u.limiter.SetPosition(now, d.holderPosition(u, d.instances), len(d.instances))
+}
+
+// holderPosition returns the position of this instance in the order of the upstream's holders: the given instances in
+// rendezvous hash order.
+func (d *Dispatcher) holderPosition(u *upstream, instances []uint64) int {
+	if d.leaving {
+		return math.MaxInt
+	}
 	own, position := rendezvousHash(u.nameHash, d.self), 0
-	for _, instance := range d.instances {
+	for _, instance := range instances {
 		if rendezvousHash(u.nameHash, instance) > own {
 			position++
 		}
 	}
-	if d.leaving {
-		position = math.MaxInt
-	}
-	u.limiter.SetPosition(now, position, len(d.instances))
+	return position
 }
 
 // incarnationHash returns the low half of the hash of the upstream's incarnation.
@@ -91,7 +99,7 @@
 // the request in this pass. Upstreams of the next pass, which are most likely down, are no substitute.
 func (d *Dispatcher) onlyHeldBack(now time.Duration, r *Request, pass int) bool {
 	for _, u := range d.byHash {
-		if (u.limiter.Limited() || u.heldBack(now)) && d.available(u, r, pass) {
+		if (u.limited(now) || u.heldBack(now)) && d.available(u, r, pass) {
 			return true
 		}
 	}
@@ -106,12 +114,12 @@
 	var next *upstream    // that this instance may send to first
 	var nextAt time.Duration
 	for _, u := range d.byHash {
-		if !u.limiter.Limited() || u.leaves() || !u.hasVersion(r) || u.ejected() {
+		if !u.limited(now) || u.leaves() || !u.hasVersion(r) || u.ejected() {
 			continue
 		}
-		all += u.limiter.Limit().Rate
-		if at, ok := u.limiter.NextAt(now); ok {
-			held += 1 / u.limiter.Interval().Seconds()
+		all += u.limitedRate(now)
+		if at, rate, ok := u.nextPermitted(now); ok {
+			held += rate
 			if next == nil || at < nextAt {
 				next, nextAt = u, at
 			}
@@ -121,7 +129,7 @@
 		if decision, ok := d.decideHeldBack(now, r); ok {
 			return decision
 		}
-		return d.reject(now, r, noUpstreamReason(r), 0)
+		return d.rejectWithoutUpstream(now, r)
 	}
 	if next != nil {
 		predicted := nextAt + time.Duration(float64(d.waitingBefore(r))/held*float64(time.Second))
@@ -133,12 +141,17 @@
 	return d.reject(now, r, ReasonLimit, time.Duration(float64(1+len(d.waiting))/all*float64(time.Second)))
 }
 
-// noUpstreamReason returns the reason of a rejection for want of an upstream.
-func noUpstreamReason(r *Request) Reason {
+// rejectWithoutUpstream rejects a request for want of an upstream.
+func (d *Dispatcher) rejectWithoutUpstream(now time.Duration, r *Request) Decision {
+	for _, u := range d.evacuated {
+		if !u.leaves() && u.hasVersion(r) && !u.ejected() {
+			return d.reject(now, r, ReasonEvacuated, evacuatedRetryAfter)
+		}
+	}
 	if r.Version != nil {
-		return ReasonNoVersion
+		return d.reject(now, r, ReasonNoVersion, 0)
 	}
-	return ReasonNoUpstream
+	return d.reject(now, r, ReasonNoUpstream, 0)
 }
 
 // waitingBefore returns the number of waiting requests that are served before the request.
--- a/internal/coordination/dispatch/peers.go
+++ b/internal/coordination/dispatch/peers.go
@@ -13,7 +13,7 @@
 		d.nextFullReportAt = now + fullReportInterval
 	}
 	d.unreportedWork = nil
-	for _, u := range d.byHash {
+	for u := range d.all() {
 		if u.limiter.Limit().Version > 0 && (r.Full && u.limiter.Holder() || !u.limitReported) {
 			u.limitReported = true
 			r.Limits = append(r.Limits, UpstreamLimit{Upstream: u.tag, Incarnation: u.incarnationHash(), Limit: u.limiter.Limit()})
@@ -74,7 +74,7 @@
 }
 
 func (d *Dispatcher) clearPeerLoads(peer string) {
-	for _, u := range d.byHash {
+	for u := range d.all() {
 		u.setPeerLoad(peer, Load{})
 	}
 }
--- a/internal/coordination/dispatch/statement.go
+++ b/internal/coordination/dispatch/statement.go
@@ -115,7 +115,7 @@
 }
 
 // MaySend reports whether the upstream of a grant still takes requests: since the grant was given it may have
-// stated otherwise, or may be published no more.
+// stated otherwise, may be published no more, may have been evacuated or may have turned cold.
 func (d *Dispatcher) MaySend(now time.Duration, token uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -124,7 +124,7 @@
 		return true
 	}
 	current := d.upstreams[g.upstream.ID]
-	return current != nil && current.isProcess(g.upstream) && !current.leaves() && !current.silent(now)
+	return current != nil && current.isProcess(g.upstream) && !current.leaves() && !current.silent(now) && !current.Evacuated && (g.cold || !current.isCold(now))
 }
 
 // isProcess reports whether both are the same process at the same address.
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -22,6 +22,14 @@
 	Slots            int    // maximum number of concurrent requests
 	KVCapacityTokens int    `json:"Memory"` // KV cache capacity; 0 for upstreams without prompts
 	Leaving          bool   // receives no new requests
+	Evacuated        bool   `json:",omitempty"` // the operator wants nothing new sent to its failure domain
+
+	// ColdRate is the number of requests per second that it takes from all instances together while it is cold; 0 means
+	// no bound. ColdTime is how long it stays cold after a start.
+	ColdRate float64       `json:",omitempty"`
+	ColdTime time.Duration `json:"-"`
+	// ColdUntil is the time before which it counts as cold, as published.
+	ColdUntil time.Duration `json:"-"`
 }
 
 // Ranks is the number of ranks that are distinguished, which is the number of priorities that
@@ -69,13 +77,15 @@
 	ReasonNoUpstream Reason = "no_upstream"
 	// ReasonNoVersion means that no upstream of the version that the request needs accepts requests.
 	ReasonNoVersion Reason = "no_version"
+	// ReasonEvacuated means that all upstreams of the service that accept requests are in evacuated failure domains.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonTarget means that the request has a long prompt and the least urgent rank, and
 	// is predicted to miss its target because of a backlog.
 	ReasonTarget Reason = "target"
 	// ReasonDeadline means that the request is predicted to miss its deadline.
 	ReasonDeadline Reason = "deadline"
-	// ReasonLimit means that the available upstreams have stated limits that allow no further
-	// request in time.
+	// ReasonLimit means that the available upstreams have stated limits, or are cold, and that this allows no
+	// further request in time.
 	ReasonLimit Reason = "limit"
 	// ReasonSilent means that the available upstreams have stated that they want no requests before the
 	// target of the request.
@@ -98,6 +108,8 @@
 	Preferred bool
 	// Load is the number of requests of all instances at the upstream, without this one.
 	Load int
+	// Cold reports whether the upstream is cold.
+	Cold bool
 }
 
 // Rejection describes a request that was not sent to any upstream.
@@ -117,7 +129,7 @@
 	WaitSlot WaitReason = "slot"
 	// WaitBacklog means that the selected upstream is predicted to start the request too late.
 	WaitBacklog WaitReason = "backlog"
-	// WaitLimit means that the available upstreams have stated limits, and that the next request
+	// WaitLimit means that the available upstreams have stated limits, or are cold, and that the next request
 	// is allowed in time.
 	WaitLimit WaitReason = "limit"
 	// WaitSilent means that the available upstreams have stated that they want no requests yet, or come
--- a/internal/coordination/dispatch/upstream.go
+++ b/internal/coordination/dispatch/upstream.go
@@ -62,7 +62,9 @@
 	latencySeconds float64       // mean response time; services without prompts
 	cache          *expiring.Map[uint64, struct{}]
 	limiter        sharedlimit.Limiter
-	limitReported  bool // the limit is unchanged since the last report to the peers
+	cold           coldState
+	returnedAt     time.Duration // when the evacuation of its failure domain ended; 0: it never was evacuated
+	limitReported  bool          // the limit is unchanged since the last report to the peers
 	stated         stated
 	// returning is the number of requests that the upstream may get from this instance after it has wanted
 	// none; 0 means no such bound.
@@ -247,5 +249,3 @@
 // onTrial reports whether the upstream was ejected for malformed responses and has not given a good
 // one since. It receives one request of this instance at a time.
 func (u *upstream) onTrial() bool { return u.malformed >= maxMalformed }
-
-func (u *upstream) recordReachable() { u.connectFailures, u.nextProbeAt = 0, 0 }
--- a/internal/coordination/membership/machine.go
+++ b/internal/coordination/membership/machine.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -196,11 +197,16 @@
 // member that is dead without having announced its leave may be behind a partition and counts
 // while its tombstone is kept. The result is 0 until this process has joined through a seed.
 func (m *Machine) Instances(now time.Duration, domainName string, period time.Duration) int {
+	return len(m.InstanceNames(now, domainName, period))
+}
+
+// InstanceNames returns the names of the instances that Instances counts, sorted.
+func (m *Machine) InstanceNames(now time.Duration, domainName string, period time.Duration) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := m.domains[domainName]
 	if d == nil || !m.joined && len(m.opts.Seeds) > 0 {
-		return 0
+		return nil
 	}
 	names := make(map[string]struct{}, len(d.members))
 	for _, member := range d.members {
@@ -209,7 +215,7 @@
 		}
 		names[member.Name] = struct{}{}
 	}
-	return len(names)
+	return slices.Sorted(maps.Keys(names))
 }
 
 // Member returns the record of a process, and false if the process is unknown.
--- a/internal/coordination/sharedlimit/doc.go
+++ b/internal/coordination/sharedlimit/doc.go
@@ -21,6 +21,10 @@
 // holder sends at regular intervals without bursts, so a change of holders costs no more than
 // the requests that are already on their way.
 //
+// The rate that a cold upstream takes is imposed, not stated: see [Limiter.Impose]. The bound holds for instances that
+// cannot reach each other, too, so their holders are chosen among all instances that may be running rather than
+// among the live ones.
+//
 // # Arrivals
 //
 // The upstream counts what arrives, not what was sent. A paused upstream reads all at once what
--- a/internal/coordination/sharedlimit/limiter.go
+++ b/internal/coordination/sharedlimit/limiter.go
@@ -11,6 +11,10 @@
 	minRate = 0.25
 	// ratePerHolder is the rate for which there is one holder, in requests per second.
 	ratePerHolder = 4
+	// imposedRatePerHolder replaces it for an imposed limit. The published bound is one and a half times the rate and
+	// some more in any second. A holder may send one request more in a second than its share, so that half as many
+	// holders as the rate says keep the bound. More of them have more requests that they can send.
+	imposedRatePerHolder = 2
 	// unansweredTime times the rate, plus unansweredAllowance, is the number of requests that all
 	// holders together may leave unanswered. After a change of holders, two sets of them may
 	// have left as many, and a paused upstream reads all of these at once.
@@ -36,6 +40,7 @@
 // safe for concurrent use. All times are monotonic.
 type Limiter struct {
 	limit     Limit
+	imposed   bool
 	currentAt time.Duration // when the limit was last stated in an answer, or learned
 	instances int           // live instances
 	position  int           // of this instance in the order of holders
@@ -54,7 +59,11 @@
 func (l *Limiter) Holder() bool { return l.position < l.holders() }
 
 func (l *Limiter) holders() int {
-	return min(max(int(l.limit.Rate/ratePerHolder), 1), max(l.instances, 1))
+	perHolder := float64(ratePerHolder)
+	if l.imposed {
+		perHolder = imposedRatePerHolder
+	}
+	return min(max(int(l.limit.Rate/perHolder), 1), max(l.instances, 1))
 }
 
 // Interval returns the time between two requests of one holder.
@@ -104,6 +113,15 @@
 	l.nextAt = max(l.nextAt, now+l.Interval())
 }
 
+// Impose sets a limit that is published rather than stated in answers; 0 lifts it. All instances learn of it from what is
+// published, so it is not exchanged between them.
+func (l *Limiter) Impose(now time.Duration, rate float64) {
+	if rate != l.limit.Rate {
+		l.imposed = true
+		l.set(now, Limit{Rate: rate, Version: l.limit.Version + 1})
+	}
+}
+
 // SetPosition sets the number of live instances and the position of this one in the order of
 // holders, which begins with 0.
 func (l *Limiter) SetPosition(now time.Duration, position, instances int) {
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -41,6 +41,12 @@
 	// RemovalDeferred is logged when the entry of an upstream is missing around an outage of the platform and
 	// the upstream is kept for now.
 	RemovalDeferred Event = "removal_deferred"
+	// EvacuationBegan is logged when the operator has evacuated a failure domain.
+	EvacuationBegan Event = "evacuation_began"
+	// EvacuationEnded is logged when the operator has taken a failure domain back.
+	EvacuationEnded Event = "evacuation_ended"
+	// UpstreamCold is logged when an upstream has turned cold and takes few requests.
+	UpstreamCold Event = "upstream_cold"
 	// UpstreamReconnected is logged when an ejected upstream accepts connections again.
 	UpstreamReconnected Event = "upstream_reached"
 	// UpstreamSplitChanged is logged when the upstream split of a service, the division of its
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,6 +77,10 @@
 	if ex.request.Resumption != nil {
 		fields["resumes"] = ex.request.Resumption.FirstAttempt
 	}
+	if grant.Cold {
+		fields["cold"] = true
+		ex.gateway.metrics.coldPlacements.WithLabelValues(ex.service.name).Inc()
+	}
 	ex.logEntry(eventlog.RequestPlaced).WithFields(fields).Info("request placed")
 	if err := a.run(); err != nil {
 		a.recordFailure(err)
@@ -414,6 +418,7 @@
 // recordCrash records the crash against the requests that were running at the upstream.
 func (a *attempt) recordCrash() {
 	a.crashed, a.unreachable = true, true
+	a.exchange.service.dispatcher.RecordProcessEnd(a.grant.Upstream.ID)
 	a.exchange.gateway.recordCrash(a.grant.Upstream, a.exchange.logEntry(eventlog.CrashRecorded).WithField("fingerprint", a.exchange.fingerprint.String()))
 }
 
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -99,6 +99,10 @@
 	// KVCapacityTokens is the capacity of an upstream's KV cache in tokens; 0 for services
 	// that do not process prompts.
 	KVCapacityTokens int
+	// ColdRate is the number of requests per second that an upstream takes from all instances together while it is
+	// cold; 0 means no bound. ColdTime is how long it stays cold after a start.
+	ColdRate float64
+	ColdTime time.Duration
 }
 
 // Team is a customer with its API keys.
@@ -143,6 +147,8 @@
 	Version string
 	Slots   int
 	Leaving bool
+	// ColdFor is how much longer the upstream stays cold, as of the publication of its entry.
+	ColdFor time.Duration
 }
 
 // routingTable is an immutable configuration indexed for request lookups.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/evacuation"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
@@ -55,6 +56,8 @@
 	routing         atomic.Pointer[routingTable]
 
 	quarantine      *quarantine.Quarantine
+	evacuations     *evacuation.Register
+	membersSettled  bool // the dispatchers have been told the known instances; used by tick only
 	origins         *streamorigin.Registry
 	versions        *streamorigin.VersionHistory
 	publishedMu     sync.Mutex
@@ -65,7 +68,8 @@
 	peers           *peers
 
 	configurationMu sync.Mutex
-	upstreams       map[string]Upstream // by the key of their entry
+	upstreams       map[string]Upstream      // by the key of their entry
+	coldUntil       map[string]time.Duration // by the key of the entry; of those that are published as cold
 	services        map[string]*service
 	paths           *upstreamPaths
 
@@ -79,10 +83,11 @@
 	g := &Gateway{
 		settings: s, adapter: adapter, log: log, metrics: newMetrics(), startedAt: time.Now(), seed: mathrand.Uint64(),
 		callerWatcher: caller.NewWatcher(), life: lifecycle.New(lifecycle.Options{DrainDelay: s.DrainDelay.Std(), Grace: s.Grace.Std()}), quarantine: quarantine.New(quarantine.Options{}),
-		origins: streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(s.FirstStart),
+		evacuations: evacuation.New(),
+		origins:     streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(s.FirstStart),
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
 		uploads:   bytebudget.New(max(s.RequestBufferMB*1e6, defaultMaxBodyBytes)), // the largest body fits
-		upstreams: map[string]Upstream{}, services: map[string]*service{},
+		upstreams: map[string]Upstream{}, coldUntil: map[string]time.Duration{}, services: map[string]*service{},
 	}
 	g.answering, g.stopAnswering = context.WithCancel(context.Background())
 	g.paths = newUpstreamPaths(g)
@@ -162,6 +167,7 @@
 		s = g.newService(name)
 		g.services[name] = s
 		s.dispatcher.SetInstances(g.now(), g.settings.Instance, g.peers.liveNames())
+		s.dispatcher.SetKnownInstances(g.now(), g.knownInstances())
 	}
 	return s
 }
@@ -192,13 +198,14 @@
 	g.retainPaths()
 	t := g.routing.Load()
 	upstreamsByService := map[string][]dispatch.Upstream{}
-	for _, u := range g.upstreams {
-		kvCapacityTokens := 0
+	for key, u := range g.upstreams {
+		var published Service
 		if t != nil {
-			kvCapacityTokens = t.services[u.Service].KVCapacityTokens
+			published = t.services[u.Service]
 		}
 		upstreamsByService[u.Service] = append(upstreamsByService[u.Service], dispatch.Upstream{
-			ID: u.ID, Incarnation: u.Incarnation, Version: u.Version, Address: u.Address, Domain: u.FailureDomain, Slots: u.Slots, KVCapacityTokens: kvCapacityTokens, Leaving: u.Leaving,
+			ID: u.ID, Incarnation: u.Incarnation, Version: u.Version, Address: u.Address, Domain: u.FailureDomain, Slots: u.Slots, KVCapacityTokens: published.KVCapacityTokens, Leaving: u.Leaving,
+			Evacuated: g.evacuations.Evacuated(u.FailureDomain), ColdRate: published.ColdRate, ColdTime: published.ColdTime, ColdUntil: g.coldUntil[key],
 		})
 	}
 	var all []dispatch.Upstream // except of services that are not configured: their entries name no server
@@ -249,8 +256,13 @@
 	for _, s := range g.sortedServices() {
 		s.deliverDecisions(now)
 		s.logUpstreamSplit(g)
+		s.reportCold(g, now)
 		s.probeEjected(g)
 	}
+	if !g.membersSettled && now >= memberSettleTime {
+		g.membersSettled = true
+		g.updateKnownInstances()
+	}
 	g.paths.probe(now)
 	g.peers.tickJoining(now)
 	g.signalServing()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,9 @@
 	platformAvailable     prometheus.Gauge
 	deferredRemovals      prometheus.Gauge
 	pullAnswerBytes       *prometheus.CounterVec
+	evacuated             *prometheus.GaugeVec
+	coldUpstreams         *prometheus.GaugeVec
+	coldPlacements        *prometheus.CounterVec
 }
 
 const namespace = "yuccabridge"
@@ -60,7 +63,10 @@
 	m.platformAvailable = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_platform_available", Help: "1 if the last call of the platform was answered."})
 	m.deferredRemovals = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_deferred_removals", Help: "Upstreams whose entries are missing and that are kept because of an outage of the platform."})
 	m.pullAnswerBytes = counter("gateway_pull_answer_bytes_total", "Bytes of answers to peers that ask what is published, by content.", "content")
-	m.registry.MustRegister(m.pullAnswerBytes, m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.evacuated = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_domain_evacuated", Help: "1 while the operator has evacuated the failure domain."}, []string{"failure_domain"})
+	m.coldUpstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_cold_upstreams", Help: "Upstreams that count as cold."}, []string{"service"})
+	m.coldPlacements = counter("gateway_cold_placements_total", "Requests that this instance has placed at cold upstreams.", "service")
+	m.registry.MustRegister(m.evacuated, m.coldUpstreams, m.coldPlacements, m.pullAnswerBytes, m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/peer_messages_test.go
+++ b/internal/gateway/peer_messages_test.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/evacuation"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
@@ -47,6 +48,7 @@
 		push.Brief = &briefAnswer{Changes: []replica.Change{{Item: item}}, ChangesTo: replica.Position{Era: 3, Revision: 18}, Position: replica.Position{Era: 3, Revision: 19},
 			ConfigurationVersion: 6, ConfigurationAt: replica.Position{Era: 3, Revision: 12}}
 		push.Settled = true
+		push.Evacuations = []evacuation.Record{{Domain: "a", Evacuated: true, Era: 3, Revision: 16}}
 		push.Removed = pull.Deferred
 		push.Follow = followAnswer{Served: true, Era: 3, Revision: 18, AgeMS: 40, OutageEnded: true, OutageEndedMS: 5000,
 			Changes: []replica.Change{{Item: item}, {Item: replica.Item{Key: "servers/i-2", Revision: 18}, Deleted: true}}}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/yuccabridge/yuccabridge/internal/coordination/evacuation"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/joining"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/membership"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/quarantine"
@@ -104,6 +105,8 @@
 	Removed []replica.EntryState
 	// Brief is the answer to a brief pull; nil in a full one.
 	Brief *briefAnswer
+	// Evacuations are all that the peer knows of.
+	Evacuations []evacuation.Record `msgpack:",omitempty"`
 }
 
 // newPeers opens the sockets for peers; it returns nil if the settings do not configure
@@ -247,6 +250,7 @@
 	for _, s := range p.gateway.sortedServices() {
 		s.dispatcher.SetInstances(p.gateway.now(), p.gateway.settings.Instance, names)
 	}
+	p.gateway.updateKnownInstances()
 }
 
 func (p *peers) start(background *tasks.Group) {
@@ -395,6 +399,7 @@
 
 func (p *peers) applyPush(member membership.Member, reply pushMessage) {
 	p.gateway.versions.Merge(p.gateway.now(), reply.Versions)
+	p.gateway.mergeEvacuations(reply.Evacuations, member.Name)
 	if reply.Snapshot != nil && p.gateway.completeSnapshot(reply.Snapshot) {
 		p.gateway.platformWatcher.mergePeerSnapshot(*reply.Snapshot, member.Name)
 	}
@@ -481,6 +486,8 @@
 		Versions: p.gateway.versions.Observations(p.gateway.now(), p.gateway.platformWatcher.isCurrent()),
 		Settled:  p.settled(),
 		Removed:  p.gateway.platformWatcher.replica.Removed(request.Deferred),
+
+		Evacuations: p.gateway.evacuations.Records(),
 	}
 	if request.Brief {
 		reply.Brief = p.newBriefAnswer(after, request.ConfigurationVersion)
--- a/internal/gateway/platform_outage_test.go
+++ b/internal/gateway/platform_outage_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/evacuation"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/replica"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
@@ -25,6 +26,8 @@
 
 func (keyDecoder) IsConfiguration(key string) bool { return key == "configuration" }
 
+func (keyDecoder) EvacuatedDomain(string) (string, bool) { return "", false }
+
 func (keyDecoder) Configuration(item replica.Item) (*Configuration, error) {
 	return &Configuration{Version: item.Revision, Services: []Service{{Name: "svc"}}}, nil
 }
@@ -169,7 +172,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	g := &Gateway{
-		settings: &settings.Gateway{Freshness: config.Duration(2 * time.Second)}, adapter: Adapter{Store: store, Decoder: decoder}, log: log,
+		settings: &settings.Gateway{Freshness: config.Duration(2 * time.Second)}, adapter: Adapter{Store: store, Decoder: decoder}, log: log, evacuations: evacuation.New(),
 		metrics: newMetrics(), startedAt: time.Now(), versions: streamorigin.NewVersionHistory(false),
 		upstreams: map[string]Upstream{}, services: map[string]*service{},
 	}
--- a/internal/gateway/platform_watcher.go
+++ b/internal/gateway/platform_watcher.go
@@ -386,7 +386,12 @@
 // the services.
 func (g *Gateway) applyChanges(changes []replica.Change, source string) {
 	var upstreams []replica.Change
+	position, _ := g.platformWatcher.replica.Position()
 	for _, c := range changes {
+		if domain, ok := g.adapter.Decoder.EvacuatedDomain(c.Key); ok {
+			g.applyEvacuationChange(domain, c, position.Era, source)
+			continue
+		}
 		if !g.adapter.Decoder.IsConfiguration(c.Key) {
 			upstreams = append(upstreams, c)
 			continue
@@ -464,6 +469,7 @@
 	if c.Deleted {
 		if known {
 			delete(g.upstreams, c.Key)
+			delete(g.coldUntil, c.Key)
 			g.log.WithFields(fields).WithField("state", "gone").Info("upstream removed")
 		}
 		return
@@ -472,10 +478,15 @@
 	if err != nil {
 		// The entry was written by something other than an upstream.
 		delete(g.upstreams, c.Key)
+		delete(g.coldUntil, c.Key)
 		g.log.WithFields(fields).WithField("error", err.Error()).Warn("entry does not describe an upstream")
 		return
 	}
 	g.upstreams[c.Key] = u
+	delete(g.coldUntil, c.Key)
+	if u.ColdFor > 0 {
+		g.coldUntil[c.Key] = g.now() + u.ColdFor
+	}
 	g.versions.Seen(g.now(), u.Service, u.Version)
 	if !known || old != u {
 		state := "serving"
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -151,6 +151,9 @@
 	// IsConfiguration reports whether the key is that of the configuration rather than of
 	// an upstream.
 	IsConfiguration(key string) bool
+	// EvacuatedDomain returns the failure domain that the entry with the key evacuates while it exists; false if the
+	// key is of another entry.
+	EvacuatedDomain(key string) (domain string, ok bool)
 	// Configuration decodes the configuration entry.
 	Configuration(item replica.Item) (*Configuration, error)
 	// Upstream decodes the entry of an upstream.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,6 +44,7 @@
 	errNotReached      = errors.New("the upstream is not reached from here")
 	errUpstreamRefuses = errors.New("the upstream refuses connections")
 	errLeaving         = errors.New("the instance or the upstream leaves")
+	errEvacuated       = errors.New("the failure domain of the upstream is evacuated")
 )
 
 // relay opens a connection to a published upstream for a peer. It never asks another peer, so a request
@@ -76,6 +77,8 @@
 		return nil, errUnknownUpstream
 	case target.Leaving || g.life.Stops():
 		return nil, errLeaving
+	case g.evacuations.Evacuated(target.FailureDomain):
+		return nil, errEvacuated
 	case g.paths.isRelayed(target.Address):
 		return nil, errNotReached
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -235,6 +235,8 @@
 	ReadsPlatform bool     `json:"reads_platform"`
 	InProgress    int      `json:"in_progress"`
 	Peers         []string `json:"peers"`
+	// Evacuations are the evacuations of failure domains in progress.
+	Evacuations []EvacuationState `json:"evacuations,omitempty"`
 	// UpstreamsThroughPeers is the number of upstreams that this instance reaches through peers only.
 	UpstreamsThroughPeers int `json:"upstreams_through_peers"`
 	// StreamOrigins is the number of streams of which this instance knows where they began.
@@ -267,6 +269,7 @@
 	now := g.now()
 	age, _ := g.platformWatcher.schedule.Age(now)
 	state.PlatformAgeMS, state.ReadsPlatform = age.Milliseconds(), g.platformWatcher.schedule.IsReader()
+	state.Evacuations = g.evacuationStates()
 	state.UpstreamsThroughPeers = g.paths.relayedCount()
 	state.StreamOrigins = g.origins.Len(now)
 	for _, svc := range g.sortedServices() {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -170,6 +170,7 @@
 			s.dispatcher.RecordProbe(g.now(), ejected.ID, err == nil)
 			switch {
 			case refusedConnection(err):
+				s.dispatcher.RecordProcessEnd(ejected.ID)
 				g.recordCrash(ejected, g.log.WithField("event", eventlog.CrashRecorded))
 			case err == nil:
 				g.log.WithFields(logrus.Fields{"event": eventlog.UpstreamReconnected, "service": s.name, "upstream": ejected.ID}).Info("ejected upstream accepts connections again")
