yuccabridged: the test of a suspended owner waits until the owner has stopped

The signal is taken by one thread, which may wait for a processor while the others run. The test now waits until all threads have stopped, and asserts what it did.

--- a/cmd/yuccabridged/gateway.go
+++ b/cmd/yuccabridged/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -18,10 +17,6 @@
 )
 
 const (
-	// memoryLimitRatio is the fraction of the memory limit that is set as the soft limit of
-	// the Go runtime, at which garbage collection becomes more frequent. The rest is reserved
-	// for stacks, kernel buffers and the C library.
-	memoryLimitRatio = 0.6
 	// platformSilenceTimeout and platformProbeInterval bound the time until a dead connection
 	// to the platform is detected.
 	platformSilenceTimeout = 1500 * time.Millisecond
@@ -52,9 +47,7 @@
 
 // runGateway runs the instance until SIGTERM or SIGINT, then drains it.
 func runGateway(signals signalHandler, s *settings.Gateway, settingsFile string) error {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryMB) * 1e6))
-	}
+	limitMemory(s.MemoryMB)
 	logWriter := eventlog.NewWriter(os.Stdout)
 	defer logWriter.Close()
 	log, err := eventlog.New(logWriter, s.Log.Level)
--- a/cmd/yuccabridged/harness_test.go
+++ b/cmd/yuccabridged/harness_test.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -115,6 +116,27 @@
 	p.exit <- p.cmd.Wait()
 }
 
+// suspend stops the process and waits until all its threads have stopped: the one that takes the signal may have to wait for
+// a processor, and the others run meanwhile.
+func (p *process) suspend() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	waitUntil(p.t, "all threads to stop", func() bool {
+		states, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		for _, file := range states {
+			text, err := os.ReadFile(file)
+			// The state follows the name of the thread in parentheses; a thread may have ended meanwhile.
+			if _, rest, ok := strings.Cut(string(text), ") "); err == nil && ok && !strings.HasPrefix(rest, "T") {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (p *process) signal(s syscall.Signal) {
 	p.t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
--- a/cmd/yuccabridged/main.go
+++ b/cmd/yuccabridged/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
@@ -47,8 +48,21 @@
 	return cmd
 }
 
+// memoryLimitRatio is the fraction of the memory limit that is set as the soft limit of
+// the Go runtime, at which garbage collection becomes more frequent. The rest is reserved
+// for stacks, kernel buffers and the C library.
+const memoryLimitRatio = 0.6
+
+// limitMemory sets the soft limit of the runtime for a memory limit in 10^6 bytes; 0 means no limit.
+func limitMemory(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(memoryMB) * 1e6))
+	}
+}
+
 // run runs the entry instance until SIGTERM or SIGINT, then drains it.
 func run(signals signalHandler, s *settings.Settings, settingsFile string) error {
+	limitMemory(s.Limits.MemoryMB)
 	logWriter := eventlog.NewWriter(os.Stdout)
 	defer logWriter.Close()
 	log, err := eventlog.New(logWriter, s.Log.Level)
--- a/cmd/yuccabridged/region_test.go
+++ b/cmd/yuccabridged/region_test.go
@@ -281,7 +281,7 @@
 func TestSuspendedOwnerDoesNotRunALateOrder(t *testing.T) {
 	region := newRegion(t, 4, 0)
 	ticket := region.issueTicket(0)
-	region.daemons[0].signal(syscall.SIGSTOP)
+	region.daemons[0].suspend()
 	first := region.orderThrough(1, ticket, "shaft-3")
 	region.daemons[0].signal(syscall.SIGCONT)
 	if first.code != "order_not_run" && first.code != "order_unknown" {
