--- a/cmd/yuccabridge/status.go
+++ b/cmd/yuccabridge/status.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccabridge/yuccabridge/internal/entry"
+	"github.com/yuccabridge/yuccabridge/internal/gateway"
 )
 
 const (
@@ -43,6 +44,8 @@
 	Address string       `json:"address"`
 	State   *entry.State `json:"state,omitempty"`
 	Error   string       `json:"error,omitempty"`
+	// Evacuations are the evacuations of failure domains that an instance which forwards requests knows of.
+	Evacuations []gateway.EvacuationState `json:"evacuations,omitempty"`
 }
 
 func newStatusCommand() *cobra.Command {
@@ -98,7 +101,7 @@
 				statuses[i].Error = conciseReason(err)
 				return nil
 			}
-			statuses[i].State = state
+			statuses[i].State, statuses[i].Evacuations = &state.State, state.Evacuations
 			return nil
 		})
 	}
@@ -106,7 +109,13 @@
 	return statuses
 }
 
-func queryState(ctx context.Context, client *http.Client, address string) (*entry.State, error) {
+// queriedState is the state of an instance of either kind, as far as it is shown.
+type queriedState struct {
+	entry.State
+	Evacuations []gateway.EvacuationState `json:"evacuations"`
+}
+
+func queryState(ctx context.Context, client *http.Client, address string) (*queriedState, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/state", nil)
 	if err != nil {
 		return nil, err
@@ -119,7 +128,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("/state answers with status %d", resp.StatusCode)
 	}
-	state := new(entry.State)
+	state := new(queriedState)
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(state); err != nil {
 		return nil, errors.New("/state is not the state of an instance")
 	}
@@ -184,6 +193,9 @@
 	if err := writePools(w, statuses); err != nil {
 		return err
 	}
+	if err := writeEvacuations(w, statuses); err != nil {
+		return err
+	}
 	if f.domain || f.all {
 		return writeMembers(w, statuses, f.all)
 	}
@@ -234,6 +246,23 @@
 	return writeTable(w, rows)
 }
 
+// writeEvacuations writes a table of the evacuated failure domains, if there are any.
+func writeEvacuations(w io.Writer, statuses []instanceStatus) error {
+	rows := [][]string{{"ADDRESS", "EVACUATED", "SINCE", "REVISION"}}
+	for _, status := range statuses {
+		for _, e := range status.Evacuations {
+			rows = append(rows, []string{status.Address, e.FailureDomain, e.Since.Format(time.RFC3339), fmt.Sprint(e.Revision)})
+		}
+	}
+	if len(rows) == 1 {
+		return nil
+	}
+	if _, err := fmt.Fprintln(w); err != nil {
+		return err
+	}
+	return writeTable(w, rows)
+}
+
 func poolRow(instance string, pool entry.PoolState) []string {
 	var leaving, ejected, stragglers, inFlight int
 	var limit float64
--- a/cmd/yuccabridge/status_test.go
+++ b/cmd/yuccabridge/status_test.go
@@ -6,12 +6,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/balancer"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/scheduler"
 	"github.com/yuccabridge/yuccabridge/internal/entry"
+	"github.com/yuccabridge/yuccabridge/internal/gateway"
 )
 
 // sampleState returns the state of an instance with a leaving, an ejected and a straggling
@@ -62,7 +64,8 @@
 func TestStatusTable(t *testing.T) {
 	first := sampleState()
 	second := entry.State{Instance: "entry-2", FailureDomain: "keroman", Draining: true, Revision: 41}
-	statuses := []instanceStatus{{Address: "10.1.0.1:8081", State: &first}, {Address: "10.1.0.2:8081", State: &second},
+	evacuated := []gateway.EvacuationState{{FailureDomain: "hennebont", Since: time.Date(2026, 12, 7, 8, 0, 0, 0, time.UTC), Revision: 412}}
+	statuses := []instanceStatus{{Address: "10.1.0.1:8081", State: &first, Evacuations: evacuated}, {Address: "10.1.0.2:8081", State: &second},
 		{Address: "10.1.0.3:8081", Error: "connection refused"}}
 	for name, f := range map[string]statusFlags{"status": {}, "status-domain": {domain: true}, "status-all": {all: true}} {
 		var out strings.Builder
--- a/internal/crowd/entry_test.go
+++ b/internal/crowd/entry_test.go
@@ -18,7 +18,7 @@
 
 const (
 	entryKey = "key-of-planification"
-	// entryMemoryMB is the bound of the memory.
+	// entryMemoryMB is the memory limit in the settings, and the bound.
 	entryMemoryMB    = 96
 	entryConnections = 400
 	entryDescriptors = entryConnections + 100
@@ -70,7 +70,7 @@
 }
 
 // entryLimits are the settings with the limits of the instance.
-var entryLimits = fmt.Sprintf("limits: {max_connections: %d, max_body_bytes: 1048576, read_timeout: 10s}\nlog: {level: error}\n", entryConnections)
+var entryLimits = fmt.Sprintf("limits: {memory_mb: %d, max_connections: %d, max_body_bytes: 1048576, read_timeout: 10s}\nlog: {level: error}\n", entryMemoryMB, entryConnections)
 
 // Guards against callers that end an entry instance, or keep it from answering others.
 func TestEntrySurvivesCrowds(t *testing.T) {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -24,6 +24,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/lifecycle"
 	"github.com/yuccabridge/yuccabridge/internal/periodic"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
+	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
 	"github.com/yuccabridge/yuccabridge/internal/tasks"
 	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 )
@@ -67,6 +68,7 @@
 	callersServer    *fasthttp.Server
 	operationsServer *fasthttp.Server
 	sockets          caller.Listeners
+	intake           *caller.Intake // of the bodies of requests
 }
 
 // New creates an instance and opens its listening sockets. If the settings name a
@@ -102,6 +104,7 @@
 		in.config = newConfigDriver(in, configsync.Peer{ID: in.selfProcess(), Domain: s.FailureDomain})
 	}
 	in.placement = newPlacementDriver(in)
+	in.intake = caller.NewIntake(bytebudget.New(s.Limits.BufferMB*1e6), bytebudget.New(max(s.Limits.RequestBufferMB*1e6, s.Limits.MaxBodyBytes))) // the largest body fits
 	in.callersServer = in.newCallersServer()
 	in.operationsServer = in.newOperationsServer()
 	if s.ConfigurationFile != "" {
@@ -110,9 +113,10 @@
 		}
 	}
 	var err error
-	if in.sockets, err = caller.OpenListeners(s.Callers.Address, s.Operations.Address, s.Limits.WriteTimeout.Std()); err != nil {
+	if in.sockets, err = caller.OpenListeners(s.Callers.Address, s.Operations.Address, s.Limits.WriteTimeout.Std(), s.Limits.MaxConnections); err != nil {
 		return nil, err
 	}
+	in.sockets.Callers.Connections.OnEvicted = in.recordEviction
 	close(in.initialized)
 	return in, nil
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,6 +21,7 @@
 	crashes             *prometheus.CounterVec
 	orderOutcomes       *prometheus.CounterVec
 	placementCommands   *prometheus.CounterVec
+	evicted             *prometheus.CounterVec
 	revision            prometheus.Gauge
 	configRejected      prometheus.Counter
 }
@@ -41,6 +42,7 @@
 	m.crashes = m.counter("upstream_crashes_total", "Crashes of upstreams seen by requests in progress.", "pool")
 	m.orderOutcomes = m.counter("orders_total", "Non-idempotent orders by outcome.", "outcome")
 	m.placementCommands = m.counter("placement_commands_total", "Placement commands to engines by outcome.", "outcome")
+	m.evicted = m.counter("connections_evicted_total", "Connections of callers that were closed to make room for others, or not accepted, by reason.", "reason")
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "configuration_revision", Help: "Revision of the configuration in force."})
 	m.configRejected = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "configuration_refused_total", Help: "Configurations refused as invalid."})
 	m.registry.MustRegister(m.revision, m.configRejected)
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -68,6 +68,8 @@
 	RequestUnreadable Event = "request_unreadable"
 	// RequestBodyRefused is logged when a request is refused because there is no memory for its body.
 	RequestBodyRefused Event = "request_body_refused"
+	// ConnectionEvicted is logged when a connection is closed to make room for others, or not accepted.
+	ConnectionEvicted Event = "connection_evicted"
 	// ConnectionClosed is logged when a stopping instance closes a connection that waits for a request.
 	ConnectionClosed Event = "connection_closed"
 	// RequestUnanswered is logged when a connection is closed with a request that has arrived and was not answered.
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -142,9 +142,7 @@
 
 // releaseBodies returns the memory of the bodies that this exchange still holds.
 func (ex *exchange) releaseBodies() {
-	if ex.requestBody != nil {
-		ex.requestBody.Release()
-	}
+	ex.requestBody.Release()
 	if ex.responseBody != nil {
 		ex.responseBody.reservation.Release()
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -15,7 +15,7 @@
 	"github.com/yuccabridge/yuccabridge/internal/coordination/streamorigin"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/protocol/apierror"
-	"github.com/yuccabridge/yuccabridge/internal/state/bytebudget"
+	"github.com/yuccabridge/yuccabridge/internal/transport/caller"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
 )
 
@@ -35,10 +35,10 @@
 	cancel   context.CancelFunc
 	conn     *callerConn
 
-	maxBodyBytes int                     // bound of the request's body
-	bodyErr      error                   // of reading the request's body
-	requestBody  *bytebudget.Reservation // nil if the request has no body
-	responseBody *heldBody               // nil if the response has no body or is a stream
+	maxBodyBytes int          // bound of the request's body
+	bodyErr      error        // of reading the request's body
+	requestBody  *caller.Body // nil if the request has no body
+	responseBody *heldBody    // nil if the response has no body or is a stream
 
 	fingerprint     quarantine.Fingerprint
 	sharedParts     []quarantine.Fingerprint // of the prompt, without the last, which is the request's own
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,7 @@
 	publishedMu     sync.Mutex
 	published       *publishedConfiguration
 	buffer          *bytebudget.Budget // for bodies in progress
-	uploads         *bytebudget.Budget // for the bodies of requests above smallBodyBytes
+	intake          *caller.Intake     // of the bodies of requests
 	platformWatcher *platformWatcher
 	peers           *peers
 
@@ -86,20 +86,21 @@
 		evacuations: evacuation.New(),
 		origins:     streamorigin.NewRegistry(), versions: streamorigin.NewVersionHistory(s.FirstStart),
 		buffer:    bytebudget.New(s.BufferMB * 1e6),
-		uploads:   bytebudget.New(max(s.RequestBufferMB*1e6, defaultMaxBodyBytes)), // the largest body fits
 		upstreams: map[string]Upstream{}, coldUntil: map[string]time.Duration{}, services: map[string]*service{},
 	}
+	g.intake = caller.NewIntake(g.buffer, bytebudget.New(max(s.RequestBufferMB*1e6, defaultMaxBodyBytes))) // the largest body fits
 	g.answering, g.stopAnswering = context.WithCancel(context.Background())
 	g.paths = newUpstreamPaths(g)
 	g.platformWatcher = newPlatformWatcher(g)
 	g.callerServer = g.newCallerServer()
 	g.operationsServer = g.newOperationsServer()
 	var err error
-	if g.sockets, err = caller.OpenListeners(s.Callers.Address, s.Operations.Address, writeTimeout); err != nil {
+	if g.sockets, err = caller.OpenListeners(s.Callers.Address, s.Operations.Address, writeTimeout, s.MaxConnections); err != nil {
 		return nil, err
 	}
 	g.sockets.Callers.Connections.OnUnanswered = g.recordUnanswered
 	g.sockets.Callers.Connections.OnWaitEnded = g.recordWaitEnd
+	g.sockets.Callers.Connections.OnEvicted = g.recordEviction
 	if g.peers, err = newPeers(g); err != nil {
 		g.sockets.Close()
 		return nil, err
@@ -263,6 +264,7 @@
 		g.membersSettled = true
 		g.updateKnownInstances()
 	}
+	g.metrics.connections.Set(float64(g.sockets.Callers.Connections.Open()))
 	g.paths.probe(now)
 	g.peers.tickJoining(now)
 	g.signalServing()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,6 +31,8 @@
 	evacuated             *prometheus.GaugeVec
 	coldUpstreams         *prometheus.GaugeVec
 	coldPlacements        *prometheus.CounterVec
+	connections           prometheus.Gauge
+	evicted               *prometheus.CounterVec
 }
 
 const namespace = "yuccabridge"
@@ -66,7 +68,9 @@
 	m.evacuated = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_domain_evacuated", Help: "1 while the operator has evacuated the failure domain."}, []string{"failure_domain"})
 	m.coldUpstreams = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_cold_upstreams", Help: "Upstreams that count as cold."}, []string{"service"})
 	m.coldPlacements = counter("gateway_cold_placements_total", "Requests that this instance has placed at cold upstreams.", "service")
-	m.registry.MustRegister(m.evacuated, m.coldUpstreams, m.coldPlacements, m.pullAnswerBytes, m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.connections = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_connections", Help: "Open connections of callers."})
+	m.evicted = counter("gateway_connections_evicted_total", "Connections of callers that were closed to make room for others, or not accepted, by reason.", "reason")
+	m.registry.MustRegister(m.connections, m.evicted, m.evacuated, m.coldUpstreams, m.coldPlacements, m.pullAnswerBytes, m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -39,6 +39,10 @@
 	callerKeepAliveInterval = 2 * time.Second
 )
 
+// concurrencyFactor times the limit of connections is the server's own limit, which counts a connection that has been closed
+// until its goroutine has ended.
+const concurrencyFactor = 2
+
 func (g *Gateway) newCallerServer() *fasthttp.Server {
 	server := &fasthttp.Server{
 		Handler:                       g.handleRequest,
@@ -48,7 +52,7 @@
 		StreamRequestBody:             true,
 		MaxRequestBodySize:            defaultMaxBodyBytes,
 		ReadBufferSize:                maxHeaderBytes,
-		Concurrency:                   g.settings.MaxConnections,
+		Concurrency:                   concurrencyFactor * g.settings.MaxConnections,
 		NoDefaultServerHeader:         true,
 		NoDefaultContentType:          true,
 		NoDefaultDate:                 true,
@@ -132,6 +136,13 @@
 		Warn("closed a connection on which a request has arrived that was not answered")
 }
 
+// recordEviction records a connection that was closed so that there is room for others, or not accepted.
+func (g *Gateway) recordEviction(e caller.Eviction) {
+	g.metrics.evicted.WithLabelValues(string(e.Reason)).Inc()
+	g.log.WithFields(map[string]any{"event": eventlog.ConnectionEvicted, "caller": e.Caller, "reason": string(e.Reason), "bytes": e.Received, "after_ms": e.After.Milliseconds()}).
+		Debug("closed a connection to make room")
+}
+
 // recordWaitEnd records a connection that was closed while it waited for a request: a request that is on its way meets
 // the close.
 func (g *Gateway) recordWaitEnd(end caller.WaitEnd) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -47,12 +47,13 @@
 	// MemoryMB is the memory limit of the process in 10^6 bytes; 0: no limit.
 	MemoryMB int `yaml:"memory_mb,omitempty" validate:"min=0"`
 	// BufferMB is the memory in 10^6 bytes for the bodies of responses that are not yet sent on
-	// and for small ones of requests. Default: a quarter of memory_mb, or 64.
+	// and for small ones of requests. Default: an eighth of memory_mb, or 64.
 	BufferMB int `yaml:"buffer_mb,omitempty" validate:"min=0"`
 	// RequestBufferMB is the memory in 10^6 bytes for the larger bodies of requests, from before they
-	// are read until the request ends. Default: a quarter of memory_mb, or 64.
+	// are read until the request ends. Default: an eighth of memory_mb, or 64.
 	RequestBufferMB int `yaml:"request_buffer_mb,omitempty" validate:"min=0"`
-	// MaxConnections limits the callers' open connections. Default 1024.
+	// MaxConnections limits the callers' open connections. Default 1024, or as many as 0.35 of memory_mb holds at 60 kB each
+	// if that is less.
 	MaxConnections int `yaml:"max_connections,omitempty" validate:"min=0,max=1000000"`
 	// PromptTokensPerMS is the initial estimate of an upstream's prefill rate in tokens per
 	// millisecond, used until the rate has been measured. Default 40.
@@ -61,12 +62,8 @@
 	Log Log `yaml:"log,omitempty"`
 }
 
-const (
-	// bufferShare is the part of the memory limit that each buffer for bodies may take: one in four.
-	bufferShare = 4
-	// defaultBufferMB applies without a memory limit.
-	defaultBufferMB = 64
-)
+// defaultGatewayConnections is the default limit of callers' connections, if the memory of the process suffices.
+const defaultGatewayConnections = 1024
 
 // GatewayPeers configures the traffic between instances. The network must not be reachable
 // by other hosts.
@@ -121,13 +118,11 @@
 	setDefault(&s.ReadersPerDomain, 2)
 	setDefault(&s.Grace, config.Duration(8*time.Second))
 	setDefault(&s.DrainDelay, config.Duration(2500*time.Millisecond))
-	setDefault(&s.MaxConnections, 1024)
-	if s.MemoryMB > 0 {
-		setDefault(&s.BufferMB, max(s.MemoryMB/bufferShare, 1))
-		setDefault(&s.RequestBufferMB, max(s.MemoryMB/bufferShare, 1))
+	limits := callerLimits{memoryMB: s.MemoryMB, maxConnections: &s.MaxConnections, bufferMB: &s.BufferMB, requestBufferMB: &s.RequestBufferMB,
+		defaultConnections: defaultGatewayConnections, memoryField: "memory_mb", connectionField: "max_connections"}
+	if err := limits.complete(); err != nil {
+		return nil, config.Locate(text, err)
 	}
-	setDefault(&s.BufferMB, defaultBufferMB)
-	setDefault(&s.RequestBufferMB, defaultBufferMB)
 	setDefault(&s.PromptTokensPerMS, 40)
 	setDefault(&s.Log.Level, "info")
 	return s, nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,8 +97,16 @@
 	MaxAnswerBytes int `yaml:"max_answer_bytes,omitempty" validate:"min=0,max=268435456"`
 	// MaxHeaderBytes limits the size of the request headers. Default 16384.
 	MaxHeaderBytes int `yaml:"max_header_bytes,omitempty" validate:"min=0,max=1048576"`
-	// MaxConnections limits the callers' open connections. Default 16384.
+	// MaxConnections limits the callers' open connections. Default 16384, or as many as 0.35 of MemoryMB holds at 60 kB
+	// each if that is less.
 	MaxConnections int `yaml:"max_connections,omitempty" validate:"min=0,max=1000000"`
+	// MemoryMB is the memory limit of the process in 10^6 bytes; 0: no limit.
+	MemoryMB int `yaml:"memory_mb,omitempty" validate:"min=0"`
+	// BufferMB is the memory in 10^6 bytes for request bodies up to 64 KiB. Default: an eighth of memory_mb, or 64.
+	BufferMB int `yaml:"buffer_mb,omitempty" validate:"min=0"`
+	// RequestBufferMB is the memory in 10^6 bytes for larger ones, from before they are read until the request ends.
+	// Default: an eighth of memory_mb, or 64.
+	RequestBufferMB int `yaml:"request_buffer_mb,omitempty" validate:"min=0"`
 	// QueueLimit limits the queued requests of each model or service. Default 4096.
 	QueueLimit int `yaml:"queue_limit,omitempty" validate:"min=0,max=1000000"`
 	// ReadTimeout bounds the time to read one request from a caller. Default 10s.
@@ -152,9 +160,14 @@
 		return err
 	}
 	s.setDefaults()
-	return nil
+	limits := callerLimits{memoryMB: s.Limits.MemoryMB, maxConnections: &s.Limits.MaxConnections, bufferMB: &s.Limits.BufferMB, requestBufferMB: &s.Limits.RequestBufferMB,
+		defaultConnections: defaultEntryConnections, memoryField: "limits.memory_mb", connectionField: "limits.max_connections"}
+	return limits.complete()
 }
 
+// defaultEntryConnections is the default limit of callers' connections, if the memory of the process suffices.
+const defaultEntryConnections = 16384
+
 // Validate checks the settings against the struct tags and the rules between fields.
 func (s *Settings) Validate() error {
 	if err := config.ValidateStruct(s); err != nil {
@@ -182,7 +195,6 @@
 	setDefault(&limits.MaxBodyBytes, 1<<20)
 	setDefault(&limits.MaxAnswerBytes, 16<<20)
 	setDefault(&limits.MaxHeaderBytes, 16<<10)
-	setDefault(&limits.MaxConnections, 16384)
 	setDefault(&limits.QueueLimit, 4096)
 	setDefault(&limits.ReadTimeout, config.Duration(10*time.Second))
 	setDefault(&limits.WriteTimeout, config.Duration(30*time.Second))
--- a/internal/transport/caller/conn.go
+++ b/internal/transport/caller/conn.go
@@ -28,11 +28,14 @@
 type Conn struct {
 	net.Conn
 	connections   *Connections
+	address       string // of the caller, without a port
 	writeTimeout  time.Duration
 	lingerOnClose atomic.Bool
+	received      atomic.Int64 // bytes of the request that is being received
 
 	mu       sync.Mutex
 	use      lifecycle.Connection
+	arrival  arrival
 	readBy   time.Time // the read deadline that the server has set; zero: none
 	replaced bool      // another read deadline is in effect, until a request begins
 }
@@ -91,7 +94,9 @@
 // nothing has arrived: a timer may fire before the goroutine that reads gets to run.
 func (c *Conn) Read(b []byte) (int, error) {
 	if !c.beginWait() {
-		return c.Conn.Read(b)
+		n, err := c.Conn.Read(b)
+		c.received.Add(int64(n))
+		return n, err
 	}
 	for !c.connections.ending() || c.mayWaitLonger() {
 		n, err := c.Conn.Read(b)
@@ -99,6 +104,7 @@
 			if deadlineErr := c.beginRequest(); err == nil {
 				err = deadlineErr
 			}
+			c.received.Add(int64(n))
 			return n, err
 		}
 		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
@@ -121,6 +127,10 @@
 func (c *Conn) beginRequest() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.use.Phase() != lifecycle.Reading {
+		c.arrival = arrival{began: time.Now()}
+		c.received.Store(0)
+	}
 	c.use.RequestBegan()
 	if !c.replaced {
 		return nil
--- a/internal/transport/caller/connections.go
+++ b/internal/transport/caller/connections.go
@@ -21,11 +21,18 @@
 	// It must be set before the first connection is accepted.
 	OnWaitEnded func(WaitEnd)
 
+	// OnEvicted is called when a connection is closed, or not accepted, so that there is room for others; nil: nothing is
+	// called. It must be set before the first connection is accepted.
+	OnEvicted func(Eviction)
+
+	max int // open connections; 0: no limit
+
 	// endsAt is set once connections that wait for a request end: at the latest then, whatever has been announced.
 	endsAt atomic.Pointer[time.Time]
 
-	mu   sync.Mutex
-	open map[*Conn]struct{}
+	mu        sync.Mutex
+	open      map[*Conn]struct{}
+	addresses map[string]int // open connections by address
 }
 
 // RequestBytes tells which bytes of a request a closed connection held.
@@ -49,20 +56,25 @@
 }
 
 func newConnections() *Connections {
-	return &Connections{open: map[*Conn]struct{}{}}
+	return &Connections{open: map[*Conn]struct{}{}, addresses: map[string]int{}}
 }
 
-func (s *Connections) add(c *Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.open[c] = struct{}{}
+// forget takes a connection out of the open ones; it reports false if it is none of them. The caller must hold mu.
+func (s *Connections) forget(c *Conn) bool {
+	if _, open := s.open[c]; !open {
+		return false
+	}
+	delete(s.open, c)
+	if s.addresses[c.address]--; s.addresses[c.address] == 0 {
+		delete(s.addresses, c.address)
+	}
+	return true
 }
 
 // remove removes a connection that is about to be closed; further calls have no effect.
 func (s *Connections) remove(c *Conn) {
 	s.mu.Lock()
-	_, open := s.open[c]
-	delete(s.open, c)
+	open := s.forget(c)
 	s.mu.Unlock()
 	if !open {
 		return
--- a/internal/transport/caller/doc.go
+++ b/internal/transport/caller/doc.go
@@ -20,4 +20,13 @@
 //
 // The first bytes of a request may have been read with the one before. [Attach] lets the server tell when such a request
 // begins, and sends each response at once, so that none waits in the server for the rest of a pipelined request.
+//
+// # Room for connections and bodies
+//
+// Callers that nobody controls open many connections and leave their requests unfinished. What they make an instance hold is
+// bounded: the number of connections, the bytes of each in the receive buffer of the kernel, and the memory of bodies, which
+// an [Intake] reserves before it reads them. Requests that have arrived in full are never ended to make room. At the limit of
+// connections, one on which a request does not arrive gives way to a new one: the longest open without a request, then the
+// slowest, of the addresses that hold most first. When bodies wait for memory, the slowest of those that hold it and have
+// not arrived is ended.
 package caller
--- a/internal/transport/caller/listeners.go
+++ b/internal/transport/caller/listeners.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"cmp"
+	"context"
 	"net"
 	"sync"
 	"syscall"
@@ -27,16 +29,30 @@
 	return &Listener{Listener: l, Connections: newConnections(), writeTimeout: writeTimeout, ended: make(chan struct{})}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. At the limit of connections, one whose request does not arrive gives way to the new one;
+// if there is none, the new one is closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			l.endOnce.Do(func() { close(l.ended) })
+			return nil, err
+		}
+		c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout, use: lifecycle.Accepted(time.Now()), address: addressOf(inner)}
+		if l.Connections.admit(c, time.Now()) {
+			return c, nil
+		}
+		inner.Close()
+	}
+}
+
+// addressOf returns the address of the other end without its port.
+func addressOf(c net.Conn) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
 	if err != nil {
-		l.endOnce.Do(func() { close(l.ended) })
-		return nil, err
+		return c.RemoteAddr().String()
 	}
-	c := &Conn{Conn: inner, connections: l.Connections, writeTimeout: l.writeTimeout, use: lifecycle.Accepted(time.Now())}
-	l.Connections.add(c)
-	return c, nil
+	return host
 }
 
 const (
@@ -84,9 +100,26 @@
 	Operations net.Listener
 }
 
-// OpenListeners opens both listeners; when one fails, neither stays open.
-func OpenListeners(callerAddress, operationsAddress string, writeTimeout time.Duration) (Listeners, error) {
-	callers, err := net.Listen("tcp", callerAddress)
+// receiveBufferBytes bounds the bytes that a connection from a caller has received and nobody has read. They count toward the
+// memory of the machine, and the kernel would let them grow to megabytes for each connection. uploadBufferBytes replaces it
+// while a body is read whose memory is reserved: one of 4 MB arrives in 4 s over a round trip of 100 ms.
+const (
+	receiveBufferBytes = 16 << 10
+	uploadBufferBytes  = 128 << 10
+)
+
+// OpenListeners opens both listeners; when one fails, neither stays open. maxConnections limits the open connections of
+// callers; 0 means no limit.
+func OpenListeners(callerAddress, operationsAddress string, writeTimeout time.Duration, maxConnections int) (Listeners, error) {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		// Connections inherit the size from the listener; the window that is announced first depends on it.
+		controlErr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		})
+		return cmp.Or(controlErr, err)
+	}}
+	callers, err := config.Listen(context.Background(), "tcp", callerAddress)
 	if err != nil {
 		return Listeners{}, errors.Wrap(err, "listen for callers")
 	}
@@ -95,7 +128,9 @@
 		callers.Close()
 		return Listeners{}, errors.Wrap(err, "listen for operations")
 	}
-	return Listeners{Callers: newListener(callers, writeTimeout), Operations: operations}, nil
+	listener := newListener(callers, writeTimeout)
+	listener.Connections.max = maxConnections
+	return Listeners{Callers: listener, Operations: operations}, nil
 }
 
 // Close closes both listeners.
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -10,6 +10,7 @@
 // requestConn is a [Conn], or wraps one.
 type requestConn interface {
 	RequestBegan()
+	RequestReceived()
 	RequestHandled(reuseTimeout time.Duration)
 }
 
@@ -23,6 +24,9 @@
 func Attach(server *fasthttp.Server, reuseTimeout func() time.Duration) {
 	handle := server.Handler
 	server.Handler = func(ctx *fasthttp.RequestCtx) {
+		if c, ok := ctx.Conn().(requestConn); ok && ctx.Request.BodyStream() == nil {
+			c.RequestReceived()
+		}
 		handle(ctx)
 		if c, ok := ctx.Conn().(requestConn); ok {
 			// It fails only if the connection is closed. The connection limits each write by itself.
