--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -162,10 +162,11 @@
 	a.exchange.countedAttempts++
 }
 
-// beforeSend reports whether the request may be sent: the upstream may have stated that it wants no
-// requests while this attempt dialed it.
+// beforeSend reports whether the request may be sent: while this attempt dialed the upstream, that may have stated that it wants
+// no requests, and the caller may have left.
 func (a *attempt) beforeSend() bool {
-	if !a.exchange.service.dispatcher.MaySend(a.exchange.gateway.now(), a.grant.Token) {
+	now := a.exchange.gateway.now()
+	if a.exchange.isAbandoned(now) || !a.exchange.service.dispatcher.MaySend(now, a.grant.Token) {
 		return false
 	}
 	a.logLateSend()
@@ -173,6 +174,15 @@
 	return true
 }
 
+// abandonCheckAge is the age from which a request is not sent before its caller's connection has been looked at. The timers
+// and the watch of that connection run late in a process that lacks processor time.
+const abandonCheckAge = 100 * time.Millisecond
+
+// isAbandoned reports whether the time of the request is over, or its caller has left.
+func (ex *exchange) isAbandoned(now time.Duration) bool {
+	return now >= ex.deadline || now-ex.arrived >= abandonCheckAge && upstream.PeerClosed(ex.httpCtx.Conn())
+}
+
 // lateSend is the time from the placement of a request to its first byte from which that is logged. It is many
 // round trips within a region.
 const lateSend = 200 * time.Millisecond
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -200,6 +200,9 @@
 		cn.abandon()
 		return nil, &Failure{Phase: phase, Sent: cn.written.Load(), Reused: cn.reused, Timeout: isTimeout(err), Malformed: phase == PhaseHeader && isMalformed(err), Err: err}
 	}
+	if err := ctx.Err(); err != nil {
+		return fail(PhaseDial, err) // the context may have ended while nothing waited for it
+	}
 	if call.BeforeSend != nil && !call.BeforeSend() {
 		return fail(PhaseDial, errBeforeSendRefused)
 	}
