--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -82,6 +82,10 @@
 	RequestPlaced Event = "request_placed"
 	// RequestSentLate is logged when the first byte of a request is sent long after the request was placed.
 	RequestSentLate Event = "request_sent_late"
+	// DuplicateSent is logged when a request gets a second attempt because its first output is late.
+	DuplicateSent Event = "duplicate_sent"
+	// DuplicateEnded is logged when one of two attempts of a request has output, or both have failed.
+	DuplicateEnded Event = "duplicate_ended"
 	// UpstreamLimitChanged is logged when an upstream states another limit, or none.
 	UpstreamLimitChanged Event = "upstream_limit_changed"
 	// UpstreamStated is logged when an upstream states that it leaves, or when it wants requests again.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,6 +68,15 @@
 
 // sendAttempt sends the request to the granted upstream and forwards its response.
 func (ex *exchange) sendAttempt(grant *dispatch.Grant) *attempt {
+	a := ex.newAttempt(grant)
+	if err := a.run(); err != nil {
+		a.recordFailure(err)
+	}
+	return a
+}
+
+// newAttempt returns an attempt at the granted upstream.
+func (ex *exchange) newAttempt(grant *dispatch.Grant) *attempt {
 	a := &attempt{exchange: ex, grant: grant, startedAt: ex.gateway.now()}
 	ex.lastUpstream = grant.Upstream.ID
 	fields := logrus.Fields{
@@ -82,9 +91,6 @@
 		ex.gateway.metrics.coldPlacements.WithLabelValues(ex.service.name).Inc()
 	}
 	ex.logEntry(eventlog.RequestPlaced).WithFields(fields).Info("request placed")
-	if err := a.run(); err != nil {
-		a.recordFailure(err)
-	}
 	return a
 }
 
@@ -109,6 +115,22 @@
 
 // send sends the request and reads the response header.
 func (a *attempt) send(resumeAfter *int64) error {
+	ex := a.exchange
+	a.timeout = a.responseTimeout()
+	call := a.call(a.buildRequest(resumeAfter), a.beforeSend)
+	call.HeaderTimeout, call.GiveUp = a.timeout, a.reserveNext
+	response, err := ex.service.clientFor(a.grant.Upstream).Do(ex.callCtx, call)
+	a.recordSend(err)
+	a.recordReading(err)
+	if err != nil {
+		return err
+	}
+	ex.releaseNext()
+	return a.accept(response)
+}
+
+// buildRequest returns the request as the upstream gets it.
+func (a *attempt) buildRequest(resumeAfter *int64) *fasthttp.Request {
 	ex := a.exchange
 	req := &fasthttp.Request{}
 	req.Header.DisableNormalizing()
@@ -116,25 +138,27 @@
 		Upstream: a.grant.Upstream, Team: ex.team, TimeLeft: ex.deadline - ex.gateway.now(), Rank: ex.rank, ResumeAfter: resumeAfter,
 	})
 	req.SetBodyRaw(ex.httpCtx.Request.Body())
-	a.timeout = a.responseTimeout()
-	response, err := ex.service.clientFor(a.grant.Upstream).Do(ex.callCtx, upstream.Call{
-		Request:       req,
-		HeaderTimeout: a.timeout,
-		GiveUp:        a.reserveNext,
-		BeforeSend:    a.beforeSend,
+	return req
+}
+
+// call returns the call that sends the request and waits for the response header without a time limit.
+func (a *attempt) call(req *fasthttp.Request, beforeSend func() bool) upstream.Call {
+	ex := a.exchange
+	return upstream.Call{
+		Request:    req,
+		BeforeSend: beforeSend,
 		Attribute: func(header *fasthttp.ResponseHeader) upstream.Attribution {
 			return ex.gateway.adapter.Upstream.AttributeResponse(header, ex.request.ID)
 		},
 		OnForeign: func(header *fasthttp.ResponseHeader) {
 			ex.logEntry(eventlog.MismatchedResponse).WithFields(logrus.Fields{"upstream": a.grant.Upstream.ID, "status": header.StatusCode()}).Warn("dropped a response to another request")
 		},
-	})
-	a.recordSend(err)
-	a.recordReading(err)
-	if err != nil {
-		return err
 	}
-	ex.releaseNext()
+}
+
+// accept records a response of the upstream. It returns an error if it must not be forwarded.
+func (a *attempt) accept(response *upstream.Response) error {
+	ex := a.exchange
 	a.response = response
 	ex.lastFraming = response.Framing()
 	a.responseKind = ex.gateway.adapter.Upstream.ClassifyResponse(&response.Response.Header)
@@ -285,6 +309,9 @@
 	ex := a.exchange
 	now := ex.gateway.now()
 	ex.service.dispatcher.FirstOutput(now, a.grant.Token)
+	if ex.service.duplicates != nil {
+		ex.service.duplicates.Observe(now, ex.route.Name, now-a.startedAt)
+	}
 	ex.gateway.metrics.firstOutputSeconds.WithLabelValues(ex.route.Kind.String(), strconv.Itoa(ex.rank)).Observe((now - ex.arrived).Seconds())
 }
 
@@ -319,6 +346,12 @@
 	case a.sendState == maybeSent:
 		ex.mayHaveRun = true
 	}
+	a.finish(a.examineFailure(err, status), false)
+}
+
+// examineFailure finds out whether the upstream has crashed, logs the failure and returns the status to be reported.
+func (a *attempt) examineFailure(err error, status dispatch.Status) dispatch.Status {
+	ex := a.exchange
 	switch {
 	case a.sendState == notSent && refusedConnection(err):
 		a.recordCrash()
@@ -333,7 +366,7 @@
 		"connection_lost": lostConnection(err), "crashed": a.crashed, "fingerprint": ex.fingerprint.String(), "framing": a.framing().String(),
 		"after_ms": (ex.gateway.now() - a.startedAt).Milliseconds(), "error": err.Error(),
 	}).Warn("attempt failed")
-	a.finish(status, false)
+	return status
 }
 
 // framing returns the framing of the response; FramingNone if no header was read.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -225,13 +225,20 @@
 func (ex *exchange) forward() {
 	ex.start()
 	ex.service.budget.RecordFirstAttempt(ex.gateway.now())
+	if ex.service.duplicates != nil {
+		ex.service.duplicates.RecordRequest(ex.gateway.now())
+	}
 	for {
 		grant, apiErr := ex.acquireUpstream()
 		if apiErr != nil {
 			ex.respondWithError(apiErr)
 			return
 		}
-		a := ex.sendAttempt(grant)
+		send := ex.sendAttempt
+		if ex.mayDuplicate() {
+			send = ex.sendContended
+		}
+		a := send(grant)
 		if a.delivered {
 			return
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,7 @@
 	coldPlacements        *prometheus.CounterVec
 	connections           prometheus.Gauge
 	evicted               *prometheus.CounterVec
+	duplicates            *prometheus.CounterVec
 }
 
 const namespace = "yuccabridge"
@@ -70,7 +71,8 @@
 	m.coldPlacements = counter("gateway_cold_placements_total", "Requests that this instance has placed at cold upstreams.", "service")
 	m.connections = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "gateway_connections", Help: "Open connections of callers."})
 	m.evicted = counter("gateway_connections_evicted_total", "Connections of callers that were closed to make room for others, or not accepted, by reason.", "reason")
-	m.registry.MustRegister(m.connections, m.evicted, m.evacuated, m.coldUpstreams, m.coldPlacements, m.pullAnswerBytes, m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
+	m.duplicates = counter("gateway_duplicates_total", "Second attempts of requests whose first output was late, by result.", "result")
+	m.registry.MustRegister(m.duplicates, m.connections, m.evicted, m.evacuated, m.coldUpstreams, m.coldPlacements, m.pullAnswerBytes, m.platformAvailable, m.deferredRemovals, m.platformReads, m.readsPlatform, m.heldAtStart, m.firstOutputSeconds, m.queueSeconds, m.requests, m.errorResponses, m.unanswered, m.closedWaiting, m.attempts, m.retries, m.retrySlack, m.resumes, m.streamsLocated, m.bodyWaits, m.relays, m.upstreamsThroughPeers, m.configurationVersion)
 	return m
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccabridge/yuccabridge/internal/coordination/dispatch"
+	"github.com/yuccabridge/yuccabridge/internal/coordination/duplicate"
 	"github.com/yuccabridge/yuccabridge/internal/coordination/retry"
 	"github.com/yuccabridge/yuccabridge/internal/eventlog"
 	"github.com/yuccabridge/yuccabridge/internal/transport/upstream"
@@ -41,6 +42,7 @@
 	name       string
 	dispatcher *dispatch.Dispatcher
 	budget     *retry.Window
+	duplicates *duplicate.Policy // nil if the settings allow none
 	paths      *upstreamPaths
 
 	mu        sync.Mutex
@@ -53,7 +55,7 @@
 }
 
 func (g *Gateway) newService(name string) *service {
-	return &service{
+	s := &service{
 		name: name,
 		dispatcher: dispatch.New(dispatch.Options{Domain: g.settings.FailureDomain, TokensPerMS: g.settings.PromptTokensPerMS},
 			rand.New(rand.NewPCG(g.seed, xxhash.Sum64String(name)))),
@@ -62,6 +64,10 @@
 		clients: map[string]*upstream.Client{},
 		waiters: map[uint64]chan dispatch.Decision{},
 	}
+	if share := g.settings.Duplicates.Share; share > 0 {
+		s.duplicates = duplicate.New(share, g.settings.Retries.Window.Std())
+	}
+	return s
 }
 
 // retryRatioFraction is the fraction of the published retry ratio and slack that the instances
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,9 +76,7 @@
 // startStream waits for the first event, so that an earlier failure can still be retried,
 // and leaves the rest of the stream to the HTTP server.
 func (a *attempt) startStream() error {
-	ex := a.exchange
-	// Callers that speak HTTP/1.0 cannot read chunks.
-	s := &stream{attempt: a, framed: ex.lastFraming != upstream.FramingClose && ex.httpCtx.Request.Header.IsHTTP11()}
+	s := &stream{attempt: a}
 	s.openBody()
 	event, err := s.awaitEvent(a.timeout)
 	if err != nil {
@@ -87,6 +85,14 @@
 		}
 		return err
 	}
+	return a.beginStream(s, event)
+}
+
+// beginStream forwards a stream from its first event on.
+func (a *attempt) beginStream(s *stream, event []byte) error {
+	ex := a.exchange
+	// Callers that speak HTTP/1.0 cannot read chunks.
+	s.framed = ex.lastFraming != upstream.FramingClose && ex.httpCtx.Request.Header.IsHTTP11()
 	a.recordFirstOutput()
 	a.recordOrigin()
 	s.buffer(event)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -38,6 +38,8 @@
 	Peers *GatewayPeers `yaml:"peers,omitempty"`
 	// Retries is the retry budget shared by all instances.
 	Retries Retries `yaml:"retries,omitempty"`
+	// Duplicates allows second attempts against slow answers.
+	Duplicates Duplicates `yaml:"duplicates,omitempty"`
 	// Grace is the termination grace period: how long the platform waits between SIGTERM and
 	// SIGKILL. Default 8s.
 	Grace config.Duration `yaml:"grace,omitempty" validate:"min=0"`
@@ -91,6 +93,13 @@
 	Slack int `yaml:"slack,omitempty" validate:"min=0"`
 }
 
+// Duplicates allows second attempts of requests that may be repeated, before the first has failed.
+type Duplicates struct {
+	// Share is the maximum ratio of duplicates to requests of a service over retries.window, of all instances. They count
+	// against the retry budget, too. Default 0: no duplicates are sent.
+	Share float64 `yaml:"share,omitempty" validate:"min=0,max=0.2"`
+}
+
 // LoadGateway reads and validates the settings file. An error is a single line of text that
 // gives the file, the line number and the field.
 func LoadGateway(file string) (*Gateway, error) {
