--- a/internal/coordination/dispatch/statement.go
+++ b/internal/coordination/dispatch/statement.go
@@ -30,6 +30,8 @@
 	leaving bool
 	// silentUntil is the time before which it wants no requests from this instance.
 	silentUntil time.Duration
+	// silenceStatedAt is when it stated that.
+	silenceStatedAt time.Duration
 }
 
 // lapsedStatement is what an upstream without an entry has stated.
@@ -60,7 +62,7 @@
 		changed = changed || !u.silent(now)
 		// The jitter keeps instances that were told at the same time from coming back together.
 		jitter := time.Duration(d.rng.Float64() * float64(min(s.RetryAfter/maxReturnJitterFraction, maxReturnJitter)))
-		u.stated.silentUntil = max(u.stated.silentUntil, now+s.RetryAfter+jitter)
+		u.stated.silentUntil, u.stated.silenceStatedAt = max(u.stated.silentUntil, now+s.RetryAfter+jitter), now
 		u.returning = 1
 	}
 	if published == nil {
@@ -174,16 +176,22 @@
 		return
 	}
 	if l := &d.lapsedStatements[i]; l.incarnation == u.Incarnation {
-		l.stated = stated{leaving: l.stated.leaving || u.stated.leaving, silentUntil: max(l.stated.silentUntil, u.stated.silentUntil)}
+		l.stated = stated{leaving: l.stated.leaving || u.stated.leaving, silentUntil: max(l.stated.silentUntil, u.stated.silentUntil),
+			silenceStatedAt: max(l.stated.silenceStatedAt, u.stated.silenceStatedAt)}
 	}
 }
 
 // restoreStatements gives an upstream what the same process stated before its entry changed, in old, or
-// lapsed.
+// lapsed. The entry of a process may come after its first answers: when to come back is kept if it was stated after the start.
+// That it leaves is not, since the clocks may differ and it would hold for good.
 func (d *Dispatcher) restoreStatements(u, old *upstream) {
 	if old != nil {
-		if old.Incarnation == u.Incarnation {
+		switch {
+		case old.Incarnation == u.Incarnation:
 			u.stated = old.stated
+		case u.StartedAt != 0 && old.stated.silenceStatedAt > u.StartedAt:
+			u.stated = stated{silentUntil: old.stated.silentUntil, silenceStatedAt: old.stated.silenceStatedAt}
+			u.returning = old.returning
 		}
 		return
 	}
--- a/internal/coordination/dispatch/statement_test.go
+++ b/internal/coordination/dispatch/statement_test.go
@@ -91,3 +91,24 @@
 		}
 	}
 }
+
+// Guards against a time to come back that is forgotten because the entry of the process which stated it arrives later, as when
+// the platform was away at its start; and against one that the process before has stated.
+func TestStatementOutlastsTheLateEntryOfItsProcess(t *testing.T) {
+	for name, tc := range map[string]struct {
+		started time.Duration
+		silent  bool
+	}{"stated after the start": {time.Second, true}, "stated before the start": {3 * time.Second, false}, "start unknown": {0, false}} {
+		t.Run(name, func(t *testing.T) {
+			d := New(Options{}, rand.New(rand.NewPCG(1, 2)))
+			d.Update(0, []Upstream{{ID: "u", Incarnation: "1", Slots: 8}})
+			g := d.Submit(time.Second, Request{ID: 1, Target: time.Minute, Deadline: time.Minute}).Grant
+			d.RecordStatement(2*time.Second, g.Token, Statement{RetryAfter: 5 * time.Second})
+			d.Done(2*time.Second, g.Token, Refused)
+			d.Update(2500*time.Millisecond, []Upstream{{ID: "u", Incarnation: "2", StartedAt: tc.started, Slots: 8}})
+			if got := d.Snapshot(2500 * time.Millisecond)[0].Silent; got != tc.silent {
+				t.Errorf("wants no requests: %v, want %v", got, tc.silent)
+			}
+		})
+	}
+}
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -15,14 +15,16 @@
 
 // Upstream describes an upstream as published by the platform.
 type Upstream struct {
-	ID, Address      string
-	Incarnation      string `json:",omitempty"` // changes when the upstream starts again under its ID
-	Version          string `json:",omitempty"` // of its software; streams of one version cannot go on at another
-	Domain           string // failure domain
-	Slots            int    // maximum number of concurrent requests
-	KVCapacityTokens int    `json:"Memory"` // KV cache capacity; 0 for upstreams without prompts
-	Leaving          bool   // receives no new requests
-	Evacuated        bool   `json:",omitempty"` // the operator wants nothing new sent to its failure domain
+	ID, Address string
+	Incarnation string `json:",omitempty"` // changes when the upstream starts again under its ID
+	// StartedAt is when its process started, by the clocks of both machines; 0 if it is not published.
+	StartedAt        time.Duration `json:"-"`
+	Version          string        `json:",omitempty"` // of its software; streams of one version cannot go on at another
+	Domain           string        // failure domain
+	Slots            int           // maximum number of concurrent requests
+	KVCapacityTokens int           `json:"Memory"` // KV cache capacity; 0 for upstreams without prompts
+	Leaving          bool          // receives no new requests
+	Evacuated        bool          `json:",omitempty"` // the operator wants nothing new sent to its failure domain
 
 	// ColdRate is the number of requests per second that it takes from all instances together while it is cold; 0 means
 	// no bound. ColdTime is how long it stays cold after a start.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -205,7 +206,7 @@
 			published = t.services[u.Service]
 		}
 		upstreamsByService[u.Service] = append(upstreamsByService[u.Service], dispatch.Upstream{
-			ID: u.ID, Incarnation: u.Incarnation, Version: u.Version, Address: u.Address, Domain: u.FailureDomain, Slots: u.Slots, KVCapacityTokens: published.KVCapacityTokens, Leaving: u.Leaving,
+			ID: u.ID, Incarnation: u.Incarnation, StartedAt: g.startOf(u), Version: u.Version, Address: u.Address, Domain: u.FailureDomain, Slots: u.Slots, KVCapacityTokens: published.KVCapacityTokens, Leaving: u.Leaving,
 			Evacuated: g.evacuations.Evacuated(u.FailureDomain), ColdRate: published.ColdRate, ColdTime: published.ColdTime, ColdUntil: g.coldUntil[key],
 		})
 	}
@@ -223,6 +224,15 @@
 	}
 }
 
+// startOf returns when the process of an upstream started, which its incarnation says in Unix milliseconds; 0 if it does not.
+func (g *Gateway) startOf(u Upstream) time.Duration {
+	born, err := strconv.ParseInt(u.Incarnation, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.UnixMilli(born).Sub(g.startedAt)
+}
+
 // Run serves requests until ctx is done, then drains the instance.
 func (g *Gateway) Run(ctx context.Context) error {
 	background := tasks.NewGroup()
