--- a/internal/coordination/duplicate/policy.go
+++ b/internal/coordination/duplicate/policy.go
@@ -11,8 +11,8 @@
 
 const (
 	// minSamples is the number of first outputs of a class from which its quantile is used: a 95th percentile of fewer is
-	// one of the largest three.
-	minSamples = 40
+	// the largest. An instance of a fleet of 60 sees one or two a second.
+	minSamples = 20
 	// predictedFactor times the predicted time is the least time after which a duplicate is sent.
 	predictedFactor = 1.5
 	// classTTL and maxClasses bound the classes whose times are kept.
