--- a/cmd/yuccabridge/soak.go
+++ b/cmd/yuccabridge/soak.go
@@ -31,7 +31,7 @@
 				return errors.New("--instances, --upstreams, --duration and --runs must be positive")
 			}
 			options.Faults = soak.Faults(faults)
-			plans := []soak.Faults{soak.MixedFaults, soak.RetryFaults, soak.LimitFaults, soak.EndlessFaults, soak.DrillFaults, soak.ReleaseFaults, soak.PartitionFaults, soak.StatementFaults, soak.RemovalFaults, soak.StopFaults}
+			plans := []soak.Faults{soak.MixedFaults, soak.RetryFaults, soak.LimitFaults, soak.EndlessFaults, soak.DrillFaults, soak.ReleaseFaults, soak.PartitionFaults, soak.StatementFaults, soak.RemovalFaults, soak.StopFaults, soak.EvacuationFaults}
 			if !slices.Contains(plans, options.Faults) || options.Rate < 0 {
 				return errors.Errorf("--faults must be one of %v, and --rate must not be negative", plans)
 			}
@@ -70,7 +70,7 @@
 	flags.IntVar(&options.Instances, "instances", 4, "number of instances")
 	flags.IntVar(&options.Upstreams, "upstreams", 6, "number of upstreams")
 	flags.IntVar(&options.Callers, "callers", 0, "callers of each instance; 0: 4")
-	flags.StringVar(&faults, "faults", string(soak.MixedFaults), "fault plan: mixed, retries (several upstreams fail, pause or crash), limits (upstreams state limits), endless (upstreams send bytes without end), drill (the store comes back from an older copy, and upstreams end responses halfway), releases (upstreams of other versions take the places of others, and callers go on with broken streams), partitions (instances lose their links to all upstreams), statements (upstreams state that they leave, or when to come back), removals (entries of upstreams that still serve are removed while instances lose the store), or stops (instances are stopped in series, with hangups and stalls, while callers hold connections)")
+	flags.StringVar(&faults, "faults", string(soak.MixedFaults), "fault plan: mixed, retries (several upstreams fail, pause or crash), limits (upstreams state limits), endless (upstreams send bytes without end), drill (the store comes back from an older copy, and upstreams end responses halfway), releases (upstreams of other versions take the places of others, and callers go on with broken streams), partitions (instances lose their links to all upstreams), statements (upstreams state that they leave, or when to come back), removals (entries of upstreams that still serve are removed while instances lose the store), stops (instances are stopped in series, with hangups and stalls, while callers hold connections), or evacuations (a failure domain of upstreams is evacuated and taken back)")
 	flags.Float64Var(&options.Rate, "rate", 0, "requests per second of all callers; 0: each pauses for 10 ms on average")
 	flags.StringVar(&options.Daemon, "daemon", "yuccabridged", "path or name of the daemon executable")
 	flags.StringVar(&options.OtherDaemon, "other-daemon", "", "path of another build of the daemon: every second instance starts with it, and each restart changes the build")
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,6 +40,7 @@
 	statePause         // an upstream rejects requests and states when to come back
 	removeUpstream     // the entry of an upstream is removed although it still serves
 	stallProcess       // an instance does not run for a moment, also while it is stopped
+	evacuateDomain     // a failure domain of upstreams is evacuated and taken back
 	faultKindCount
 
 	// mixedKindCount is the number of kinds that mixed plans draw.
@@ -49,7 +50,7 @@
 var faultKindNames = [faultKindCount]string{"kill", "pause", "stop", "reload", "harm_upstream", "harm_store_link", "fail_store", "drop_history",
 	"change_routes", "revoke_key", "upstream_leaves", "upstream_breaks", "upstream_refuses", "upstream_stray",
 	"upstreams_break", "upstreams_refuse", "upstreams_pause", "start_later", "upstream_limit", "upstream_endless", "upstream_ends", "store_returns",
-	"release", "upstream_crashes", "partition", "states_leaving", "states_pause", "entry_removed", "stall"}
+	"release", "upstream_crashes", "partition", "states_leaving", "states_pause", "entry_removed", "stall", "evacuate"}
 
 // fault is one entry of a fault plan.
 type fault struct {
@@ -110,6 +111,8 @@
 		return newRemovalPlan(seed, o)
 	case StopFaults:
 		return newStopPlan(seed, o)
+	case EvacuationFaults:
+		return newEvacuationPlan(seed, o)
 	}
 	return newMixedPlan(seed, o)
 }
--- a/internal/soak/releases.go
+++ b/internal/soak/releases.go
@@ -50,7 +50,7 @@
 	if o.Faults == ReleaseFaults || o.Faults == PartitionFaults || o.Faults == RemovalFaults {
 		return fmt.Sprintf("zone-%d", instance%failureDomains)
 	}
-	return "zone"
+	return o.upstreamDomain(instance)
 }
 
 // release puts the upstream with the next version into a place. The one before says that it leaves, and
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -77,6 +77,8 @@
 	RemovalFaults Faults = "removals"
 	// StopFaults stops instances in series, with hangups and moments in which they do not run.
 	StopFaults Faults = "stops"
+	// EvacuationFaults evacuates a failure domain of upstreams and takes it back.
+	EvacuationFaults Faults = "evacuations"
 )
 
 // callerPause returns the mean pause of a caller between two requests.
@@ -115,6 +117,8 @@
 	Statements int
 	// Removals is the number of times that an upstream without an entry still served.
 	Removals int
+	// ColdArrivals is the number of requests to upstreams that had just been taken back.
+	ColdArrivals int
 	// Held counts the requests on connections that callers held, by how the connection was used, whether its
 	// instance was being stopped, and how the request ended.
 	Held map[string]int
@@ -160,6 +164,9 @@
 	if r.Options.Faults == RemovalFaults {
 		fmt.Fprintf(&b, "entries removed: %d\n", r.Removals)
 	}
+	if r.Options.Faults == EvacuationFaults {
+		fmt.Fprintf(&b, "requests to upstreams that had been taken back: %d\n", r.ColdArrivals)
+	}
 	fmt.Fprintf(&b, "largest memory of an instance: %d MB\n", r.LargestMemory/1e6)
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise was broken\n")
@@ -227,6 +234,7 @@
 	tb.checkPartitions(observations)
 	tb.checkStatements(observations)
 	tb.checkRemovals(observations)
+	tb.checkEvacuations(observations)
 	tb.checkStops()
 	tb.checkReuse()
 	return tb.report(observations), ctx.Err()
@@ -259,7 +267,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "start proxy")
 		}
-		u := &upstream{Upstream: s, proxy: p, rng: rand.New(rand.NewPCG(o.Seed, uint64(i))), version: versionName(i / o.Upstreams)}
+		u := &upstream{Upstream: s, proxy: p, rng: rand.New(rand.NewPCG(o.Seed, uint64(i))), version: versionName(i / o.Upstreams), domain: o.upstreamDomain(i)}
 		u.publish = func() { u.register(tb.store, serving) }
 		if o.Faults == ReleaseFaults {
 			u.publish = func() { u.writeAgain(tb.store) } // another upstream may have its place
@@ -411,7 +419,7 @@
 const finalCallerNumber = maxCallers + 1
 
 func (tb *testbed) report(observations []observation) Report {
-	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold, Removals: tb.removals, Held: tb.heldCounts, Reused: tb.reuseCounts}
+	r := Report{Options: tb.options, Requests: len(observations), Outcomes: map[string]int{}, Faults: tb.faultCounts, RetrySlackUsed: tb.retryUsage.slackUsed, LimitedArrivals: tb.limitedArrivals, LargestMemory: tb.largestMemory, TakenUp: tb.takenUp, AtPartitioned: tb.atPartitioned, AtOthers: tb.atOthers, Statements: tb.statementsTold, Removals: tb.removals, ColdArrivals: tb.coldArrivals, Held: tb.heldCounts, Reused: tb.reuseCounts}
 	for _, o := range observations {
 		switch {
 		case o.status == 0:
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -68,6 +68,8 @@
 	atOthers         firstTries
 	statementsTold   int
 	removals         int
+	evacuations      faultIntervals // of evacuatedDomain
+	coldArrivals     int
 	heldRequests     []heldRequest
 	heldCounts       map[string]int
 	reusedRequests   []reusedRequest
@@ -110,11 +112,19 @@
 			keys = append(keys, k.name)
 		}
 	}
-	tb.configuration = standin.Configuration{Version: tb.version, Routes: routes, Services: []standin.Service{{Name: serviceName}},
+	tb.configuration = standin.Configuration{Version: tb.version, Routes: routes, Services: []standin.Service{tb.options.service()},
 		Team: "team", APIKeys: keys}
 	tb.store.PutConfiguration(tb.configuration)
 }
 
+// service returns the service of the upstreams.
+func (o Options) service() standin.Service {
+	if o.Faults == EvacuationFaults {
+		return standin.Service{Name: serviceName, ColdTime: coldTime, ColdRate: coldRate}
+	}
+	return standin.Service{Name: serviceName}
+}
+
 func (tb *testbed) changeRoutes() {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -188,6 +198,8 @@
 		tb.changeRoutes()
 	case revokeKey:
 		tb.revokeKey()
+	case evacuateDomain:
+		tb.evacuate(waitForEnd)
 	case drainUpstream:
 		for _, state := range []registrationState{leaving, removed} {
 			u.register(tb.store, state)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -34,6 +34,7 @@
 	crashes      []upstreamCrash
 	limit        float64 // stated now; 0 if there is none
 	version      string  // of its software
+	domain       string  // failure domain
 	// limitIntervals are the times at which a limit was stated.
 	limitIntervals []limitInterval
 	endPause       func()
@@ -105,7 +106,7 @@
 // registration returns the upstream's registration. It has the address of the proxy, so that all
 // connections pass through it.
 func (u *upstream) registration(leaving bool) standin.Registration {
-	r := standin.Registration{Address: u.proxy.address(), Service: serviceName, FailureDomain: "zone", Slots: 16, Leaving: leaving, Version: u.version}
+	r := standin.Registration{Address: u.proxy.address(), Service: serviceName, FailureDomain: u.domain, Slots: 16, Leaving: leaving, Version: u.version}
 	if ms := u.bornMS.Load(); ms > 0 {
 		r.Born = time.UnixMilli(ms)
 	}
