--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -198,13 +198,11 @@
 	return true
 }
 
-// abandonCheckAge is the age from which a request is not sent before its caller's connection has been looked at. The timers
-// and the watch of that connection run late in a process that lacks processor time.
-const abandonCheckAge = 100 * time.Millisecond
-
-// isAbandoned reports whether the time of the request is over, or its caller has left.
+// isAbandoned reports whether the time of the request is over, or its caller has left. In a process that lacks processor time,
+// timers and the watch of the caller's connection run late, and a request is read long after it has arrived: its age does not
+// show that, the end of the connection behind it does.
 func (ex *exchange) isAbandoned(now time.Duration) bool {
-	return now >= ex.deadline || now-ex.arrived >= abandonCheckAge && upstream.PeerClosed(ex.httpCtx.Conn())
+	return now >= ex.deadline || upstream.PeerClosed(ex.httpCtx.Conn())
 }
 
 // lateSend is the time from the placement of a request to its first byte from which that is logged. It is many
