--- a/internal/coordination/dispatch/cold.go
+++ b/internal/coordination/dispatch/cold.go
@@ -117,7 +117,9 @@
 	slices.Sort(d.known)
 	d.known = slices.Compact(d.known)
 	for u := range d.all() {
-		d.placeInColdOrder(now, u)
+		if u.isCold(now) { // the others are placed when they turn cold
+			d.placeInColdOrder(now, u)
+		}
 	}
 }
 
--- a/internal/coordination/dispatch/limits.go
+++ b/internal/coordination/dispatch/limits.go
@@ -67,7 +67,9 @@
 		if u.limiter.Limited() {
 			d.placeInHolderOrder(now, u)
 		}
-		d.placeInColdOrder(now, u)
+		if u.isCold(now) {
+			d.placeInColdOrder(now, u)
+		}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,7 @@
 
 	quarantine      *quarantine.Quarantine
 	evacuations     *evacuation.Register
-	membersSettled  bool // the dispatchers have been told the known instances; used by tick only
+	knownUpdatedAt  time.Duration // when the dispatchers were told the known instances; used by tick only
 	origins         *streamorigin.Registry
 	versions        *streamorigin.VersionHistory
 	publishedMu     sync.Mutex
@@ -270,8 +270,8 @@
 		s.reportCold(g, now)
 		s.probeEjected(g)
 	}
-	if !g.membersSettled && now >= memberSettleTime {
-		g.membersSettled = true
+	if now-g.knownUpdatedAt >= memberSettleTime {
+		g.knownUpdatedAt = now
 		g.updateKnownInstances()
 	}
 	g.metrics.connections.Set(float64(g.sockets.Callers.Connections.Open()))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -165,6 +165,9 @@
 		p.forgetIfDead(a)
 		p.closeIdleRelays(a)
 		p.updateInstances()
+		if a.Previous == 0 || a.Previous == membership.Dead || a.Member.State == membership.Dead {
+			p.gateway.updateKnownInstances() // suspicions, which may come and go many times a second, change nothing
+		}
 		p.queuePull(a)
 		p.gateway.log.WithFields(logrus.Fields{"event": eventlog.PeerChanged, "peer": a.Member.Name, "process": a.Member.Incarnation.Process.String(),
 			"state": a.Member.State.String(), "previous": a.Previous.String()}).Info("peer changed")
@@ -250,7 +253,6 @@
 	for _, s := range p.gateway.sortedServices() {
 		s.dispatcher.SetInstances(p.gateway.now(), p.gateway.settings.Instance, names)
 	}
-	p.gateway.updateKnownInstances()
 }
 
 func (p *peers) start(background *tasks.Group) {
