--- a/cmd/yuccabridge/config.go
+++ b/cmd/yuccabridge/config.go
@@ -38,7 +38,7 @@
 
 func newConfigCommand() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Check, print and compare configurations"}
-	c.AddCommand(newConfigCheckCommand(), newConfigPrintCommand(), newConfigDiffCommand())
+	c.AddCommand(newConfigCheckCommand(), newConfigPrintCommand(), newConfigDiffCommand(), newConfigLintCommand())
 	return c
 }
 
--- a/cmd/yuccabridge/diff.go
+++ b/cmd/yuccabridge/diff.go
@@ -7,32 +7,13 @@
 	"strings"
 
 	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/lint"
 )
 
-// change is one difference between two configurations.
-type change struct {
-	Section string
-	Field   string
-	Before  string // empty if the element was added
-	After   string // empty if the element was removed
-}
-
-// String formats the change on one line with the section, the field and both values.
-func (c change) String() string {
-	path := c.Section + c.Field
-	switch {
-	case c.Before == "":
-		return "+ " + path + ": " + c.After
-	case c.After == "":
-		return "- " + path + ": " + c.Before
-	}
-	return "~ " + path + ": " + c.Before + " -> " + c.After
-}
-
 // diffDeployments compares two configurations. Elements of lists whose type has a Name
 // field are matched by name; other lists are compared as a whole.
-func diffDeployments(before, after *config.Deployment) []change {
-	var changes []change
+func diffDeployments(before, after *config.Deployment) []lint.Change {
+	var changes []lint.Change
 	beforeFields, afterFields := reflect.ValueOf(*before), reflect.ValueOf(*after)
 	for i := range beforeFields.NumField() {
 		d := sectionDiffer{section: yamlName(beforeFields.Type().Field(i))}
@@ -45,11 +26,11 @@
 // sectionDiffer collects the changes of one section of the configuration.
 type sectionDiffer struct {
 	section string
-	changes []change
+	changes []lint.Change
 }
 
 func (d *sectionDiffer) addChange(field, before, after string) {
-	d.changes = append(d.changes, change{Section: d.section, Field: field, Before: before, After: after})
+	d.changes = append(d.changes, lint.Change{Path: d.section + field, Before: before, After: after})
 }
 
 func (d *sectionDiffer) compare(field string, before, after reflect.Value) {
