--- a/internal/coordination/dispatch/cold.go
+++ b/internal/coordination/dispatch/cold.go
@@ -48,8 +48,8 @@
 // isCold reports whether the upstream counts as cold and takes few requests meanwhile.
 func (u *upstream) isCold(now time.Duration) bool { return u.ColdRate > 0 && now < u.cold.until }
 
-// applyPublished updates an upstream to what is published; old is what was known under its ID, nil if nothing was. One whose evacuation has ended counts as cold for the time
-// after a start: it may have turned cold before its entry says so.
+// applyPublished updates an upstream to what is published; old is what was known under its ID, nil if nothing was. One
+// whose evacuation has ended counts as cold for the time after a start: it may have turned cold before its entry says so.
 func (d *Dispatcher) applyPublished(now time.Duration, u, old *upstream, published Upstream) {
 	returned := old != nil && old.Evacuated && !published.Evacuated
 	if old != nil && old != u && old.Incarnation == u.Incarnation {
