--- a/cmd/yuccabridge/main_test.go
+++ b/cmd/yuccabridge/main_test.go
@@ -68,6 +68,7 @@
 		{[]string{"capacity", "measure", "nothing"}, 2, "there is no measurement"},
 		{[]string{"capacity", "report"}, 0, ""},
 		{[]string{"emulate", "--config", validFile, "--instance", "i1"}, 2, "--instance i1: "},
+		{[]string{"soak", "--dir", t.TempDir(), "--daemon", "missing-daemon"}, 2, "start front-0: "},
 		{[]string{"experiment", "--condition", "rain"}, 2, "--condition: rain: "},
 		{[]string{"experiment", "--policy", "none"}, 2, "--policy none: "},
 		{[]string{"experiment", "--load", "0"}, 2, "--load 0: "},
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -150,14 +150,15 @@
 	defer in.mu.Unlock()
 	build := in.builds[in.starts%len(in.builds)]
 	in.starts++
-	in.cmd = exec.Command(build, "gateway", "--settings", in.settingsFile())
-	in.cmd.Stdout, in.cmd.Stderr = out, out
-	if err := in.cmd.Start(); err != nil {
+	cmd := exec.Command(build, "gateway", "--settings", in.settingsFile())
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
 		out.Close()
 		return errors.Wrap(err, "start "+in.name)
 	}
+	in.cmd = cmd // only of a process that has started: it is signaled at the end of the run
 	in.exitExpected, in.started, in.exited = false, false, make(chan struct{})
-	go in.reap(in.cmd, out, in.exited)
+	go in.reap(cmd, out, in.exited)
 	return nil
 }
 
