--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -97,7 +97,8 @@
 				if s.leaving && o.sent.After(s.at.Add(maxLeavingDelay)) && a.At.Before(u.restartAfter(s)) {
 					tb.addViolation("%s got request %s %v after it had told front-%d that it leaves", u.Name, a.ID, a.At.Sub(s.at).Round(time.Millisecond), o.instance)
 				}
-				if !s.leaving && a.At.After(s.at.Add(statementMargin)) && a.At.Before(s.at.Add(statedPause)) {
+				// A process that starts after a crash has stated nothing yet.
+				if !s.leaving && a.At.After(s.at.Add(statementMargin)) && a.At.Before(s.at.Add(statedPause)) && a.At.Before(u.restartAfter(s)) {
 					during = append(during, fmt.Sprintf("%s after %v, sent after %v", a.ID, a.At.Sub(s.at).Round(time.Millisecond), o.sent.Sub(s.at).Round(time.Millisecond)))
 				}
 			}
