--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -435,7 +435,7 @@
 			d.unreportedWork = append(d.unreportedWork, Work{Upstream: u.tag, Prefill: c.work, Rank: r.Rank, Long: r.long, Session: sessionPart(r.Prefix)})
 		}
 	}
-	return Decision{ID: r.ID, Grant: &Grant{Upstream: u.Upstream, Token: d.lastToken, Wait: c.predictedWait, Work: c.work, Cached: c.cachedTokens, Preferred: c.preferred, Load: u.load() - 1, Cold: g.cold}}
+	return Decision{ID: r.ID, Grant: &Grant{Upstream: u.Upstream, Token: d.lastToken, Wait: c.predictedWait, Work: c.work, Cached: c.cachedTokens, Preferred: c.preferred, Load: u.load() - 1, Cold: g.cold, Limited: u.limiter.Limited()}}
 }
 
 // reject returns a rejection with a retry delay.
--- a/internal/coordination/dispatch/types.go
+++ b/internal/coordination/dispatch/types.go
@@ -112,6 +112,8 @@
 	Load int
 	// Cold reports whether the upstream is cold.
 	Cold bool
+	// Limited reports whether the upstream has stated a limit on requests per second.
+	Limited bool
 }
 
 // Rejection describes a request that was not sent to any upstream.
--- a/internal/coordination/duplicate/policy.go
+++ b/internal/coordination/duplicate/policy.go
@@ -81,6 +81,8 @@
 	Predicted, Wait time.Duration
 	// Cold is set if the upstream has started lately.
 	Cold bool
+	// Limited is set if the upstream has stated a limit, which the duplicate would take from a first attempt.
+	Limited bool
 	// Queued is the number of requests that wait for upstreams of the service.
 	Queued int
 }
@@ -90,7 +92,7 @@
 
 // Suits reports whether an upstream may get a duplicate of a request that the first has had for some time.
 func (c Candidate) Suits(elapsed time.Duration) bool {
-	return !c.Cold && c.Queued == 0 && 2*c.Load < c.Slots && c.Wait < maxWait && c.Predicted < elapsed
+	return !c.Cold && !c.Limited && c.Queued == 0 && 2*c.Load < c.Slots && c.Wait < maxWait && c.Predicted < elapsed
 }
 
 // Allow returns a permit for a duplicate; nil if the share is used up. The caller reports with Sent or Withdraw what becomes of
--- a/internal/coordination/duplicate/policy_test.go
+++ b/internal/coordination/duplicate/policy_test.go
@@ -191,3 +191,26 @@
 		})
 	}
 }
+
+// Guards against duplicates at upstreams that take few requests, or where they would delay others.
+func TestDuplicatesGoOnlyToUpstreamsWithRoom(t *testing.T) {
+	free := Candidate{Load: 1, Slots: 4, Wait: 10 * time.Millisecond, Predicted: 200 * time.Millisecond}
+	const elapsed = 300 * time.Millisecond
+	if !free.Suits(elapsed) {
+		t.Error("an upstream with room does not suit")
+	}
+	for name, change := range map[string]func(*Candidate){
+		"cold":                    func(c *Candidate) { c.Cold = true },
+		"limited":                 func(c *Candidate) { c.Limited = true },
+		"half of its slots taken": func(c *Candidate) { c.Load = 2 },
+		"others wait for it":      func(c *Candidate) { c.Wait = maxWait },
+		"requests are queued":     func(c *Candidate) { c.Queued = 1 },
+		"not sooner":              func(c *Candidate) { c.Predicted = elapsed },
+	} {
+		c := free
+		change(&c)
+		if c.Suits(elapsed) {
+			t.Errorf("%s: suits", name)
+		}
+	}
+}
--- a/internal/gateway/duplicate.go
+++ b/internal/gateway/duplicate.go
@@ -184,7 +184,8 @@
 		return nil
 	}
 	elapsed := now - first.attempt.startedAt
-	candidate := duplicate.Candidate{Load: grant.Load, Slots: grant.Upstream.Slots, Predicted: grant.Wait + grant.Work, Wait: grant.Wait, Cold: grant.Cold, Queued: s.dispatcher.Waiting()}
+	candidate := duplicate.Candidate{Load: grant.Load, Slots: grant.Upstream.Slots, Predicted: grant.Wait + grant.Work, Wait: grant.Wait, Cold: grant.Cold, Limited: grant.Limited,
+		Queued: s.dispatcher.Waiting()}
 	release := func() {
 		s.dispatcher.RecordNotSent(grant.Token)
 		ex.releaseGrant(grant)
