--- a/internal/entry/cut_head_test.go
+++ b/internal/entry/cut_head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 // cuttingUpstream stands for upstreams. It answers each request on a connection of its own, and ends the answer after some bytes if it is told
 // to.
 type cuttingUpstream struct {
+	status   string                   // the status line; empty: 200
 	framing  func(body string) string // the end of the head and the body
 	body     func(id string) string
 	cutAfter atomic.Int64 // bytes of the next answer; 0: all
@@ -54,7 +56,7 @@
 		return
 	}
 	id := r.Header.Get(headerRequestID)
-	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s", headerRequestID, id, u.framing(u.body(id)))
+	answer := fmt.Sprintf("%s\r\n%s: %s\r\n%s", cmp.Or(u.status, "HTTP/1.1 200 OK"), headerRequestID, id, u.framing(u.body(id)))
 	if after := int(u.cutAfter.Swap(0)); after > 0 {
 		answer = answer[:min(after, len(answer))]
 	}
@@ -98,22 +100,24 @@
 	end     string // of a whole answer
 }
 
+var cutHeadCases = []cutHeadCase{
+	{"service, length", false, framedByLength, documentBody, sendLookup, `"whole"}`},
+	{"service, chunks", false, framedInChunks, documentBody, sendLookup, `"whole"}`},
+	{"service, until close", false, framedByClose, documentBody, sendLookup, `"whole"}`},
+	{"order, length", false, framedByLength, documentBody, sendTicketedOrder, `"whole"}`},
+	{"order, chunks", false, framedInChunks, documentBody, sendTicketedOrder, `"whole"}`},
+	{"order, until close", false, framedByClose, documentBody, sendTicketedOrder, `"whole"}`},
+	{"chat, length", true, framedByLength, documentBody, sendChat, `"whole"}`},
+	{"chat, chunks", true, framedInChunks, documentBody, sendChat, `"whole"}`},
+	{"chat, until close", true, framedByClose, documentBody, sendChat, `"whole"}`},
+	{"stream, chunks", true, framedInChunks, eventsBody, sendStream, "[DONE]\n\n"},
+	{"stream, until close", true, framedByClose, eventsBody, sendStream, "[DONE]\n\n"},
+}
+
 // Guards against an upstream that stops in the middle of the head of its answer, and whose caller gets a 200 with an
 // empty or short body that looks complete.
 func TestCutHeadIsNoCompleteAnswer(t *testing.T) {
-	for i, tc := range []cutHeadCase{
-		{"service, length", false, framedByLength, documentBody, sendLookup, `"whole"}`},
-		{"service, chunks", false, framedInChunks, documentBody, sendLookup, `"whole"}`},
-		{"service, until close", false, framedByClose, documentBody, sendLookup, `"whole"}`},
-		{"order, length", false, framedByLength, documentBody, sendTicketedOrder, `"whole"}`},
-		{"order, chunks", false, framedInChunks, documentBody, sendTicketedOrder, `"whole"}`},
-		{"order, until close", false, framedByClose, documentBody, sendTicketedOrder, `"whole"}`},
-		{"chat, length", true, framedByLength, documentBody, sendChat, `"whole"}`},
-		{"chat, chunks", true, framedInChunks, documentBody, sendChat, `"whole"}`},
-		{"chat, until close", true, framedByClose, documentBody, sendChat, `"whole"}`},
-		{"stream, chunks", true, framedInChunks, eventsBody, sendStream, "[DONE]\n\n"},
-		{"stream, until close", true, framedByClose, eventsBody, sendStream, "[DONE]\n\n"},
-	} {
+	for i, tc := range cutHeadCases {
 		for after := 1 + i%cutHeadStep; after <= maxCutHeadBytes; after += cutHeadStep {
 			t.Run(fmt.Sprintf("%s, after %d bytes", tc.name, after), func(t *testing.T) {
 				t.Parallel()
--- /dev/null
+++ b/internal/entry/malformed_answer_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/yuccabridge/yuccabridge/config"
+)
+
+// malformedAnswers change a valid answer into one that is no HTTP: its status line, or the rest from the second field on.
+var malformedAnswers = map[string]struct {
+	status string
+	change func(rest string) string
+}{
+	"blank in a name":    {change: func(rest string) string { return "X Y: a\r\n" + rest }},
+	"blank after a name": {change: func(rest string) string { return "X-Y : a\r\n" + rest }},
+}
+
+// Guards against an answer that is no HTTP and that its caller gets as the answer.
+func TestMalformedAnswerIsNotForwarded(t *testing.T) {
+	for name, malformed := range malformedAnswers {
+		for _, tc := range cutHeadCases {
+			t.Run(name+"/"+tc.name, func(t *testing.T) {
+				t.Parallel()
+				framing := func(body string) string { return malformed.change(tc.framing(body)) }
+				u := &cuttingUpstream{status: malformed.status, framing: framing, body: tc.body}
+				upstreams := []config.Upstream{{Name: "malformed", Address: u.start(t), FailureDomain: "a"}}
+				env := newTestEnv(t, 0, func(d *config.Deployment) {
+					d.Classes[0].Deadline = config.Duration(2 * time.Second)
+					if tc.engine {
+						d.Models[0].Upstreams = upstreams
+					} else {
+						d.Models, d.Services[0].Upstreams = nil, upstreams
+					}
+				})
+				if resp, text := tc.send(env); resp.StatusCode < http.StatusInternalServerError {
+					t.Errorf("%d %q", resp.StatusCode, text)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/httphead/httphead.go
@@ -0,0 +1,89 @@
+// Package httphead checks the heads of HTTP/1.1 responses more strictly than the HTTP library, which accepts blanks in the
+// names of fields and control bytes in the reason. A recipient that passes on such a line passes on bytes that the next one
+// may read in another way.
+package httphead
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// Checker checks the lines of a head as they arrive. The zero value expects the head of a response.
+type Checker struct {
+	status   int // 0 before the status line
+	inFields bool
+	folds    bool // the line before may be continued
+}
+
+// Status returns the status code; 0 before the status line has been checked.
+func (c *Checker) Status() int { return c.status }
+
+// Check checks the complete lines at the start of data and returns their length. The next call continues behind them.
+// ended is true when the last of them ends the head. An error is final.
+func (c *Checker) Check(data []byte) (length int, ended bool, err error) {
+	for !ended && err == nil {
+		i := bytes.IndexByte(data[length:], '\n')
+		if i < 0 {
+			return length, false, nil
+		}
+		line := bytes.TrimSuffix(data[length:length+i], []byte("\r"))
+		length += i + 1
+		ended, err = c.checkLine(line)
+	}
+	return length, ended, err
+}
+
+func (c *Checker) checkLine(line []byte) (ended bool, err error) {
+	switch {
+	case !c.inFields && len(line) == 0:
+		return false, nil // blank lines before the status line are ignored
+	case !c.inFields:
+		c.inFields = true
+		return false, c.checkStatusLine(line)
+	case len(line) == 0:
+		return true, nil
+	case c.folds && (line[0] == ' ' || line[0] == '\t'):
+		return false, checkText("folded line", line)
+	}
+	c.folds = true
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return false, invalid("name of a field", line)
+	}
+	return false, checkText("value of a field", value)
+}
+
+// statusDigits is the length of a status code.
+const statusDigits = 3
+
+func (c *Checker) checkStatusLine(line []byte) error {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	code, reason := rest[:min(statusDigits, len(rest))], rest[min(statusDigits, len(rest)):]
+	status, err := strconv.ParseUint(string(code), 10, 16)
+	if err != nil || len(code) < statusDigits || len(reason) > 0 && reason[0] != ' ' {
+		return invalid("status line", line)
+	}
+	if status < minStatus {
+		return invalid("status code", line)
+	}
+	c.status = int(status)
+	return checkText("reason", reason)
+}
+
+// minStatus is the lowest valid status code.
+const minStatus = 100
+
+func checkText(what string, text []byte) error {
+	if !httpguts.ValidHeaderFieldValue(string(text)) {
+		return invalid(what, text)
+	}
+	return nil
+}
+
+// invalid returns an error that quotes the start of the text.
+func invalid(what string, text []byte) error {
+	return errors.Errorf("invalid %s in the head of a response: %.64q", what, text)
+}
--- /dev/null
+++ b/internal/transport/upstream/head.go
@@ -0,0 +1,53 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/yuccabridge/yuccabridge/internal/protocol/httphead"
+)
+
+// minFinalStatus is the lowest status code of a final response; those below are of interim responses.
+const minFinalStatus = 200
+
+// readResponse reads the next final response. Every head is checked before the HTTP library parses or skips it: the library
+// accepts names with blanks and reads a status code of 000 as 200.
+func readResponse(r *bufio.Reader, response *fasthttp.Response) error {
+	for {
+		var head httphead.Checker
+		length, err := peekHead(r, &head)
+		if err != nil {
+			return err
+		}
+		if status := head.Status(); status >= minFinalStatus || status == fasthttp.StatusSwitchingProtocols {
+			return response.Read(r)
+		}
+		if _, err := r.Discard(length); err != nil {
+			return err
+		}
+	}
+}
+
+// peekHead checks a head as it arrives and returns its length when it is complete. It consumes nothing. A head that exceeds
+// the buffer of the reader is an error.
+func peekHead(r *bufio.Reader, head *httphead.Checker) (length int, err error) {
+	for {
+		text, err := r.Peek(r.Buffered())
+		if err != nil {
+			return 0, err
+		}
+		n, ended, err := head.Check(text[length:])
+		length += n
+		if ended || err != nil {
+			return length, err
+		}
+		if _, err := r.Peek(len(text) + 1); err != nil {
+			if err == io.EOF && len(text) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return 0, err
+		}
+	}
+}
