--- a/internal/entry/malformed_answer_test.go
+++ b/internal/entry/malformed_answer_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 }{
 	"blank in a name":    {change: func(rest string) string { return "X Y: a\r\n" + rest }},
 	"blank after a name": {change: func(rest string) string { return "X-Y : a\r\n" + rest }},
+	"status 999":         {status: "HTTP/1.1 999 X", change: func(rest string) string { return rest }},
 }
 
 // Guards against an answer that is no HTTP and that its caller gets as the answer.
@@ -34,7 +34,7 @@
 						d.Models, d.Services[0].Upstreams = nil, upstreams
 					}
 				})
-				if resp, text := tc.send(env); resp.StatusCode < http.StatusInternalServerError {
+				if resp, text := tc.send(env); resp.StatusCode/100 != 5 {
 					t.Errorf("%d %q", resp.StatusCode, text)
 				}
 			})
--- a/internal/protocol/httphead/httphead.go
+++ b/internal/protocol/httphead/httphead.go
@@ -66,15 +66,18 @@
 	if err != nil || len(code) < statusDigits || len(reason) > 0 && reason[0] != ' ' {
 		return invalid("status line", line)
 	}
-	if status < minStatus {
+	if status < minStatus || status > maxStatus {
 		return invalid("status code", line)
 	}
 	c.status = int(status)
 	return checkText("reason", reason)
 }
 
-// minStatus is the lowest valid status code.
-const minStatus = 100
+// Status codes outside of these have no class.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
 
 func checkText(what string, text []byte) error {
 	if !httpguts.ValidHeaderFieldValue(string(text)) {
