--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccabridge/yuccabridge/internal/protocol/httphead"
@@ -12,6 +13,9 @@
 // minFinalStatus is the lowest status code of a final response; those below are of interim responses.
 const minFinalStatus = 200
 
+// errProtocolSwitch reports a switch to another protocol. No request asks for one, as Upgrade is not forwarded.
+var errProtocolSwitch = errors.New("the upstream switches to another protocol, which was not asked for")
+
 // readResponse reads the next final response. Every head is checked before the HTTP library parses or skips it: the library
 // accepts names with blanks and reads a status code of 000 as 200.
 func readResponse(r *bufio.Reader, response *fasthttp.Response) error {
@@ -21,8 +25,11 @@
 		if err != nil {
 			return err
 		}
-		if status := head.Status(); status >= minFinalStatus || status == fasthttp.StatusSwitchingProtocols {
+		switch status := head.Status(); {
+		case status >= minFinalStatus:
 			return response.Read(r)
+		case status == fasthttp.StatusSwitchingProtocols:
+			return errProtocolSwitch
 		}
 		if _, err := r.Discard(length); err != nil {
 			return err
--- a/internal/transport/upstream/head_test.go
+++ b/internal/transport/upstream/head_test.go
@@ -46,7 +46,7 @@
 func TestInvalidStatusIsNoResponse(t *testing.T) {
 	for line, want := range map[string]int{
 		"HTTP/1.1 000 OK": 0, "HTTP/1.1 000": 0, "HTTP/1.1 099 X": 0, "HTTP/1.1 0 OK": 0, "HTTP/1.1 ": 0, "HTTP/1.1 2": 0,
-		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK": 0, "\r\nHTTP/1.1 000 OK": 0,
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK": 0, "\r\nHTTP/1.1 000 OK": 0, "HTTP/1.1 101 Switching Protocols": 0,
 		"HTTP/1.1 200 OK": 200, "HTTP/1.1 200": 200, "HTTP/1.1 599 X": 599, "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 404 Not Found": 404,
 	} {
 		for _, byteByByte := range []bool{false, true} {
