--- a/internal/entry/malformed_answer_test.go
+++ b/internal/entry/malformed_answer_test.go
@@ -15,6 +15,7 @@
 	"blank in a name":    {change: func(rest string) string { return "X Y: a\r\n" + rest }},
 	"blank after a name": {change: func(rest string) string { return "X-Y : a\r\n" + rest }},
 	"other protocol":     {status: "HTTP/1.1 101 Switching Protocols", change: func(rest string) string { return rest }},
+	"HTTP/1.0, encoded":  {status: "HTTP/1.0 200 OK", change: func(rest string) string { return "Transfer-Encoding: chunked\r\n" + rest }},
 	"status 999":         {status: "HTTP/1.1 999 X", change: func(rest string) string { return rest }},
 }
 
--- a/internal/protocol/httphead/httphead.go
+++ b/internal/protocol/httphead/httphead.go
@@ -1,11 +1,12 @@
 // Package httphead checks the heads of HTTP/1.1 responses more strictly than the HTTP library, which accepts blanks in the
-// names of fields and control bytes in the reason. A recipient that passes on such a line passes on bytes that the next one
-// may read in another way.
+// names of fields, control bytes in the reason, and a framing that is ambiguous. A recipient that passes on such a head passes
+// on bytes that the next one may read in another way.
 package httphead
 
 import (
 	"bytes"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -13,9 +14,12 @@
 
 // Checker checks the lines of a head as they arrive. The zero value expects the head of a response.
 type Checker struct {
-	status   int // 0 before the status line
-	inFields bool
-	folds    bool // the line before may be continued
+	status    int // 0 before the status line
+	version   string
+	inFields  bool
+	folds     bool // the line before may be continued
+	hasLength bool
+	isEncoded bool // a field states a transfer encoding
 }
 
 // Status returns the status code; 0 before the status line has been checked.
@@ -44,23 +48,46 @@
 		c.inFields = true
 		return false, c.checkStatusLine(line)
 	case len(line) == 0:
-		return true, nil
+		return true, c.checkFraming()
 	case c.folds && (line[0] == ' ' || line[0] == '\t'):
 		return false, checkText("folded line", line)
 	}
 	c.folds = true
-	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+	nameText, value, found := bytes.Cut(line, []byte(":"))
+	name := string(nameText)
+	if !found || !httpguts.ValidHeaderFieldName(name) {
 		return false, invalid("name of a field", line)
 	}
+	c.hasLength = c.hasLength || strings.EqualFold(name, "Content-Length")
+	c.isEncoded = c.isEncoded || strings.EqualFold(name, "Transfer-Encoding")
 	return false, checkText("value of a field", value)
 }
 
+// errAmbiguousFraming reports a head from which recipients read different ends of the body: the HTTP library decodes no chunks
+// of other versions than 1.1, and ignores a length beside chunks.
+var errAmbiguousFraming = errors.New("the head of a response states its framing in a way that recipients read differently")
+
+func (c *Checker) checkFraming() error {
+	if c.isEncoded && (c.hasLength || c.version != http11) {
+		return errAmbiguousFraming
+	}
+	return nil
+}
+
+const (
+	http10 = "HTTP/1.0"
+	http11 = "HTTP/1.1"
+)
+
 // statusDigits is the length of a status code.
 const statusDigits = 3
 
 func (c *Checker) checkStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	c.version = string(version)
+	if c.version != http10 && c.version != http11 {
+		return invalid("version", line)
+	}
 	code, reason := rest[:min(statusDigits, len(rest))], rest[min(statusDigits, len(rest)):]
 	status, err := strconv.ParseUint(string(code), 10, 16)
 	if err != nil || len(code) < statusDigits || len(reason) > 0 && reason[0] != ' ' {
--- a/internal/protocol/httphead/httphead_test.go
+++ b/internal/protocol/httphead/httphead_test.go
@@ -18,6 +18,8 @@
 		ok + "X: a\x00\r\n\r\n": 0, ok + "X: a\x01\r\n\r\n": 0, ok + "X: a\x7f\r\n\r\n": 0, ok + "X: a\rb\r\n\r\n": 0, ok + "X: a\r\n b\x01\r\n\r\n": 0,
 		"HTTP/1.1 200 O\x01K\r\n\r\n": 0, "HTTP/1.1 2000 OK\r\n\r\n": 0, "HTTP/1.1 20 OK\r\n\r\n": 0, "HTTP/1.1 +20 OK\r\n\r\n": 0, "HTTP/1.1  200 OK\r\n\r\n": 0,
 		"HTTP/1.1\r\n\r\n": 0, "HTTP/1.1 \r\n\r\n": 0, "HTTP/1.1 000 OK\r\n\r\n": 0, "HTTP/1.1 099\r\n\r\n": 0, "HTTP/1.1 600 X\r\n\r\n": 0, "HTTP/1.1 999\r\n\r\n": 0, "garbage\r\n\r\n": 0,
+		"HTTP/1.2 200 OK\r\n\r\n": 0, "HTTP/2.0 200 OK\r\n\r\n": 0, "http/1.1 200 OK\r\n\r\n": 0, "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\n": 200,
+		"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n": 0, ok + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n": 0, ok + "Transfer-Encoding: chunked\r\n\r\n": 200,
 	} {
 		for _, step := range []int{len(head), 1} {
 			var c Checker
