--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -172,10 +172,11 @@
 }
 
 // detectCrash reports whether the upstream crashed during the attempt. It records a crash
-// in the quarantine for the requests that were running there.
+// in the quarantine for the requests that were running there. An upstream that has sent what is
+// no response has not crashed.
 func (a *attempt) detectCrash(err error) bool {
 	var f *upstream.Failure
-	if !errors.As(err, &f) || dialFailed(err) || a.upstreamRuns() {
+	if !errors.As(err, &f) || f.Malformed || dialFailed(err) || a.upstreamRuns() {
 		return false
 	}
 	a.recordCrash()
--- a/internal/entry/cut_head_test.go
+++ b/internal/entry/cut_head_test.go
@@ -21,6 +21,7 @@
 	framing  func(body string) string // the end of the head and the body
 	body     func(id string) string
 	cutAfter atomic.Int64 // bytes of the next answer; 0: all
+	noLoad   bool         // load queries are not answered
 }
 
 func (u *cuttingUpstream) start(t *testing.T) string {
@@ -50,6 +51,9 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
+	if r.URL.Path == "/load" && u.noLoad {
+		return
+	}
 	if r.URL.Path == "/load" {
 		const load = `{"incarnation":"e-1"}`
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(load), load)
--- a/internal/entry/malformed_answer_test.go
+++ b/internal/entry/malformed_answer_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -53,3 +54,27 @@
 		}
 	}
 }
+
+// Guards against a request that is refused as one that crashes upstreams, with those like it, since several of them sent
+// answers that are no HTTP.
+func TestMalformedAnswerIsNoCrash(t *testing.T) {
+	for _, noLoad := range []bool{false, true} {
+		for _, tc := range cutHeadCases {
+			if tc.engine {
+				t.Run(fmt.Sprintf("%s/load unknown=%t", tc.name, noLoad), func(t *testing.T) {
+					t.Parallel()
+					u := &cuttingUpstream{status: "HTTP/1.1 999 X", framing: tc.framing, body: tc.body, noLoad: noLoad}
+					env := newTestEnv(t, 0, func(d *config.Deployment) {
+						d.Classes[0].Deadline = config.Duration(2 * time.Second)
+						for i := range 3 {
+							d.Models[0].Upstreams = append(d.Models[0].Upstreams, config.Upstream{Name: fmt.Sprint("malformed-", i), Address: u.start(t), FailureDomain: "a"})
+						}
+					})
+					if resp, text := tc.send(env); resp.StatusCode/100 != 5 {
+						t.Errorf("%d %q", resp.StatusCode, text)
+					}
+				})
+			}
+		}
+	}
+}
