--- a/internal/transport/upstream/client_test.go
+++ b/internal/transport/upstream/client_test.go
@@ -248,6 +248,23 @@
 	}
 }
 
+// Guards against a malformed response on a pooled connection that counts as a lost connection: the request has run, and is
+// sent to the same upstream once more without a retry of the budget.
+func TestMalformedResponseIsNoLostConnection(t *testing.T) {
+	address, _ := listen(t, func(n int, c *serverConn) {
+		c.readRequest()
+		c.respond(completeResponse)
+		c.readRequest()
+		c.respond("HTTP/1.1 200 OK\r\nX Y: a\r\nContent-Length: 2\r\n\r\nok")
+	})
+	c := newClient(t, address, Options{ReuseWindow: time.Hour})
+	mustExchange(t, c, newCall(address))
+	_, err := c.Do(t.Context(), newCall(address))
+	if f := asFailure(t, err); !f.Reused || !f.Malformed || f.LostConnection() {
+		t.Errorf("got %+v", f)
+	}
+}
+
 // Guards against a failed dial that counts as sent: the caller is told "not run".
 func TestFailedDialHasSentNothing(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/transport/upstream/failure.go
+++ b/internal/transport/upstream/failure.go
@@ -57,7 +57,7 @@
 // The upstream may have closed it while it was idle, or may have crashed; only a new
 // dial can tell the two apart.
 func (f *Failure) LostConnection() bool {
-	return f.Reused && !f.Timeout && (f.Phase == PhaseWrite || f.Phase == PhaseHeader)
+	return f.Reused && !f.Timeout && !f.Malformed && (f.Phase == PhaseWrite || f.Phase == PhaseHeader)
 }
 
 // isTimeout accepts any error with a Timeout method: when a header does not arrive in time,
