--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -196,7 +196,11 @@
 }
 
 func (c *Client) get(uri string, timeout time.Duration, res *fasthttp.Response) (Outcome, error) {
-	if err := c.do(context.Background(), uri, timeout, nil, res); err != nil {
+	err := c.do(context.Background(), uri, timeout, nil, res)
+	switch {
+	case errors.Is(err, ErrMalformed):
+		return Malformed, err
+	case err != nil:
 		return Unavailable, err
 	}
 	switch code := res.StatusCode(); code {
@@ -214,6 +218,9 @@
 // ErrTooLarge reports a response that is larger than the client accepts.
 var ErrTooLarge = errors.New("platform: the response is too large")
 
+// ErrMalformed reports an answer that is no valid HTTP.
+var ErrMalformed = errors.New("platform: the answer is no valid HTTP")
+
 // Response is a response of the platform.
 type Response struct {
 	Status int
@@ -301,40 +308,3 @@
 		s.http.CloseIdleConnections()
 	}
 }
-
-type trackedConn struct {
-	net.Conn
-	slot       *slot
-	readBy     time.Time // zero: no limit
-	transferBy time.Time // latest value of readBy
-	readBytes  int       // of the answer
-}
-
-// SetReadDeadline sets the time limit for the first bytes of an answer.
-func (c *trackedConn) SetReadDeadline(t time.Time) error {
-	c.readBy, c.transferBy, c.readBytes = t, t.Add(maxTransferTime), 0
-	return c.Conn.SetReadDeadline(t)
-}
-
-// Read extends the time limit while an answer arrives, up to its largest size.
-func (c *trackedConn) Read(p []byte) (int, error) {
-	if c.readBytes >= maxReadBytes {
-		return 0, ErrTooLarge
-	}
-	n, err := c.Conn.Read(p)
-	if c.readBytes < LargeResponseBytes && c.readBytes+n >= LargeResponseBytes {
-		c.slot.notifyLarge()
-	}
-	c.readBytes += n
-	if n == 0 || err != nil || c.readBy.IsZero() {
-		return n, err
-	}
-	if extended := time.Now().Add(progressTimeout); extended.After(c.readBy) && c.readBy.Before(c.transferBy) {
-		c.readBy = extended
-		if extended.After(c.transferBy) {
-			c.readBy = c.transferBy
-		}
-		err = c.Conn.SetReadDeadline(c.readBy)
-	}
-	return n, err
-}
--- a/internal/transport/platform/slot.go
+++ b/internal/transport/platform/slot.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -22,6 +23,8 @@
 	ctx     context.Context // of the call in progress
 	onLarge func()          // of the call in progress; nil if it has been called
 	conn    net.Conn        // opened last; nil before the first dial
+
+	malformed error // in the answer to the call in progress
 }
 
 func (c *Client) newSlot(address string) *slot {
@@ -45,7 +48,11 @@
 	defer context.AfterFunc(ctx, func() { s.abort(ctx) })()
 	err := ctx.Err()
 	for attempt := 0; attempt < maxAttempts && ctx.Err() == nil; attempt++ {
-		if err = s.http.DoDeadline(req, res, deadline); !connectionEnded(err) {
+		err = s.http.DoDeadline(req, res, deadline)
+		if malformed := s.malformedAnswer(); malformed != nil {
+			return errors.WithMessage(ErrMalformed, malformed.Error())
+		}
+		if !connectionEnded(err) {
 			break
 		}
 	}
@@ -55,7 +62,7 @@
 func (s *slot) begin(ctx context.Context, onLarge func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ctx, s.onLarge = ctx, onLarge
+	s.ctx, s.onLarge, s.malformed = ctx, onLarge, nil
 }
 
 func (s *slot) finish() {
@@ -64,6 +71,20 @@
 	s.ctx, s.onLarge = nil, nil
 }
 
+// recordMalformed keeps what is wrong with the answer to the call in progress: the HTTP client reports a failed read as an end of
+// the connection, after which the call would be sent again.
+func (s *slot) recordMalformed(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.malformed = err
+}
+
+func (s *slot) malformedAnswer() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.malformed
+}
+
 // notifyLarge tells the call in progress, once, that its response is large.
 func (s *slot) notifyLarge() {
 	s.mu.Lock()
