--- a/internal/entry/cut_head_test.go
+++ b/internal/entry/cut_head_test.go
@@ -192,9 +192,14 @@
 }
 
 func sendTicketedOrder(env *testEnv) (*http.Response, string) {
+	return env.sendAndRead("POST", "/orders/runs", "{}", env.issueTicket())
+}
+
+func (env *testEnv) issueTicket() string {
+	env.t.Helper()
 	ticket, apiErr := env.instance.orders.issueTicket("desk")
 	if apiErr != nil {
 		env.t.Fatal(apiErr)
 	}
-	return env.sendAndRead("POST", "/orders/runs", "{}", ticket)
+	return ticket
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -30,6 +31,8 @@
 	engines  []*emulator.Engine
 	service  *emulator.Service
 	stop     func()
+
+	maxBodyBytes int // 0: 65536
 }
 
 func newTestEnv(t *testing.T, engines int, adjust func(*config.Deployment)) *testEnv {
@@ -62,7 +65,7 @@
 	env.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s, err := settings.Parse([]byte("instance: entry-1\nfailure_domain: a\ncallers:\n  address: 127.0.0.1:0\noperations:\n  address: 127.0.0.2:0\nconfiguration_file: unused\nlimits:\n  max_body_bytes: 65536\n  read_timeout: 1s\n  write_timeout: 1s\n"))
+	s, err := settings.Parse(fmt.Appendf(nil, "instance: entry-1\nfailure_domain: a\ncallers:\n  address: 127.0.0.1:0\noperations:\n  address: 127.0.0.2:0\nconfiguration_file: unused\nlimits:\n  max_body_bytes: %d\n  read_timeout: 1s\n  write_timeout: 1s\n", cmp.Or(env.maxBodyBytes, 65536)))
 	if err != nil {
 		env.t.Fatal(err)
 	}
