--- a/internal/entry/load.go
+++ b/internal/entry/load.go
@@ -90,7 +90,7 @@
 	body, err := a.readBody(maxLoadReportBytes, loadQueryTimeout)
 	response.Release(err == nil)
 	var report loadReport
-	if err != nil || json.Unmarshal(body, &report) != nil {
+	if err != nil || response.Response.StatusCode() != fasthttp.StatusOK || json.Unmarshal(body, &report) != nil {
 		return loadReport{}, false
 	}
 	return report, true
--- a/internal/entry/malformed_answer_test.go
+++ b/internal/entry/malformed_answer_test.go
@@ -78,3 +78,18 @@
 		}
 	}
 }
+
+// Guards against the error of an engine that is read as a load report: it would look idle, and its incarnation unknown.
+func TestErrorIsNoLoadReport(t *testing.T) {
+	for answer, valid := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\n{\"incarnation\":\"e-1\"}": true,
+		"HTTP/1.1 500 X\r\nContent-Length: 16\r\n\r\n{\"error\":\"busy\"}":       false, "HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\n{}": false,
+		"HTTP/1.1 200 OK\r\nX Y: a\r\nContent-Length: 2\r\n\r\n{}": false, "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}": false,
+	} {
+		address := startRawUpstream(t, answer)
+		env := newTestEnv(t, 1, nil)
+		if report, ok := env.instance.routes.Load().models["llm"].queryLoad(t.Context(), address, true); ok != valid {
+			t.Errorf("%q: %+v", answer, report)
+		}
+	}
+}
