--- a/internal/entry/badinput_test.go
+++ b/internal/entry/badinput_test.go
@@ -21,6 +21,7 @@
 	"github.com/yuccabridge/yuccabridge/config"
 	"github.com/yuccabridge/yuccabridge/internal/emulator"
 	"github.com/yuccabridge/yuccabridge/internal/settings"
+	"github.com/yuccabridge/yuccabridge/internal/testnet"
 )
 
 // rawConnTimeout is the deadline of raw test connections, so that a hanging one fails the test.
@@ -258,27 +259,12 @@
 // given response and closes the connection.
 func startRawUpstream(t *testing.T, response string) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				// Errors are ignored: this test checks the instance, not the connection.
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, response)
-				}
-			}()
+	return testnet.Serve(t, func(conn net.Conn) {
+		// Errors are ignored: this test checks the instance, not the connection.
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, response)
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // The state of an order must be readable only by the team that owns the ticket.
--- a/internal/entry/cut_head_test.go
+++ b/internal/entry/cut_head_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/testnet"
 )
 
 // cuttingUpstream stands for upstreams. It answers each request on a connection of its own, and ends the answer after some bytes if it is told
@@ -26,26 +27,11 @@
 
 func (u *cuttingUpstream) start(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(conn)
-		}
-	}()
-	return ln.Addr().String()
+	return testnet.Serve(t, u.serve)
 }
 
 // serve ignores errors: the test checks the instance, not the connection.
 func (u *cuttingUpstream) serve(conn net.Conn) {
-	defer conn.Close()
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
--- a/internal/entry/upload_reset_test.go
+++ b/internal/entry/upload_reset_test.go
@@ -11,41 +11,28 @@
 	"time"
 
 	"github.com/yuccabridge/yuccabridge/config"
+	"github.com/yuccabridge/yuccabridge/internal/testnet"
 )
 
 // startHastyUpstream starts an upstream that answers each request with 200 and part of a body without a length before it has
 // read the upload, and resets the connection after a pause.
 func startHastyUpstream(t *testing.T, part string, pause time.Duration) (address string, answers *atomic.Int64) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	answers = new(atomic.Int64)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
-				if err != nil {
-					return
-				}
-				id := r.Header.Get(headerRequestID)
-				if id != "" { // not of a load query
-					answers.Add(1)
-				}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", headerRequestID, id, strings.ReplaceAll(part, "ID", id)) // the reset follows in any case
-				time.Sleep(pause)
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
+	address = testnet.Serve(t, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
+		if err != nil {
+			return
+		}
+		id := r.Header.Get(headerRequestID)
+		if id != "" { // not of a load query
+			answers.Add(1)
 		}
-	}()
-	return l.Addr().String(), answers
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", headerRequestID, id, strings.ReplaceAll(part, "ID", id)) // the reset follows in any case
+		time.Sleep(pause)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	return address, answers
 }
 
 // Guards against the part of an answer that its upstream breaks off, while it is still sent the upload, and that reaches the
--- a/internal/transport/platform/malformed_test.go
+++ b/internal/transport/platform/malformed_test.go
@@ -7,31 +7,18 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/yuccabridge/yuccabridge/internal/testnet"
 )
 
 // answerWith starts a platform that sends the same bytes as the answer to each call, on a connection of its own.
 func answerWith(t *testing.T, answer string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, answer) // the test checks what the client reads
-				}
-			}()
+	return testnet.Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, answer) // the test checks what the client reads
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against an answer that is no HTTP and is taken for one of the platform: the HTTP library reads status 000 as 200, so
--- a/internal/transport/upstream/head_test.go
+++ b/internal/transport/upstream/head_test.go
@@ -8,38 +8,25 @@
 	"testing"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/yuccabridge/yuccabridge/internal/testnet"
 )
 
 // respond starts an upstream that answers the first request of each connection with text, byte by byte or at once.
 func respond(t *testing.T, text string, byteByByte bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				if !byteByByte {
-					io.WriteString(c, text)
-					return
-				}
-				for i := range text {
-					io.WriteString(c, text[i:i+1])
-				}
-			}()
+	return testnet.Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		if !byteByByte {
+			io.WriteString(c, text)
+			return
+		}
+		for i := range text {
+			io.WriteString(c, text[i:i+1])
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a response with an invalid status code that counts as a success: the HTTP library reads 000 as 200.
