--- a/internal/protocol/httphead/httphead.go
+++ b/internal/protocol/httphead/httphead.go
@@ -14,12 +14,12 @@
 
 // Checker checks the lines of a head as they arrive. The zero value expects the head of a response.
 type Checker struct {
-	status    int // 0 before the status line
-	version   string
-	inFields  bool
-	folds     bool // the line before may be continued
-	hasLength bool
-	isEncoded bool // a field states a transfer encoding
+	status              int // 0 before the status line
+	version             string
+	inFields            bool
+	canFold             bool // the line before may be continued
+	hasLength           bool
+	hasTransferEncoding bool
 }
 
 // NewTrailerChecker returns a Checker of the trailer of a body in chunks, which has no status line.
@@ -52,26 +52,26 @@
 		return false, c.checkStatusLine(line)
 	case len(line) == 0:
 		return true, c.checkFraming()
-	case c.folds && (line[0] == ' ' || line[0] == '\t'):
+	case c.canFold && (line[0] == ' ' || line[0] == '\t'):
 		return false, checkText("folded line", line)
 	}
-	c.folds = true
+	c.canFold = true
 	nameText, value, found := bytes.Cut(line, []byte(":"))
 	name := string(nameText)
 	if !found || !httpguts.ValidHeaderFieldName(name) {
 		return false, invalid("name of a field", line)
 	}
 	c.hasLength = c.hasLength || strings.EqualFold(name, "Content-Length")
-	c.isEncoded = c.isEncoded || strings.EqualFold(name, "Transfer-Encoding")
+	c.hasTransferEncoding = c.hasTransferEncoding || strings.EqualFold(name, "Transfer-Encoding")
 	return false, checkText("value of a field", value)
 }
 
 // errAmbiguousFraming reports a head from which recipients read different ends of the body: the HTTP library decodes no chunks
 // of other versions than 1.1, and ignores a length beside chunks.
-var errAmbiguousFraming = errors.New("the head of a response states its framing in a way that recipients read differently")
+var errAmbiguousFraming = errors.New("ambiguous framing in the head of a response: a transfer encoding beside a length, or not in HTTP/1.1")
 
 func (c *Checker) checkFraming() error {
-	if c.isEncoded && (c.hasLength || c.version != http11) {
+	if c.hasTransferEncoding && (c.hasLength || c.version != http11) {
 		return errAmbiguousFraming
 	}
 	return nil
--- a/internal/transport/upstream/head.go
+++ b/internal/transport/upstream/head.go
@@ -26,16 +26,10 @@
 			return err
 		}
 		switch status := head.Status(); {
-		case status >= minFinalStatus:
-			if err := response.Read(r); err != nil {
-				return err
-			}
-			if response.BodyStream() != nil && response.Header.ContentLength() == contentLengthChunked {
-				response.SetBodyStream(newChunkedBody(r, &response.Header), contentLengthChunked)
-			}
-			return nil
 		case status == fasthttp.StatusSwitchingProtocols:
 			return errProtocolSwitch
+		case status >= minFinalStatus:
+			return parseResponse(r, response)
 		}
 		if _, err := r.Discard(length); err != nil {
 			return err
@@ -43,6 +37,17 @@
 	}
 }
 
+// parseResponse parses a head that has been checked. The body is left to be read.
+func parseResponse(r *bufio.Reader, response *fasthttp.Response) error {
+	if err := response.Read(r); err != nil {
+		return err
+	}
+	if response.BodyStream() != nil && response.Header.ContentLength() == contentLengthChunked {
+		response.SetBodyStream(newChunkedBody(r, &response.Header), contentLengthChunked)
+	}
+	return nil
+}
+
 // peekHead checks a head as it arrives and returns its length when it is complete. It consumes nothing. A head that exceeds
 // the buffer of the reader is an error.
 func peekHead(r *bufio.Reader, head *httphead.Checker) (length int, err error) {
