--- a/internal/transport/upstream/head_test.go
+++ b/internal/transport/upstream/head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -55,3 +56,30 @@
 		}
 	}
 }
+
+func BenchmarkReadResponse(b *testing.B) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nDate: Mon, 07 Dec 2026 02:33:33 GMT\r\nKeep-Alive: timeout=30\r\n" +
+		"X-Request-Id: 5d41402abc4b2a76b9719d911017c592\r\nX-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+	for name, text := range map[string]string{
+		"length": head + "Content-Length: 800\r\n\r\n" + strings.Repeat("x", 800),
+		"chunks": head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("50\r\n"+strings.Repeat("x", 80)+"\r\n", 10) + "0\r\n\r\n",
+	} {
+		b.Run(name, func(b *testing.B) {
+			input := strings.NewReader(text)
+			reader := bufio.NewReaderSize(input, 4<<10)
+			body := make([]byte, 1<<10)
+			b.ReportAllocs()
+			for b.Loop() {
+				input.Reset(text)
+				reader.Reset(input)
+				response := fasthttp.Response{StreamBody: true}
+				if err := readResponse(reader, &response); err != nil {
+					b.Fatal(err)
+				}
+				for err := error(nil); err == nil; {
+					_, err = response.BodyStream().Read(body)
+				}
+			}
+		})
+	}
+}
