--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/yuccabridge/yuccabridge/platform/standin"
 )
@@ -40,6 +41,7 @@
 	duration      time.Duration
 	status        int
 	signed        bool
+	malformedHead bool // a name of a field is invalid
 	framed        bool // with a length or chunks
 	body          string
 	err           error // from the connection or from reading the body
@@ -136,6 +138,9 @@
 	defer res.Body.Close()
 	o.status, o.duration = res.StatusCode, time.Since(o.sent)
 	o.signed = standin.HasSignature(res.Header)
+	for name := range res.Header { // the HTTP client accepts blanks in names
+		o.malformedHead = o.malformedHead || !httpguts.ValidHeaderFieldName(name)
+	}
 	o.framed = res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 	received, err := io.ReadAll(res.Body)
 	o.body, o.err = string(received), err
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -44,6 +44,8 @@
 	switch {
 	case !o.signed:
 		tb.addViolation("success without a signature: %v", o)
+	case o.malformedHead:
+		tb.addViolation("success with a malformed head: %v", o)
 	case strings.HasPrefix(o.path, streamPrefix):
 		if o.body != completeStream() {
 			tb.addViolation("a stream that looks whole is not: %v: %q", o, o.body)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,7 +31,7 @@
 	delayInstance      // an instance starts only after the load
 	stateLimit         // an upstream states a limit in its answers
 	sendEndless        // responses are replaced by bytes without end
-	endResponses       // responses without length or chunks end halfway with their connection
+	endResponses       // responses end halfway with their connection, without length or chunks, or have malformed heads
 	returnStore        // the store comes back from an older copy
 	releaseUpstream    // another version takes the place of an upstream
 	crashUpstream      // an upstream crashes and starts again
--- a/internal/soak/plan_drill.go
+++ b/internal/soak/plan_drill.go
@@ -12,7 +12,8 @@
 	meanDrillInterval = 4 * time.Second
 	// minCopyAge and maxCopyAge limit the age of the copy from which the store comes back.
 	minCopyAge, maxCopyAge = 300 * time.Millisecond, 4 * time.Second
-	// meanEndInterval is the mean time between the starts of two upstreams that end responses halfway.
+	// meanEndInterval is the mean time between the starts of two upstreams that end responses halfway or send
+	// malformed heads.
 	meanEndInterval = 2 * time.Second
 	// meanDrillFaultInterval is the mean time between other faults.
 	meanDrillFaultInterval = 900 * time.Millisecond
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -64,7 +64,8 @@
 	LimitFaults Faults = "limits"
 	// EndlessFaults makes upstreams send bytes without end, and checks the memory of instances.
 	EndlessFaults Faults = "endless"
-	// DrillFaults makes the store come back from an older copy, and upstreams end responses halfway.
+	// DrillFaults makes the store come back from an older copy, and upstreams end responses halfway or
+	// send malformed heads.
 	DrillFaults Faults = "drill"
 	// ReleaseFaults replaces upstreams by others of other versions, and lets callers go on with broken
 	// streams at any instance.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -151,6 +151,7 @@
 		{observation{id: "a", path: lookupPrefix, status: 200, signed: true, framed: true, body: "answer of"}, "another answer"},
 		{observation{id: "a", path: lookupPrefix, status: 200, signed: true, body: "answer of"}, ""},
 		{observation{id: "a", path: lookupPrefix, status: 200, body: "answer of i-00 to a"}, "without a signature"},
+		{observation{id: "a", path: lookupPrefix, status: 200, signed: true, malformedHead: true, body: "answer of i-00 to a"}, "malformed head"},
 		{observation{id: "a", path: streamPrefix, status: 200, signed: true, body: complete}, ""},
 		{observation{id: "a", path: streamPrefix, status: 200, signed: true, body: complete[:len(complete)/2]}, "looks whole"},
 		{observation{id: "a", path: streamPrefix, status: 200, signed: true, body: "id: 5", err: http.ErrBodyNotAllowed}, "other events"},
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -95,6 +95,8 @@
 		b.NotRun = true
 	case u.activeBreaks.Load() > 0:
 		b.BreakAfter = breakAfterEvents
+	case u.activeEnds.Load() > 0 && endless%2 == 0:
+		b.MalformedHead = true
 	case u.activeEnds.Load() > 0:
 		b.OmitLength, b.Truncate, b.EndAfter, b.EndInside = true, true, breakAfterEvents, true
 	case u.activeStaleResponses.Load() > 0 && b.Events == 0:
