--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -74,7 +74,7 @@
 		share = faultyShareOfMany
 	}
 	u.mu.Lock()
-	faulty, limit, endless := u.rng.Float64() < share, u.limit, u.rng.IntN(len(standin.EndlessResponses))
+	faulty, limit, variant := u.rng.Float64() < share, u.limit, u.rng.IntN(len(standin.EndlessResponses))
 	u.mu.Unlock()
 	b := standin.Behaviour{Delay: responseDelay, Limit: limit}
 	if strings.HasPrefix(execution.URI, streamPrefix) {
@@ -90,12 +90,12 @@
 	switch {
 	case !faulty:
 	case u.activeEndless.Load() > 0:
-		b.Endless = &standin.EndlessResponses[endless]
+		b.Endless = &standin.EndlessResponses[variant]
 	case u.activeRejections.Load() > 0:
 		b.NotRun = true
 	case u.activeBreaks.Load() > 0:
 		b.BreakAfter = breakAfterEvents
-	case u.activeEnds.Load() > 0 && endless%2 == 0:
+	case u.activeEnds.Load() > 0 && variant%2 == 0:
 		b.MalformedHead = true
 	case u.activeEnds.Load() > 0:
 		b.OmitLength, b.Truncate, b.EndAfter, b.EndInside = true, true, breakAfterEvents, true
--- a/internal/transport/upstream/doc.go
+++ b/internal/transport/upstream/doc.go
@@ -5,6 +5,9 @@
 // of a request can have been sent and whether the connection was reused. It must also be
 // able to cancel a request that still waits for its response.
 //
+// Heads and trailers are checked before fasthttp parses them (package httphead): bytes that are no
+// valid HTTP are a failure of their own kind, neither a response nor a lost connection.
+//
 // A pooled connection is reused only for a short time after its last use, since a
 // connection may stop delivering data for good while new ones work. A request that must
 // not run twice is sent only on a connection that was dialled for it. An upstream counts
