--- a/review/tool-2/main.go
+++ b/review/tool-2/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 )
 
 var cases = map[string]func(r *record, trouble bool) (int, error){
@@ -13,6 +14,7 @@
 }
 
 func main() {
+	runtime.LockOSThread() // the gateways end with the thread that has started them
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: tool-2 CASE RECORD")
 		os.Exit(exitCantRun)
